Run the whole path, thin: declarations, nodes, engines, desk, streamed answers

Cause: nothing existed. All later work needs a path to be measured on.

Change: declarations (strict YAML, compare-and-set by replay), the decision core (admission queue, pool owner, entry side, membership), thrift links with signed batches, the waitress gateway, a relay that serves all streams from one thread, stand-ins for log, host list, weights, engines and desk, and a demo that sends a recorded trace over HTTP and checks every answer.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup demo test lint format unit bench fuzz lock clean
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --require-hashes -r requirements.lock
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: setup
+	$(BIN)/rudderpass demo
+
+test: lint unit
+
+lint: setup
+	$(BIN)/black --quiet --check src tests
+	$(BIN)/isort --quiet --check src tests
+	$(BIN)/flake8 src tests
+	$(BIN)/mypy
+
+unit: setup
+	$(BIN)/python -m pytest
+
+format: setup
+	$(BIN)/isort --quiet src tests
+	$(BIN)/black --quiet src tests
+
+lock:
+	$(BIN)/python -m pip install --quiet pip-tools
+	$(BIN)/pip-compile --quiet --extra dev --generate-hashes --allow-unsafe \
+	  --no-emit-index-url --no-emit-find-links --no-emit-trusted-host \
+	  --strip-extras --output-file requirements.lock pyproject.toml
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/src/rudderpass/_ids.py
@@ -0,0 +1,22 @@
+"""Identifiers used across the slices, as distinct types over ``str``."""
+
+from typing import NewType
+
+NodeId = NewType("NodeId", str)
+"""A node's address, ``ip:port`` of its peer port."""
+
+RequestId = NewType("RequestId", str)
+"""One caller request; unique over all nodes."""
+
+TeamId = NewType("TeamId", str)
+ClassName = NewType("ClassName", str)
+RouteName = NewType("RouteName", str)
+UpstreamId = NewType("UpstreamId", str)
+AvailabilityZone = NewType("AvailabilityZone", str)
+
+PoolId = NewType("PoolId", str)
+"""The runner whose upstreams share one queue."""
+
+Version = NewType("Version", int)
+"""A configuration version: one more than the offset of the log record that
+made it, so that 0 is the empty configuration."""
--- /dev/null
+++ b/src/rudderpass/admission/_queue.py
@@ -0,0 +1,188 @@
+"""The order of service in one pool.
+
+Tier first; within a tier the class whose oldest work has the least slack to its
+target; within a class the team that was served least. Every class with waiting
+work also earns credit at its floor share, and is served ahead of the order when
+the credit pays for its oldest work, so that no class starves.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from sortedcontainers import SortedKeyList
+
+from rudderpass._ids import ClassName, RequestId, TeamId, UpstreamId
+from rudderpass.admission._work import Reservation
+
+_MAX_CREDIT_IN_COSTS = 4.0
+"""Credit kept by a waiting class, in multiples of its oldest work's cost."""
+
+Lane = tuple[UpstreamId, ...]
+
+
+def _age_order(work: Reservation) -> tuple[bool, float, RequestId]:
+    return (not work.resumed, work.arrived, work.request_id)
+
+
+@dataclass
+class _TeamQueue:
+    """One team's waiting work in one class, a lane per set of upstreams."""
+
+    served: float = 0.0
+    lanes: dict[Lane, SortedKeyList] = field(default_factory=dict)
+
+    def heads(self) -> list[Reservation]:
+        return sorted((lane[0] for lane in self.lanes.values()), key=_age_order)
+
+
+@dataclass
+class _ClassQueue:
+    """One class's waiting work."""
+
+    name: ClassName
+    tier: int
+    floor_share: float
+    credit: float = 0.0
+    least_served: float = 0.0
+    teams: dict[TeamId, _TeamQueue] = field(default_factory=dict)
+    idle_served: dict[TeamId, float] = field(default_factory=dict)
+    count: int = 0
+
+    def oldest(self) -> Reservation:
+        heads = (head for team in self.teams.values() for head in team.heads())
+        return min(heads, key=_age_order)
+
+    def heads(self) -> Iterator[Reservation]:
+        teams = sorted(self.teams.items(), key=lambda item: (item[1].served, item[0]))
+        for _, team in teams:
+            yield from team.heads()
+
+
+class AdmissionQueue:
+    """Waiting work of one pool, in the order in which it is to be served."""
+
+    def __init__(self) -> None:
+        self._classes: dict[ClassName, _ClassQueue] = {}
+        self._waiting: dict[RequestId, Reservation] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def __contains__(self, request_id: RequestId) -> bool:
+        return request_id in self._waiting
+
+    def get(self, request_id: RequestId) -> Reservation | None:
+        """Return waiting work by its request id."""
+        return self._waiting.get(request_id)
+
+    def requests(self) -> tuple[Reservation, ...]:
+        """Return all waiting work, in no order of service."""
+        return tuple(self._waiting.values())
+
+    def push(self, work: Reservation) -> None:
+        """Add work; work that already waits stays as it is."""
+        if work.request_id in self._waiting:
+            return
+        self._waiting[work.request_id] = work
+        queue = self._class_of(work)
+        queue.tier = work.tier
+        queue.floor_share = work.floor_share
+        queue.count += 1
+        team = queue.teams.get(work.team)
+        if team is None:
+            served = queue.idle_served.pop(work.team, 0.0)
+            team = _TeamQueue(served=max(served, queue.least_served))
+            queue.teams[work.team] = team
+        lane = team.lanes.get(work.upstreams)
+        if lane is None:
+            lane = team.lanes[work.upstreams] = SortedKeyList(key=_age_order)
+        lane.add(work)
+
+    def remove(self, request_id: RequestId) -> Reservation | None:
+        """Take work out without serving it."""
+        work = self._waiting.pop(request_id, None)
+        if work is None:
+            return None
+        queue = self._classes[work.service_class]
+        queue.count -= 1
+        team = queue.teams[work.team]
+        lane = team.lanes[work.upstreams]
+        lane.remove(work)
+        if not lane:
+            del team.lanes[work.upstreams]
+        if not team.lanes:
+            queue.idle_served[work.team] = team.served
+            del queue.teams[work.team]
+        if not queue.teams:
+            queue.credit = 0.0
+        return work
+
+    def serve(self, request_id: RequestId) -> Reservation | None:
+        """Take work out because it is served now, and account for it."""
+        work = self._waiting.get(request_id)
+        if work is None:
+            return None
+        for other in self._classes.values():
+            if other.count:
+                limit = _MAX_CREDIT_IN_COSTS * work.cost
+                earned = other.credit + other.floor_share * work.cost
+                other.credit = min(earned, max(limit, other.credit))
+        queue = self._classes[work.service_class]
+        queue.credit = max(0.0, queue.credit - work.cost)
+        team = queue.teams[work.team]
+        queue.least_served = max(
+            queue.least_served, min(each.served for each in queue.teams.values())
+        )
+        team.served += work.cost
+        return self.remove(request_id)
+
+    def in_order(self, now: float) -> Iterator[Reservation]:
+        """Yield the oldest work of each team and lane, next to be served first."""
+        queues = [queue for queue in self._classes.values() if queue.count]
+        due = [queue for queue in queues if self._floor_is_due(queue)]
+        due.sort(key=lambda queue: (-queue.credit, queue.tier, queue.name))
+        for queue in due:
+            yield from queue.heads()
+        rest = [queue for queue in queues if queue not in due]
+        rest.sort(
+            key=lambda queue: (queue.tier, queue.oldest().start_by - now, queue.name)
+        )
+        for queue in rest:
+            yield from queue.heads()
+
+    def expired(self, now: float) -> tuple[Reservation, ...]:
+        """Return work that has waited longer than its class allows."""
+        return tuple(work for work in self._waiting.values() if work.expires <= now)
+
+    def lowest_tier(self) -> int | None:
+        """Return the lowest tier (the largest number) that has waiting work."""
+        tiers = [queue.tier for queue in self._classes.values() if queue.count]
+        return max(tiers, default=None)
+
+    def pick_shed(self) -> Reservation | None:
+        """Return the work to shed first: lowest tier, and newest within it."""
+        lowest = self.lowest_tier()
+        if lowest is None:
+            return None
+        candidates = (work for work in self._waiting.values() if work.tier == lowest)
+        return max(
+            candidates,
+            key=lambda work: (not work.resumed, work.arrived, work.request_id),
+        )
+
+    def work_ahead(self, tier: int) -> float:
+        """Return the waiting work of ``tier`` and higher, in tokens."""
+        return sum(work.cost for work in self._waiting.values() if work.tier <= tier)
+
+    def _class_of(self, work: Reservation) -> _ClassQueue:
+        queue = self._classes.get(work.service_class)
+        if queue is None:
+            queue = _ClassQueue(work.service_class, work.tier, work.floor_share)
+            self._classes[work.service_class] = queue
+        return queue
+
+    @staticmethod
+    def _floor_is_due(queue: _ClassQueue) -> bool:
+        return queue.floor_share > 0 and queue.credit >= queue.oldest().cost
--- /dev/null
+++ b/src/rudderpass/core/__init__.py
@@ -0,0 +1,16 @@
+"""The decisions of one node: a state machine over all slices."""
+
+from rudderpass.core._core import NodeCore as NodeCore
+from rudderpass.core._messages import (
+    Admitted as Admitted,
+    ConfigInForce as ConfigInForce,
+    CoreAction as CoreAction,
+    OwnerChanged as OwnerChanged,
+    PeerMessage as PeerMessage,
+    RefusalKind as RefusalKind,
+    Rejected as Rejected,
+    SendPeer as SendPeer,
+    StateReply as StateReply,
+    StateRequest as StateRequest,
+    Submission as Submission,
+)
--- /dev/null
+++ b/src/rudderpass/errors.py
@@ -0,0 +1,105 @@
+"""The error tree.
+
+Every member knows how to show itself to a user (message, hint, exit code), and
+carries the step and the peer at which it arose where there is one.
+"""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+
+class RudderpassError(Exception):
+    """Base of all errors raised on purpose.
+
+    :param message: one sentence for the user.
+    :param hint: what the user can do about it.
+    :param step: the step that failed, for example ``"append"``.
+    :param peer: the other side, for example an upstream's address.
+
+    .. versionadded:: 0.1
+    """
+
+    exit_code: ClassVar[int] = 1
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        hint: str | None = None,
+        step: str | None = None,
+        peer: str | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.message = message
+        self.hint = hint
+        self.step = step
+        self.peer = peer
+
+    def show(self) -> str:
+        """Return the error as one line for a terminal or a log."""
+        where = " ".join(
+            part
+            for part in (
+                f"step={self.step}" if self.step else "",
+                f"peer={self.peer}" if self.peer else "",
+            )
+            if part
+        )
+        line = self.message
+        if where:
+            line = f"{line} [{where}]"
+        if self.hint:
+            line = f"{line} ({self.hint})"
+        return line
+
+
+class SettingsError(RudderpassError):
+    """A flag or environment variable is missing or wrong."""
+
+    exit_code = 2
+
+
+class DeclarationError(RudderpassError):
+    """Declarations are invalid or were refused."""
+
+
+class PlatformError(RudderpassError):
+    """A service of the platform did not answer as it should."""
+
+
+class PeerError(RudderpassError):
+    """Another node could not be reached or refused a message."""
+
+
+class UpstreamError(RudderpassError):
+    """An upstream failed.
+
+    :param sent: whether any byte of the request may have left this host.
+    :param refused: whether the upstream itself said that it did not run it.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        sent: bool,
+        refused: bool = False,
+        step: str | None = None,
+        peer: str | None = None,
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.sent = sent
+        self.refused = refused
+
+
+class CallerGone(RudderpassError):
+    """The caller closed its connection."""
+
+
+class PromiseBroken(RudderpassError):
+    """A check of the demo or of a replay found a broken promise."""
+
+    exit_code = 3
--- /dev/null
+++ b/src/rudderpass/gateway/__init__.py
@@ -0,0 +1,28 @@
+"""The gateway: callers' HTTP requests, their checks, and their answers."""
+
+from rudderpass.gateway._app import Gateway as Gateway
+from rudderpass.gateway._problems import (
+    OUTCOME_HEADER as OUTCOME_HEADER,
+    REQUEST_ID_HEADER as REQUEST_ID_HEADER,
+    Problem as Problem,
+    ProblemCode as ProblemCode,
+)
+from rudderpass.gateway._request import (
+    CLASS_HEADER as CLASS_HEADER,
+    KEY_HEADER as KEY_HEADER,
+    LABELS_HEADER as LABELS_HEADER,
+    CallerRequest as CallerRequest,
+    read_request as read_request,
+)
+from rudderpass.gateway._serve import Services as Services
+from rudderpass.gateway._server import (
+    PENDING_KEY as PENDING_KEY,
+    HttpServer as HttpServer,
+    ServerLimits as ServerLimits,
+)
+from rudderpass.gateway._ticket import (
+    Admission as Admission,
+    Decision as Decision,
+    Ticket as Ticket,
+)
+from rudderpass.gateway._watch import CallerWatch as CallerWatch
--- /dev/null
+++ b/src/rudderpass/gateway/_app.py
@@ -0,0 +1,116 @@
+"""The WSGI application that callers reach."""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Iterable
+from typing import Any
+
+from returns.result import Failure
+
+from rudderpass.gateway._problems import OUTCOME_HEADER, REQUEST_ID_HEADER, Problem
+from rudderpass.gateway._request import CallerRequest, new_request_id, read_request
+from rudderpass.gateway._serve import Caller, Services, Serving, StartResponse
+from rudderpass.gateway._server import GONE_KEY, PENDING_KEY
+from rudderpass.observe import log
+from rudderpass.streams import Outcome
+
+MODELS_PATH = "/v1/models"
+_HEADROOM_SHARE = 8
+"""One thread in so many is kept free to answer what is shed."""
+
+
+class Gateway:
+    """Answers callers.
+
+    A request meets admission in the thread that took it. When the threads run
+    short, waiting work of the lowest tier is refused at once, so that no request
+    ever queues for a thread in front of the tiers.
+
+    :param services: the node's parts.
+    :param threads: the server's threads.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, services: Services, threads: int) -> None:
+        self._services = services
+        services.is_full = self._is_full
+        self._limit = threads - max(2, threads // _HEADROOM_SHARE)
+        self._lock = threading.Lock()
+        self._active = 0
+
+    @property
+    def active(self) -> int:
+        """Requests that wait or run."""
+        return self._active
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        request_id = new_request_id()
+        catalog = self._services.admission.catalog
+        read = read_request(environ, catalog, request_id)
+        if isinstance(read, Failure):
+            return self._answer_problem(read.failure(), request_id, start_response)
+        request = read.unwrap()
+        if request.path == MODELS_PATH and request.method == "GET":
+            return self._list_models(request, start_response)
+        caller = Caller(
+            start_response,
+            environ.get(GONE_KEY, _never_gone),
+            environ.get(PENDING_KEY, _nothing_pending),
+        )
+        self._enter()
+        try:
+            return Serving(self._services, request, caller).run()
+        finally:
+            self._leave()
+
+    def _enter(self) -> None:
+        with self._lock:
+            self._active += 1
+
+    def _is_full(self) -> bool:
+        return self._active > self._limit
+
+    def _leave(self) -> None:
+        with self._lock:
+            self._active -= 1
+
+    def _answer_problem(
+        self, problem: Problem, request_id: str, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        log(
+            "admit",
+            f"{request_id} refused, {problem.message}.",
+            request=request_id,
+            reason=problem.code.value,
+        )
+        start_response(problem.status_line(), problem.headers(request_id))
+        return [problem.body()]
+
+    def _list_models(
+        self, request: CallerRequest, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        models = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "rudderpass"}
+            for name in self._services.admission.catalog.models
+        ]
+        body = json.dumps({"object": "list", "data": models}).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            (REQUEST_ID_HEADER, request.request_id),
+            (OUTCOME_HEADER, Outcome.COMPLETED.value),
+        ]
+        start_response("200 OK", headers)
+        return [body]
+
+
+def _never_gone() -> bool:
+    return False
+
+
+def _nothing_pending() -> int:
+    return 0
--- /dev/null
+++ b/src/rudderpass/gateway/_serve.py
@@ -0,0 +1,440 @@
+"""Serve one checked request: attempts, retries, resumption, and the answer."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import CancelledError
+from dataclasses import dataclass, replace
+from http import HTTPStatus
+
+from rudderpass._ids import ClassName, RequestId, UpstreamId
+from rudderpass.core import Admitted, Rejected, Submission
+from rudderpass.declarations import UpstreamKind, UpstreamSpec
+from rudderpass.errors import CallerGone, UpstreamError
+from rudderpass.gateway._problems import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    Problem,
+    ProblemCode,
+    overloaded,
+    problem_of_rejection,
+)
+from rudderpass.gateway._request import CallerRequest
+from rudderpass.gateway._server import convert_disconnect
+from rudderpass.gateway._ticket import Admission, Ticket
+from rudderpass.gateway._watch import CallerWatch
+from rudderpass.observe import Latency, NodeMetrics, log
+from rudderpass.pools import Granted, Refused
+from rudderpass.routing import Ending, Usage
+from rudderpass.streams import (
+    AttemptState,
+    CallerSide,
+    NextStep,
+    Outcome,
+    Relay,
+    RetryBudget,
+    StreamEnd,
+    StreamResult,
+    decide_next,
+    note_failure,
+    outcome_of,
+)
+from rudderpass.upstreams import (
+    PRIORITY_HEADER,
+    RESUME_HEADER,
+    OpenAnswer,
+    UpstreamRequest,
+    WholeAnswer,
+    open_answer,
+)
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Callable[[bytes], object]]
+
+
+@dataclass
+class Services:
+    """What serving needs, passed explicitly.
+
+    :param upstream_timeout: seconds of silence after which an exchange failed.
+    :param is_full: tells whether the server runs short of threads.
+    """
+
+    admission: Admission
+    relay: Relay
+    watch: CallerWatch
+    metrics: NodeMetrics
+    budgets: dict[ClassName, RetryBudget]
+    upstream_timeout: float
+    is_full: Callable[[], bool] = lambda: False
+
+
+@dataclass
+class Caller:
+    """The caller's end of one request."""
+
+    start_response: StartResponse
+    is_gone: Callable[[], bool]
+    pending: Callable[[], int]
+
+
+class Serving:
+    """Serves one request from its first submission to its answer.
+
+    :param services: the node's parts.
+    :param request: the checked request.
+    :param caller: where the answer goes.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self, services: Services, request: CallerRequest, caller: Caller
+    ) -> None:
+        self._services = services
+        self._request = request
+        self._caller = caller
+        self._arrived = time.monotonic()
+        self._state = AttemptState(repeatable=True)
+        self._admitted: Admitted | None = None
+        self._write: Callable[[bytes], object] | None = None
+        self._excluded: tuple[UpstreamId, ...] = ()
+        self._first_token: float | None = None
+        self._worst_gap = 0.0
+
+    def run(self) -> Iterable[bytes]:
+        """Return the answer's body; streamed answers are written meanwhile."""
+        try:
+            return self._run_attempts()
+        except CallerGone:
+            self._record(Outcome.UNKNOWN, attained=None)
+            log(
+                "answer",
+                f"{self._request.request_id} caller is gone.",
+                request=self._request.request_id,
+            )
+            return []
+
+    def _run_attempts(self) -> Iterable[bytes]:
+        while True:
+            attempt = RequestId(f"{self._request.request_id}.{self._state.attempts}")
+            ticket = self._services.admission.submit(self._submission(attempt))
+            self._note_admitted(ticket)
+            if self._services.is_full():
+                self._services.admission.shed_lowest("this node is full")
+            granted = self._await_grant(attempt, ticket)
+            if isinstance(granted, Problem):
+                return self._fail(granted)
+            self._state = replace(self._state, attempts=self._state.attempts + 1)
+            try:
+                return self._attempt(attempt, granted)
+            except UpstreamError as error:
+                problem = self._after_failure(granted, error)
+                if problem is not None:
+                    return self._fail(problem)
+
+    def _submission(self, attempt: RequestId) -> Submission:
+        request = self._request
+        return Submission(
+            request_id=attempt,
+            team=request.team,
+            service_class=request.service_class,
+            model=request.model,
+            path=request.path,
+            labels=request.labels,
+            prefix_hash=request.prefix_hash,
+            arrived=self._arrived,
+            produced=self._state.produced,
+            resumed=self._state.attempts > 0,
+            excluded=self._excluded,
+        )
+
+    def _note_admitted(self, ticket: Ticket) -> None:
+        admitted = ticket.admitted
+        if admitted is None or self._admitted is not None:
+            return
+        self._admitted = admitted
+        self._state = replace(self._state, repeatable=admitted.repeatable)
+        spec = self._services.admission.catalog.classes.get(admitted.service_class)
+        if spec is not None:
+            self._budget(admitted.service_class).earn(spec.retry_budget)
+
+    def _await_grant(self, attempt: RequestId, ticket: Ticket) -> Granted | Problem:
+        future = ticket.future
+        with self._services.watch.watching(self._caller.is_gone, self._abort(ticket)):
+            try:
+                decision = future.result()
+            except CancelledError:
+                usage = Usage(Ending.CANCELLED)
+                self._services.admission.finish(attempt, usage)
+                raise CallerGone("the caller left the queue", step="wait") from None
+        outcome = outcome_of(self._state)
+        if isinstance(decision, Rejected):
+            return problem_of_rejection(
+                decision.kind, decision.message, decision.retry_after, outcome
+            )
+        if isinstance(decision, Refused):
+            return overloaded(decision.reason, decision.retry_after, outcome)
+        if self._admitted is not None:
+            waited = time.monotonic() - self._arrived
+            name = self._admitted.service_class
+            self._services.metrics.record_latency(Latency.WAIT, name, waited)
+        return decision
+
+    @staticmethod
+    def _abort(ticket: Ticket) -> Callable[[], None]:
+        def abort() -> None:
+            ticket.future.cancel()
+
+        return abort
+
+    def _attempt(self, attempt: RequestId, granted: Granted) -> Iterable[bytes]:
+        """Run one attempt; whatever happens, give the grant back once."""
+        began = time.monotonic()
+        usage = Usage(Ending.FAILED)
+        try:
+            spec = self._find_upstream(granted)
+            answer = self._open(spec, granted)
+            try:
+                with self._services.watch.watching(self._caller.is_gone, answer.close):
+                    if answer.is_stream():
+                        usage, body = self._pass_stream(answer, spec, began)
+                    else:
+                        usage, body = self._pass_whole(answer, spec, began)
+            finally:
+                answer.close()
+        except _StreamBroken as broken:
+            usage = broken.usage
+            raise broken.error from None
+        except UpstreamError as error:
+            if error.refused:
+                usage = Usage(Ending.UNUSED)
+            if self._caller.is_gone():
+                usage = Usage(Ending.CANCELLED)
+                raise CallerGone("the caller left", step="answer") from error
+            raise
+        finally:
+            self._services.admission.finish(attempt, usage)
+        if usage.ending is Ending.CANCELLED:
+            raise CallerGone("the caller left the stream", step="answer")
+        return body
+
+    def _find_upstream(self, granted: Granted) -> UpstreamSpec:
+        spec = self._services.admission.catalog.upstreams.get(granted.upstream)
+        if spec is None:
+            raise UpstreamError(
+                "the upstream is no longer declared",
+                sent=False,
+                step="find",
+                peer=granted.upstream,
+            )
+        return spec
+
+    def _open(self, spec: UpstreamSpec, granted: Granted) -> OpenAnswer:
+        request = self._request
+        headers = {**request.headers, REQUEST_ID_HEADER: request.request_id}
+        if self._admitted is not None:
+            headers[PRIORITY_HEADER] = str(self._admitted.tier)
+        if request.key is not None:
+            headers["Idempotency-Key"] = request.key
+        if self._state.produced:
+            headers[RESUME_HEADER] = str(self._state.produced)
+        sent = UpstreamRequest(request.method, request.target, headers, request.body)
+        return open_answer(spec, sent, self._services.upstream_timeout)
+
+    def _pass_stream(
+        self, answer: OpenAnswer, spec: UpstreamSpec, began: float
+    ) -> tuple[Usage, Iterable[bytes]]:
+        if self._write is None:
+            headers = [
+                ("Content-Type", answer.content_type),
+                ("Cache-Control", "no-cache"),
+                (REQUEST_ID_HEADER, self._request.request_id),
+            ]
+            write = self._caller.start_response("200 OK", headers)
+            self._write = convert_disconnect(write)
+        caller = CallerSide(self._write, self._caller.pending, self._caller.is_gone)
+        relayed_from = time.monotonic()
+        future = self._services.relay.relay(
+            answer.socket,
+            answer.take_leftover(),
+            answer.chunked,
+            caller,
+            self._services.upstream_timeout,
+        )
+        result = future.result()
+        usage = self._usage_of_stream(result, relayed_from - began)
+        self._note_tokens(result, relayed_from)
+        if result.end is StreamEnd.BROKEN:
+            error = UpstreamError(
+                f"the stream broke: {result.reason}",
+                sent=True,
+                step="stream",
+                peer=spec.address,
+            )
+            raise _StreamBroken(error, usage)
+        if result.end is StreamEnd.COMPLETE:
+            self._finish_stream(Outcome.COMPLETED)
+        return usage, []
+
+    def _usage_of_stream(self, result: StreamResult, opening: float) -> Usage:
+        endings = {
+            StreamEnd.COMPLETE: Ending.COMPLETED,
+            StreamEnd.BROKEN: Ending.FAILED,
+            StreamEnd.CALLER_GONE: Ending.CANCELLED,
+        }
+        return Usage(
+            endings[result.end],
+            result.tokens,
+            result.first_token + opening,
+            result.duration + opening,
+        )
+
+    def _note_tokens(self, result: StreamResult, relayed_from: float) -> None:
+        if result.tokens and self._first_token is None:
+            first_token = relayed_from + result.first_token - self._arrived
+            self._first_token = first_token
+        self._worst_gap = max(self._worst_gap, result.worst_gap)
+        produced = self._state.produced + result.tokens
+        self._state = replace(self._state, produced=produced)
+
+    def _finish_stream(self, outcome: Outcome) -> None:
+        assert self._write is not None
+        comment = f": outcome={outcome.value} request={self._request.request_id}\n\n"
+        try:
+            self._write(comment.encode())
+        except CallerGone:
+            pass
+        self._record_completed(self._state.produced)
+
+    def _pass_whole(
+        self, answer: OpenAnswer, spec: UpstreamSpec, began: float
+    ) -> tuple[Usage, Iterable[bytes]]:
+        whole = answer.read_whole(spec.address)
+        duration = time.monotonic() - began
+        failed = whole.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if failed and spec.kind is UpstreamKind.ENGINE:
+            raise UpstreamError(
+                f"answered {whole.status}", sent=True, step="answer", peer=spec.address
+            )
+        tokens = _count_tokens(whole)
+        ending = Ending.FAILED if failed else Ending.COMPLETED
+        usage = Usage(ending, tokens, duration, duration)
+        outcome = Outcome.UNKNOWN if failed else Outcome.COMPLETED
+        headers = [
+            ("Content-Type", whole.content_type),
+            (REQUEST_ID_HEADER, self._request.request_id),
+            (OUTCOME_HEADER, outcome.value),
+        ]
+        self._caller.start_response(_status_line(whole.status), headers)
+        if failed:
+            self._record(outcome, attained=None)
+        else:
+            self._record_completed(tokens)
+        return usage, [whole.body]
+
+    def _after_failure(self, granted: Granted, error: UpstreamError) -> Problem | None:
+        self._state = note_failure(self._state, error)
+        self._excluded = (*self._excluded, granted.upstream)
+        next_step = decide_next(self._state, error, within_budget=True)
+        name = self._admitted.service_class if self._admitted else ClassName("")
+        if next_step is not NextStep.GIVE_UP and not self._budget(name).spend():
+            next_step = decide_next(self._state, error, within_budget=False)
+        log(
+            "attempt",
+            f"{self._request.request_id} failed on {granted.upstream}, "
+            f"{next_step.value}.",
+            request=self._request.request_id,
+            upstream=granted.upstream,
+            error=error.show(),
+            produced=self._state.produced,
+        )
+        if next_step is not NextStep.GIVE_UP:
+            self._services.metrics.record_retry(name)
+            return None
+        return Problem(
+            HTTPStatus.BAD_GATEWAY,
+            ProblemCode.UPSTREAM_FAILED,
+            f"the upstream failed: {error.message}",
+            outcome_of(self._state),
+        )
+
+    def _fail(self, problem: Problem) -> Iterable[bytes]:
+        self._record(problem.outcome, attained=None)
+        if self._write is None:
+            headers = problem.headers(self._request.request_id)
+            self._caller.start_response(problem.status_line(), headers)
+            return [problem.body()]
+        self._write(problem.event())
+        comment = f": outcome={problem.outcome.value}\n\n"
+        self._write(comment.encode())
+        return []
+
+    def _budget(self, name: ClassName) -> RetryBudget:
+        return self._services.budgets.setdefault(name, RetryBudget())
+
+    def _record(self, outcome: Outcome, attained: bool | None) -> None:
+        if self._admitted is None:
+            return
+        name = self._admitted.service_class
+        self._services.metrics.record_answer(name, outcome, attained)
+        if outcome is not Outcome.COMPLETED and self._state.produced:
+            self._services.metrics.record_tokens(name, 0, self._state.produced)
+
+    def _record_completed(self, tokens: int) -> None:
+        if self._admitted is None:
+            return
+        name = self._admitted.service_class
+        metrics = self._services.metrics
+        whole = time.monotonic() - self._arrived
+        metrics.record_latency(Latency.WHOLE_ANSWER, name, whole)
+        if self._first_token is not None:
+            metrics.record_latency(Latency.FIRST_TOKEN, name, self._first_token)
+            metrics.record_latency(Latency.BETWEEN_TOKENS, name, self._worst_gap)
+        metrics.record_tokens(name, tokens, 0)
+        self._record(Outcome.COMPLETED, self._has_attained(name, whole, tokens))
+
+    def _has_attained(self, name: ClassName, whole: float, tokens: int) -> bool | None:
+        spec = self._services.admission.catalog.classes.get(name)
+        if spec is None:
+            return None
+        targets = spec.targets
+        first_token = whole if self._first_token is None else self._first_token
+        if targets.first_token_seconds is not None and self._request.stream:
+            if first_token > targets.first_token_seconds:
+                return False
+        if targets.between_tokens_seconds is not None and tokens > 1:
+            mean_gap = (whole - first_token) / (tokens - 1)
+            if mean_gap > targets.between_tokens_seconds:
+                return False
+        if targets.whole_answer_seconds is not None:
+            return whole <= targets.whole_answer_seconds
+        return True
+
+
+class _StreamBroken(Exception):
+    """A broken stream and what had passed of it."""
+
+    def __init__(self, error: UpstreamError, usage: Usage) -> None:
+        super().__init__(error.message)
+        self.error = error
+        self.usage = usage
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Status"
+
+
+def _count_tokens(answer: WholeAnswer) -> int:
+    """Return the tokens that an engine's whole answer reports, 0 if it does not."""
+    if not answer.content_type.startswith("application/json"):
+        return 0
+    try:
+        usage = json.loads(answer.body).get("usage") or {}
+        return int(usage.get("completion_tokens", 0))
+    except (ValueError, AttributeError, TypeError):
+        return 0
--- /dev/null
+++ b/src/rudderpass/node/__init__.py
@@ -0,0 +1,8 @@
+"""The node: a core, its sockets, its clock, and its settings."""
+
+from rudderpass.node._node import Node as Node
+from rudderpass.node._settings import (
+    NodeSettings as NodeSettings,
+    check_address as check_address,
+    read_keys as read_keys,
+)
--- /dev/null
+++ b/src/rudderpass/node/_admin.py
@@ -0,0 +1,88 @@
+"""Liveness, readiness, metrics and status, on a listener of their own."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from rudderpass.gateway import HttpServer, ServerLimits
+
+LIVE_PATH = "/livez"
+READY_PATH = "/readyz"
+METRICS_PATH = "/metrics"
+STATUS_PATH = "/status"
+_THREADS = 3
+
+
+@dataclass(frozen=True)
+class PoolStatus:
+    """One pool that the node owns."""
+
+    pool: str
+    waiting: int
+    running: int
+
+
+@dataclass(frozen=True)
+class NodeStatus:
+    """What ``rudderpass status`` shows of one node."""
+
+    node: str
+    zone: str
+    ready: bool
+    leaving: bool
+    config_version: int
+    waiting: int
+    running: int
+    streams: int
+    live_nodes: list[str]
+    suspects: list[str]
+    owned: list[PoolStatus]
+    peer_calls: int
+    peer_messages: int
+    peer_bytes: int
+    peer_failures: int
+
+
+class AdminApp:
+    """The WSGI application for operators and the platform's balancer.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        status: Callable[[], NodeStatus],
+        metrics: Callable[[], bytes],
+    ) -> None:
+        self._status = status
+        self._metrics = metrics
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        code, content_type, body = self._answer(environ.get("PATH_INFO", ""))
+        headers = [("Content-Type", content_type), ("Cache-Control", "no-store")]
+        start_response(code, headers)
+        return [body]
+
+    def _answer(self, path: str) -> tuple[str, str, bytes]:
+        if path == LIVE_PATH:
+            return "200 OK", "text/plain", b"live\n"
+        if path == READY_PATH:
+            if self._status().ready:
+                return "200 OK", "text/plain", b"ready\n"
+            return "503 Service Unavailable", "text/plain", b"not ready\n"
+        if path == METRICS_PATH:
+            return "200 OK", "text/plain; version=0.0.4", self._metrics()
+        if path == STATUS_PATH:
+            body = json.dumps(asdict(self._status())).encode()
+            return "200 OK", "application/json", body
+        return "404 Not Found", "text/plain", b"not found\n"
+
+
+def make_admin_server(app: AdminApp, address: str) -> HttpServer:
+    """Return a small server for ``app``."""
+    return HttpServer(app, address, ServerLimits(threads=_THREADS, connections=64))
--- /dev/null
+++ b/src/rudderpass/node/_settings.py
@@ -0,0 +1,91 @@
+"""Settings of one node, checked at start."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from rudderpass.errors import SettingsError
+from rudderpass.gateway import ServerLimits
+from rudderpass.peers import FixedKeys, KeySource, PeerKeyFile, PeerKeys
+
+MIN_THREADS = 32
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """All that a node is told at its start.
+
+    :param listen: ``ip:port`` for callers.
+    :param admin: ``ip:port`` for liveness, readiness, metrics and status.
+    :param peer: ``ip:port`` for other nodes; also the node's id.
+    :param zone: the availability zone that this host stands in.
+    :param log_service: ``ip:port`` of the platform's log service.
+    :param host_list: ``ip:port`` of the platform's host list.
+    :param stop_seconds: the longest that a planned stop waits for streams.
+
+    .. versionadded:: 0.1
+    """
+
+    listen: str
+    admin: str
+    peer: str
+    zone: str
+    log_service: str
+    host_list: str
+    keys: KeySource
+    limits: ServerLimits = field(default_factory=ServerLimits)
+    upstream_timeout: float = 60.0
+    stop_seconds: float = 600.0
+
+    def check(self) -> None:
+        """Check every value.
+
+        :raises SettingsError: naming the first bad setting.
+        """
+        for name in ("listen", "admin", "peer", "log_service", "host_list"):
+            check_address(name, getattr(self, name))
+        if not self.zone:
+            raise _bad("zone", "is empty")
+        if self.limits.threads < MIN_THREADS:
+            raise _bad("threads", f"is below {MIN_THREADS}")
+        for name in ("upstream_timeout", "stop_seconds"):
+            if getattr(self, name) <= 0:
+                raise _bad(name, "is not above 0")
+
+
+def _bad(name: str, why: str) -> SettingsError:
+    flag = "--" + name.replace("_", "-")
+    return SettingsError(f"setting {flag} {why}", step="settings")
+
+
+def check_address(name: str, value: str) -> None:
+    """Check an ``ip:port`` setting.
+
+    :raises SettingsError: naming the setting.
+    """
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise _bad(name, f"is {value!r}, not ip:port") from None
+    if not port.isdigit() or int(port) > 65535:
+        raise _bad(name, f"is {value!r}, which has no valid port")
+
+
+def read_keys(secret: str | None, file: Path | None) -> KeySource:
+    """Return the peer keys from a value or a file; exactly one must be given.
+
+    :raises SettingsError: when neither or both are given, or they are bad.
+    """
+    if (secret is None) == (file is None):
+        raise _bad("peer_secret", "or --peer-secret-file must be given, not both")
+    if file is None:
+        assert secret is not None
+        parts = tuple(part.encode() for part in secret.split(",") if part)
+        return FixedKeys(PeerKeys(parts))
+    try:
+        return PeerKeyFile(file)
+    except OSError as error:
+        raise _bad("peer_secret_file", f"cannot be read: {error.strerror}") from error
--- /dev/null
+++ b/src/rudderpass/observe/__init__.py
@@ -0,0 +1,13 @@
+"""Observation: structured logs, metrics, and rendering of logs."""
+
+from rudderpass.observe._decisions import (
+    LogFile as LogFile,
+    log as log,
+    log_action as log_action,
+)
+from rudderpass.observe._metrics import (
+    Gauges as Gauges,
+    Latency as Latency,
+    NodeMetrics as NodeMetrics,
+)
+from rudderpass.observe._render import render_lines as render_lines
--- /dev/null
+++ b/src/rudderpass/peers/_link.py
@@ -0,0 +1,194 @@
+"""Outgoing messages: one call at a time to each peer, with all that waits for it.
+
+Messages that arrive while a call is in flight go together in the next one, so the
+number of calls falls as load grows.
+"""
+
+from __future__ import annotations
+
+import itertools
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.Thrift import TException
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import TFramedTransport
+
+from rudderpass._ids import NodeId
+from rudderpass.core import PeerMessage
+from rudderpass.peers._codec import encode_batch, to_wire
+from rudderpass.peers._gen.wire import Peer, ttypes as wire
+from rudderpass.peers._keys import KeySource
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+_CALL_TIMEOUT_MS = 1000
+_MAX_BATCH = 512
+_MAX_QUEUED = 20_000
+_WORKERS = 16
+
+
+@dataclass
+class LinkCounters:
+    """What left this node for its peers."""
+
+    calls: int = 0
+    messages: int = 0
+    payload_bytes: int = 0
+    failures: int = 0
+    dropped: int = 0
+
+
+@dataclass
+class _PeerQueue:
+    """Messages for one peer, and whether a call is in flight."""
+
+    waiting: deque[PeerMessage] = field(default_factory=deque)
+    busy: bool = False
+    client: Peer.Client | None = None
+
+
+class PeerLinks:
+    """Sends messages to peers and reports which peers answered.
+
+    :param node: this node, the sender.
+    :param incarnation: differs at each start of the node.
+    :param keys: signs the batches.
+    :param on_result: called with the peer and whether its call succeeded.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        incarnation: int,
+        keys: KeySource,
+        on_result: Callable[[NodeId, bool], None],
+    ) -> None:
+        self._node = node
+        self._incarnation = incarnation
+        self._keys = keys
+        self._on_result = on_result
+        self._lock = threading.Lock()
+        self._queues: dict[NodeId, _PeerQueue] = {}
+        self._sequence = itertools.count(1)
+        self._pool = ThreadPoolExecutor(_WORKERS, thread_name_prefix="peer-link")
+        self._closed = False
+        self.counters = LinkCounters()
+
+    def send(self, peer: NodeId, message: PeerMessage) -> None:
+        """Queue a message; it leaves with the next call to the peer."""
+        with self._lock:
+            if self._closed:
+                return
+            queue = self._queues.setdefault(peer, _PeerQueue())
+            if len(queue.waiting) >= _MAX_QUEUED:
+                self.counters.dropped += 1
+                return
+            queue.waiting.append(message)
+            if queue.busy:
+                return
+            queue.busy = True
+        self._pool.submit(self._call, peer, queue)
+
+    def close(self, timeout: float = 2.0) -> None:
+        """Send what waits, for at most ``timeout`` seconds, then stop."""
+        deadline = time.monotonic() + timeout
+        while time.monotonic() < deadline and self._has_waiting():
+            time.sleep(0.01)
+        with self._lock:
+            self._closed = True
+        self._pool.shutdown(wait=False, cancel_futures=True)
+        for queue in self._queues.values():
+            _disconnect(queue)
+
+    def _has_waiting(self) -> bool:
+        with self._lock:
+            return any(queue.waiting or queue.busy for queue in self._queues.values())
+
+    def _call(self, peer: NodeId, queue: _PeerQueue) -> None:
+        while True:
+            with self._lock:
+                if not queue.waiting or self._closed:
+                    queue.busy = False
+                    return
+                count = min(_MAX_BATCH, len(queue.waiting))
+                messages = [queue.waiting.popleft() for _ in range(count)]
+            succeeded = self._deliver(peer, queue, messages)
+            if not succeeded:
+                with self._lock:
+                    queue.waiting.clear()
+            self._on_result(peer, succeeded)
+
+    def _deliver(
+        self, peer: NodeId, queue: _PeerQueue, messages: list[PeerMessage]
+    ) -> bool:
+        batch = self._sign(peer, messages)
+        reused = queue.client is not None
+        try:
+            self._send_batch(peer, queue, batch)
+        except (TException, OSError):
+            _disconnect(queue)
+            if not reused:
+                self.counters.failures += 1
+                return False
+            return self._retry(peer, queue, batch)
+        return True
+
+    def _retry(self, peer: NodeId, queue: _PeerQueue, batch: wire.SignedBatch) -> bool:
+        """Try once more on a new connection: the peer may have closed the old one.
+
+        Receivers drop a sequence number that they have seen, so a batch whose
+        answer was lost is not taken twice.
+        """
+        try:
+            self._send_batch(peer, queue, batch)
+        except (TException, OSError):
+            _disconnect(queue)
+            self.counters.failures += 1
+            return False
+        return True
+
+    def _send_batch(
+        self, peer: NodeId, queue: _PeerQueue, batch: wire.SignedBatch
+    ) -> None:
+        if queue.client is None:
+            queue.client = _connect(peer)
+        queue.client.deliver(batch)
+
+    def _sign(self, peer: NodeId, messages: list[PeerMessage]) -> wire.SignedBatch:
+        now = time.monotonic()
+        batch = wire.Batch(
+            sender=self._node,
+            incarnation=self._incarnation,
+            sequence=next(self._sequence),
+            recipient=peer,
+            messages=[to_wire(message, now) for message in messages],
+        )
+        payload = encode_batch(batch)
+        self.counters.calls += 1
+        self.counters.messages += len(messages)
+        self.counters.payload_bytes += len(payload)
+        return wire.SignedBatch(payload=payload, mac=self._keys.current().sign(payload))
+
+
+def _connect(peer: NodeId) -> Peer.Client:
+    host, _, port = peer.rpartition(":")
+    socket = TSocket(host.strip("[]"), int(port))
+    socket.setTimeout(_CALL_TIMEOUT_MS)
+    transport = TFramedTransport(socket, MAX_FRAME_BYTES)
+    transport.open()
+    protocol = TBinaryProtocolAcceleratedFactory().getProtocol(transport)
+    return Peer.Client(protocol)
+
+
+def _disconnect(queue: _PeerQueue) -> None:
+    if queue.client is None:
+        return
+    queue.client._iprot.trans.close()
+    queue.client = None
--- /dev/null
+++ b/src/rudderpass/pools/__init__.py
@@ -0,0 +1,26 @@
+"""Pools: one owner queues and grants, entry nodes hold and renew."""
+
+from rudderpass.pools._entry import (
+    EntryDesk as EntryDesk,
+    Granted as Granted,
+    Refused as Refused,
+)
+from rudderpass.pools._messages import (
+    Cancel as Cancel,
+    Grant as Grant,
+    PoolMessage as PoolMessage,
+    Release as Release,
+    Renew as Renew,
+    Resend as Resend,
+    Reserve as Reserve,
+    RoutingDecision as RoutingDecision,
+    RunningWork as RunningWork,
+    Send as Send,
+    Shed as Shed,
+)
+from rudderpass.pools._owner import (
+    GRACE_SECONDS as GRACE_SECONDS,
+    LEASE_SECONDS as LEASE_SECONDS,
+    RENEW_SECONDS as RENEW_SECONDS,
+    PoolOwner as PoolOwner,
+)
--- /dev/null
+++ b/src/rudderpass/routing/_choice.py
@@ -0,0 +1,108 @@
+"""Choose an upstream for one request, and say why the others were ruled out."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from rudderpass._ids import AvailabilityZone, UpstreamId
+from rudderpass.admission import Reservation
+from rudderpass.routing._health import UpstreamHealth
+
+_DEFAULT_GAP = 0.03
+_DEFAULT_FIRST_TOKEN = 0.3
+_OTHER_ZONE_SECONDS = 0.002
+_PREFIX_SAVES_SHARE = 0.6
+"""Share of the time to the first token that a cached prefix is taken to save."""
+
+_TRIAL_PENALTY_SECONDS = 0.5
+_LOAD_SLOWDOWN = 0.6
+"""How much a full upstream is taken to be slower than an empty one."""
+
+
+@dataclass
+class UpstreamSlots:
+    """One upstream as its pool owner sees it."""
+
+    upstream: UpstreamId
+    zone: AvailabilityZone
+    slots: int
+    health: UpstreamHealth = field(default_factory=UpstreamHealth)
+    running: int = 0
+    leaving: bool = False
+
+    @property
+    def free(self) -> int:
+        """Slots that may still be granted."""
+        return max(0, self.slots - self.running)
+
+
+@dataclass(frozen=True)
+class RuledOut:
+    """An upstream that could not be chosen, and the reason."""
+
+    upstream: UpstreamId
+    reason: str
+
+
+@dataclass(frozen=True)
+class Choice:
+    """The outcome of choosing: an upstream or none, and who was ruled out."""
+
+    chosen: UpstreamId | None
+    score: float
+    candidates: tuple[UpstreamId, ...]
+    ruled_out: tuple[RuledOut, ...]
+
+
+def choose_upstream(
+    work: Reservation, pool: Iterable[UpstreamSlots], now: float
+) -> Choice:
+    """Choose the allowed upstream that should finish ``work`` first."""
+    allowed = set(work.upstreams)
+    candidates: list[tuple[float, UpstreamId]] = []
+    ruled_out: list[RuledOut] = []
+    for upstream in pool:
+        reason = _rule_out(upstream, allowed, now)
+        if reason:
+            ruled_out.append(RuledOut(upstream.upstream, reason))
+            continue
+        candidates.append((estimate_seconds(work, upstream, now), upstream.upstream))
+    if not candidates:
+        return Choice(None, 0.0, (), tuple(ruled_out))
+    candidates.sort()
+    score, chosen = candidates[0]
+    names = tuple(name for _, name in candidates)
+    return Choice(chosen, score, names, tuple(ruled_out))
+
+
+def _rule_out(upstream: UpstreamSlots, allowed: set[UpstreamId], now: float) -> str:
+    if upstream.upstream not in allowed:
+        return "selector"
+    if upstream.leaving:
+        return "leaving"
+    if upstream.health.is_ejected(now):
+        return "failing"
+    if upstream.free < 1:
+        return "full"
+    if upstream.health.is_on_trial(now) and upstream.running > 0:
+        return "on trial"
+    return ""
+
+
+def estimate_seconds(work: Reservation, upstream: UpstreamSlots, now: float) -> float:
+    """Estimate the seconds until ``work`` would finish on ``upstream``."""
+    health = upstream.health
+    first_token = health.first_token
+    if first_token is None:
+        first_token = _DEFAULT_FIRST_TOKEN
+    if health.has_prefix(work.prefix_hash):
+        first_token *= 1 - _PREFIX_SAVES_SHARE
+    gap = health.gap if health.gap is not None else _DEFAULT_GAP
+    load = upstream.running / upstream.slots
+    seconds = first_token + work.cost * gap * (1 + _LOAD_SLOWDOWN * load)
+    if upstream.zone != work.zone:
+        seconds += _OTHER_ZONE_SECONDS
+    if health.is_on_trial(now):
+        seconds += _TRIAL_PENALTY_SECONDS
+    return seconds
