Add the command line and the streaming bench

Cause: the demo could only be run by hand, and nothing showed what a stream costs a node.

Change: rudderpass node, demo, check, diff, apply, get, history, status, logs; stand-in and bench commands; bench/streams.sh (make bench), which runs four engines, the platform, one node and the callers as processes of their own.

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,6 @@
 
 clean:
 	rm -rf $(VENV) build
+
+bench: setup
+	bench/streams.sh
--- /dev/null
+++ b/src/rudderpass/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line with ``python -m rudderpass``."""
+
+from rudderpass.cli import main
+
+main()
--- a/src/rudderpass/cli/__init__.py
+++ b/src/rudderpass/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from rudderpass.cli._main import main as main
--- /dev/null
+++ b/src/rudderpass/cli/_base.py
@@ -0,0 +1,68 @@
+"""What all commands share: errors shown to users, JSON output, common options."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import click
+
+from rudderpass.errors import RudderpassError
+
+_F = TypeVar("_F", bound=Callable[..., Any])
+
+
+class Commands(click.Group):
+    """A group whose commands may raise :class:`RudderpassError`."""
+
+    def invoke(self, ctx: click.Context) -> Any:
+        """Run a command; show its errors in one line."""
+        try:
+            return super().invoke(ctx)
+        except RudderpassError as error:
+            click.echo(f"Error: {error.show()}", err=True)
+            ctx.exit(error.exit_code)
+
+
+def quiet_libraries() -> None:
+    """Keep the HTTP library's own log lines off the terminal."""
+    logging.getLogger("waitress").setLevel(logging.CRITICAL)
+
+
+def print_json(value: object) -> None:
+    """Print a value for a script."""
+    click.echo(json.dumps(value, default=str))
+
+
+def json_option(command: _F) -> _F:
+    """Add ``--json``."""
+    return click.option(
+        "--json", "as_json", is_flag=True, help="Print JSON for a script."
+    )(command)
+
+
+def log_service_option(command: _F) -> _F:
+    """Add ``--log-service``."""
+    return click.option(
+        "--log-service",
+        envvar="RUDDERPASS_LOG_SERVICE",
+        show_envvar=True,
+        required=True,
+        metavar="IP:PORT",
+        help="The platform's log service.",
+    )(command)
+
+
+def admin_option(command: _F) -> _F:
+    """Add ``--admin``, which may be given several times."""
+    return click.option(
+        "--admin",
+        "admins",
+        envvar="RUDDERPASS_ADMINS",
+        show_envvar=True,
+        multiple=True,
+        metavar="IP:PORT",
+        help="A node's admin address; may be given several times.",
+    )(command)
--- /dev/null
+++ b/src/rudderpass/cli/_bench.py
@@ -0,0 +1,162 @@
+"""Commands for measurements: stand-ins of their own, and load."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from types import FrameType
+
+import click
+
+from rudderpass.bench import StreamLoad, StreamTimes, percentile, run_streams
+from rudderpass.cli._base import json_option, print_json, quiet_libraries
+from rudderpass.cli._nodes import read_status
+from rudderpass.demo import World
+from rudderpass.standins import EngineSpeed, StandInEngine
+
+_MICRO = 1e6
+_MILLI = 1e3
+
+
+@click.command("standin-platform")
+@click.argument("directory", type=click.Path(exists=True, path_type=Path))
+@click.option(
+    "--info",
+    type=click.Path(dir_okay=False, path_type=Path),
+    required=True,
+    help="Write the addresses there, as JSON, once everything runs.",
+)
+def standin_platform(directory: Path, info: Path) -> None:
+    """Run a log service and a host list until a signal; publish DIRECTORY."""
+    quiet_libraries()
+    world = World(directory, nodes=0, seed=0, own_upstreams=False)
+    world.start()
+    addresses = {"log_service": world.log.address, "host_list": world.hosts.address}
+    info.write_text(json.dumps(addresses))
+    _wait_for_signal()
+    world.close()
+
+
+@click.command("standin-engine")
+@click.option("--listen", required=True, metavar="IP:PORT")
+@click.option("--gap", type=float, default=0.02, show_default=True)
+@click.option("--slots", type=int, default=8, show_default=True)
+def standin_engine(listen: str, gap: float, slots: int) -> None:
+    """Run one engine stand-in until a signal."""
+    quiet_libraries()
+    engine = StandInEngine(EngineSpeed(gap, slots), listen)
+    engine.start()
+    _wait_for_signal()
+    engine.close()
+
+
+def _wait_for_signal() -> None:
+    stop = threading.Event()
+
+    def on_signal(number: int, frame: FrameType | None) -> None:
+        stop.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, on_signal)
+    stop.wait()
+
+
+@dataclass(frozen=True)
+class StreamFigures:
+    """One row of the streaming table; times in milliseconds."""
+
+    path: str
+    streams: int
+    tokens_per_second: float
+    delay_p50: float
+    delay_p95: float
+    delay_p99: float
+    gap_p50: float
+    gap_p95: float
+    gap_p99: float
+    first_p95: float
+    cpu_us_per_token: float
+    incomplete: int
+
+
+@click.command("bench-streams")
+@click.option(
+    "--direct", required=True, multiple=True, metavar="IP:PORT", help="The engines."
+)
+@click.option("--through", required=True, metavar="IP:PORT", help="The node.")
+@click.option("--admin", required=True, metavar="IP:PORT", help="The node's admin.")
+@click.option("--token", default="demo-token-bench", show_default=True)
+@click.option("--model", default="bench", show_default=True)
+@click.option("--streams", type=int, multiple=True, default=(50, 150, 300))
+@click.option("--tokens", type=int, default=240, show_default=True)
+@click.option("--ramp", type=float, default=1.0, show_default=True)
+@json_option
+def bench_streams(
+    direct: tuple[str, ...],
+    through: str,
+    admin: str,
+    token: str,
+    model: str,
+    streams: tuple[int, ...],
+    tokens: int,
+    ramp: float,
+    as_json: bool,
+) -> None:
+    """Compare streams through a node with the engine asked directly."""
+    rows = []
+    for count in streams:
+        for path, addresses in (("direct", direct), ("through", (through,))):
+            load = StreamLoad(addresses, token, model, count, tokens, ramp)
+            before = float(read_status(admin)["cpu_seconds"])
+            times = run_streams(load)
+            used = float(read_status(admin)["cpu_seconds"]) - before
+            row = _figures(path, load, times, used)
+            rows.append(row)
+            if not as_json:
+                _print_row(row, is_first=len(rows) == 1)
+    if as_json:
+        print_json([asdict(row) for row in rows])
+
+
+def _figures(
+    path: str, load: StreamLoad, times: StreamTimes, used: float
+) -> StreamFigures:
+    def delay(share: float) -> float:
+        return percentile(times.delays, share) * _MILLI
+
+    def gap(share: float) -> float:
+        return percentile(times.gaps, share) * _MILLI
+
+    cpu = used * _MICRO / max(1, times.tokens) if path == "through" else 0.0
+    return StreamFigures(
+        path=path,
+        streams=load.streams,
+        tokens_per_second=times.tokens / times.seconds,
+        delay_p50=delay(0.5),
+        delay_p95=delay(0.95),
+        delay_p99=delay(0.99),
+        gap_p50=gap(0.5),
+        gap_p95=gap(0.95),
+        gap_p99=gap(0.99),
+        first_p95=percentile(times.first_tokens, 0.95) * _MILLI,
+        cpu_us_per_token=cpu,
+        incomplete=times.incomplete,
+    )
+
+
+def _print_row(row: StreamFigures, is_first: bool) -> None:
+    if is_first:
+        click.echo(
+            f"{'path':<9}{'streams':>8}{'tokens/s':>10}{'delay p50':>11}{'p95':>8}"
+            f"{'p99':>8}{'gap p50':>9}{'p95':>8}{'p99':>8}{'first p95':>11}"
+            f"{'cpu us/token':>14}{'cut':>5}"
+        )
+    click.echo(
+        f"{row.path:<9}{row.streams:>8}{row.tokens_per_second:>10.0f}"
+        f"{row.delay_p50:>11.2f}{row.delay_p95:>8.2f}{row.delay_p99:>8.2f}"
+        f"{row.gap_p50:>9.1f}{row.gap_p95:>8.1f}{row.gap_p99:>8.1f}"
+        f"{row.first_p95:>11.1f}{row.cpu_us_per_token:>14.1f}{row.incomplete:>5}"
+    )
--- /dev/null
+++ b/src/rudderpass/cli/_main.py
@@ -0,0 +1,40 @@
+"""The command line's entry point."""
+
+from __future__ import annotations
+
+import click
+
+from rudderpass.cli._base import Commands
+from rudderpass.cli._bench import bench_streams, standin_engine, standin_platform
+from rudderpass.cli._declarations import apply, check, diff, get, history
+from rudderpass.cli._demo import demo
+from rudderpass.cli._nodes import logs, node, status
+
+
+@click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="rudderpass")
+def main() -> None:
+    """Route language-model traffic by declared classes, teams and labels.
+
+    Every option can also be set by the environment variable that its help names.
+    Shell completion: eval "$(_RUDDERPASS_COMPLETE=bash_source rudderpass)".
+    """
+
+
+_COMMANDS = (
+    node,
+    demo,
+    check,
+    diff,
+    apply,
+    get,
+    history,
+    status,
+    logs,
+    standin_platform,
+    standin_engine,
+    bench_streams,
+)
+
+for command in _COMMANDS:
+    main.add_command(command)
--- a/src/rudderpass/demo/_world.py
+++ b/src/rudderpass/demo/_world.py
@@ -61,11 +61,15 @@
     :param directory: the declarations to publish.
     :param nodes: how many nodes to start.
     :param seed: for all that is chosen at random.
+    :param own_upstreams: start stand-ins for the upstreams; otherwise they are
+        reached where they are declared.
 
     .. versionadded:: 0.1
     """
 
-    def __init__(self, directory: Path, nodes: int, seed: int) -> None:
+    def __init__(
+        self, directory: Path, nodes: int, seed: int, own_upstreams: bool = True
+    ) -> None:
         self.rng = random.Random(seed)
         self.log = StandInLog()
         self.hosts = StandInHostList(lag=0.5)
@@ -75,6 +79,7 @@
         self.nodes: list[Node] = []
         self.stopped: set[int] = set()
         self._count = nodes
+        self._own_upstreams = own_upstreams
         self._declared = _load(directory)
         self.catalog = Catalog()
 
@@ -82,7 +87,10 @@
         """Start everything and wait until all nodes are ready."""
         for platform in (self.log, self.hosts, self.weights):
             platform.start()
-        self._start_upstreams()
+        if self._own_upstreams:
+            self._start_upstreams()
+        else:
+            self.catalog = self._declared
         self.apply(self.catalog, "demo")
         zones = sorted({spec.availability_zone for spec in self._upstreams().values()})
         for number in range(self._count):
--- a/src/rudderpass/node/_admin.py
+++ b/src/rudderpass/node/_admin.py
@@ -27,7 +27,11 @@
 
 @dataclass(frozen=True)
 class NodeStatus:
-    """What ``rudderpass status`` shows of one node."""
+    """What ``rudderpass status`` shows of one node.
+
+    :param cpu_seconds: processor time of the whole process since its start.
+    :param peak_memory_bytes: the most memory that the process has held.
+    """
 
     node: str
     zone: str
@@ -44,6 +48,8 @@
     peer_messages: int
     peer_bytes: int
     peer_failures: int
+    cpu_seconds: float
+    peak_memory_bytes: int
 
 
 class AdminApp:
--- a/src/rudderpass/node/_node.py
+++ b/src/rudderpass/node/_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import threading
 import time
 
@@ -19,6 +20,7 @@
 from rudderpass.streams import Relay, RetryBudget
 
 _DRAIN_POLL_SECONDS = 0.05
+_KIBIBYTE = 1024
 _BALANCER_SECONDS = 1.0
 """How long a stopping node still answers new callers, so that the balancer sees
 that it is not ready before its port closes."""
@@ -172,6 +174,7 @@
 
     def _read_status(self, core: NodeCore) -> NodeStatus:
         counters = self._runtime.links.counters
+        usage = resource.getrusage(resource.RUSAGE_SELF)
         return NodeStatus(
             node=core.node,
             zone=self._settings.zone,
@@ -191,6 +194,8 @@
             peer_messages=counters.messages,
             peer_bytes=counters.payload_bytes,
             peer_failures=counters.failures,
+            cpu_seconds=time.process_time(),
+            peak_memory_bytes=usage.ru_maxrss * _KIBIBYTE,
         )
 
     def _gauges(self) -> Gauges:
