Replay traces through the real decisions in virtual time

Cause: policies could only be compared by the demo, in real time and one run.

Change: rudderpass replay, make-trace and compare-policies; fake engines that slow down as their batch fills; faults as lines of the trace; least reported load, two choices, and a fixed share of slots as baselines.

--- a/src/rudderpass/cli/_main.py
+++ b/src/rudderpass/cli/_main.py
@@ -9,6 +9,7 @@
 from rudderpass.cli._declarations import apply, check, diff, get, history
 from rudderpass.cli._demo import demo
 from rudderpass.cli._nodes import logs, node, status
+from rudderpass.cli._replay import compare, make_trace, replay
 
 
 @click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
@@ -31,6 +32,9 @@
     history,
     status,
     logs,
+    replay,
+    make_trace,
+    compare,
     standin_platform,
     standin_engine,
     bench_streams,
--- a/src/rudderpass/pools/_owner.py
+++ b/src/rudderpass/pools/_owner.py
@@ -164,6 +164,10 @@
             actions.append(Send(entry, Resend(self._pool, unknown)))
         return [*actions, *self.grant(now)]
 
+    def keep_entry(self, entry: NodeId, now: float) -> None:
+        """Take a sign of life from an entry node whose holdings did not change."""
+        self._renewed[entry] = now
+
     def drop_entry(self, entry: NodeId, now: float) -> list[OwnerAction]:
         """Forget all that a lost entry node held."""
         self._renewed.pop(entry, None)
--- a/src/rudderpass/replay/__init__.py
+++ b/src/rudderpass/replay/__init__.py
@@ -1,5 +1,21 @@
 """Replay: recorded traces through the real decisions in virtual time."""
 
+from rudderpass.replay._cluster import (
+    Cluster as Cluster,
+    ClusterOptions as ClusterOptions,
+)
+from rudderpass.replay._compare import (
+    Comparison as Comparison,
+    PolicyRow as PolicyRow,
+    compare_policies as compare_policies,
+)
+from rudderpass.replay._generate import TraceKind as TraceKind, generate as generate
+from rudderpass.replay._policies import Policy as Policy
+from rudderpass.replay._result import (
+    ClassResult as ClassResult,
+    ReplayResult as ReplayResult,
+)
+from rudderpass.replay._run import replay as replay
 from rudderpass.replay._trace import (
     Arrival as Arrival,
     Fault as Fault,
--- /dev/null
+++ b/src/rudderpass/replay/_generate.py
@@ -0,0 +1,209 @@
+"""Make seeded traces, sized by what a catalog's engines can serve."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from rudderpass._ids import ClassName, PoolId
+from rudderpass.declarations import Catalog, RouteSpec
+from rudderpass.replay._cluster import gap_of
+from rudderpass.replay._trace import Arrival, Fault, TraceLine
+
+_BATCH_SLOWDOWN = 1.5
+_MEAN_TOKENS = 60.0
+_LONGEST = 600
+_PREFIXES = 12
+_BOOKINGS_PER_SECOND = 2.0
+_TOP_SHARE = 0.3
+_HOT_NODES = 0.25
+
+
+class TraceKind(Enum):
+    """The kinds of trace that can be made."""
+
+    LOAD_IN_MORNING = "load-in-morning"
+    UPLOAD_WAVE = "upload-wave"
+    STEADY_DAY = "steady-day"
+    WEEK_OF_FAULTS = "week-of-faults"
+
+
+@dataclass(frozen=True)
+class TraceShape:
+    """How load runs over a trace.
+
+    :param seconds: its length.
+    :param base: load outside the burst, as a share of capacity.
+    :param burst: load during it.
+    :param skewed: whether most requests enter through a quarter of the nodes.
+    """
+
+    seconds: float
+    base: float
+    burst: float
+    burst_from: float
+    burst_until: float
+    skewed: bool = False
+
+    def load_at(self, at: float) -> float:
+        """Return the load at a time, as a share of capacity."""
+        if self.burst_from <= at < self.burst_until:
+            return self.burst
+        return self.base
+
+
+def shape_of(kind: TraceKind, skewed: bool = False) -> TraceShape:
+    """Return the shape of a kind of trace."""
+    shapes = {
+        TraceKind.LOAD_IN_MORNING: TraceShape(90, 0.6, 2.0, 25, 55, skewed),
+        TraceKind.UPLOAD_WAVE: TraceShape(90, 0.5, 2.0, 20, 50, skewed),
+        TraceKind.STEADY_DAY: TraceShape(60, 0.75, 0.75, 0, 0, skewed),
+        TraceKind.WEEK_OF_FAULTS: TraceShape(120, 0.6, 1.3, 40, 60, skewed),
+    }
+    return shapes[kind]
+
+
+def generate(
+    catalog: Catalog, kind: TraceKind, seed: int, skewed: bool = False
+) -> tuple[TraceLine, ...]:
+    """Return a trace; the same arguments give the same trace."""
+    rng = random.Random(f"{kind.value}|{seed}")
+    shape = shape_of(kind, skewed)
+    lines: list[TraceLine] = []
+    for route in catalog.routes.values():
+        if route.models:
+            lines += _model_arrivals(catalog, route, shape, rng)
+        else:
+            lines += _bookings(catalog, route, shape, rng)
+    if kind is TraceKind.WEEK_OF_FAULTS:
+        lines += _faults(catalog, shape, rng)
+    lines.sort(key=lambda line: line.at)
+    return tuple(_number(lines))
+
+
+def _number(lines: list[TraceLine]) -> Iterator[TraceLine]:
+    for number, line in enumerate(lines):
+        if isinstance(line, Arrival):
+            yield line.model_copy(update={"id": f"r{number:06d}"})
+        else:
+            yield line
+
+
+def _capacity(catalog: Catalog, runner: str) -> float:
+    """Return the tokens a second that a runner's engines make when full."""
+    return sum(
+        spec.slots / (gap_of(spec.labels) * _BATCH_SLOWDOWN)
+        for spec in catalog.pools[PoolId(runner)].values()
+    )
+
+
+def _model_arrivals(
+    catalog: Catalog, route: RouteSpec, shape: TraceShape, rng: random.Random
+) -> Iterator[Arrival]:
+    capacity = _capacity(catalog, route.runner)
+    classes = _classes_for(catalog, streamed=True)
+    highest, others = classes[0], classes[1:] or classes
+    at = 0.0
+    while True:
+        rate = shape.load_at(at) * capacity / _MEAN_TOKENS
+        at += rng.expovariate(rate)
+        if at >= shape.seconds:
+            return
+        is_top = rng.random() < _TOP_SHARE
+        name = highest if is_top else rng.choice(others)
+        yield _arrival(catalog, shape, rng, at, name, rng.choice(route.models))
+
+
+def _classes_for(catalog: Catalog, streamed: bool) -> list[ClassName]:
+    """Return classes that stream, or that do not, highest tier first."""
+    found = [
+        (spec.tier, name)
+        for name, spec in catalog.classes.items()
+        if _is_desk_class(name) != streamed
+    ]
+    return [name for _, name in sorted(found)]
+
+
+def _is_desk_class(name: str) -> bool:
+    return name in ("booking", "order")
+
+
+def _arrival(
+    catalog: Catalog,
+    shape: TraceShape,
+    rng: random.Random,
+    at: float,
+    name: ClassName,
+    model: str,
+) -> Arrival:
+    tokens = int(min(_LONGEST, 1 + rng.lognormvariate(math.log(42), 0.8)))
+    return Arrival(
+        at=round(at, 4),
+        id="",
+        service_class=name,
+        team=_choose_team(catalog, name, rng),
+        model=model,
+        prompt_tokens=rng.randint(40, 400),
+        output_tokens=tokens,
+        prefix=f"{model}-{rng.randint(1, _PREFIXES)}",
+        entry=_choose_entry(shape, rng),
+    )
+
+
+def _choose_team(catalog: Catalog, name: ClassName, rng: random.Random) -> str:
+    """Choose a team; the first few are large."""
+    teams = [team for team, spec in catalog.teams.items() if name in spec.classes]
+    return teams[min(int(rng.expovariate(0.5)), len(teams) - 1)]
+
+
+def _choose_entry(shape: TraceShape, rng: random.Random) -> float | None:
+    if not shape.skewed:
+        return None
+    if rng.random() < 0.75:
+        return rng.random() * _HOT_NODES
+    return rng.random()
+
+
+def _bookings(
+    catalog: Catalog, route: RouteSpec, shape: TraceShape, rng: random.Random
+) -> Iterator[Arrival]:
+    names = _classes_for(catalog, streamed=False)
+    at = 0.0
+    while names:
+        at += rng.expovariate(_BOOKINGS_PER_SECOND)
+        if at >= shape.seconds:
+            return
+        yield Arrival(
+            at=round(at, 4),
+            id="",
+            service_class=names[0],
+            team=_choose_team(catalog, names[0], rng),
+            path=f"{route.path_prefix}/item",
+            stream=False,
+            repeatable=route.repeatable,
+            entry=_choose_entry(shape, rng),
+        )
+
+
+def _faults(catalog: Catalog, shape: TraceShape, rng: random.Random) -> Iterator[Fault]:
+    """Yield each of the brief's faults, some of them at the same time."""
+    engines = [name for name, spec in catalog.upstreams.items() if spec.labels]
+    zones = sorted({spec.availability_zone for spec in catalog.upstreams.values()})
+
+    def fault(kind: str, at: float, seconds: float, **fields: object) -> Fault:
+        value = {"kind": kind, "at": at, "until": at + seconds, **fields}
+        return Fault.model_validate(value)
+
+    choose: Callable[[], str] = lambda: rng.choice(engines)
+    yield fault("engine-slow", 10, 25, target=choose(), factor=4)
+    yield fault("engine-crash", 20, 8, target=choose())
+    yield fault("node-crash", 30, 6, target=str(rng.randrange(8)))
+    yield fault("reports-lag", 40, 20, factor=6)
+    yield fault("engine-crash", 45, 10, target=choose())
+    yield fault("node-crash", 45.2, 8, target=str(rng.randrange(8)))
+    yield fault("node-pause", 70, 5, target=str(rng.randrange(8)))
+    yield fault("zone-cut", 85, 12, target=rng.choice(zones))
+    yield fault("engine-slow", 90, 20, target=choose(), factor=6)
--- /dev/null
+++ b/src/rudderpass/replay/_result.py
@@ -0,0 +1,155 @@
+"""What a replay is judged by."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+
+from rudderpass._ids import ClassName
+from rudderpass.declarations import Catalog, ServiceClassSpec
+from rudderpass.replay._cluster import Caller, Cluster
+from rudderpass.streams import Outcome
+
+
+@dataclass(frozen=True)
+class ClassResult:
+    """One class's figures over a whole replay.
+
+    :param attainment: share of all requests that met every target.
+    :param goodput: tokens a second of answers that met every target.
+    :param starved: the longest wait for service, in seconds.
+    :param over_wait: requests that waited longer than their class allows.
+    """
+
+    name: str
+    tier: int
+    requests: int
+    completed: int
+    attainment: float
+    goodput: float
+    starved: float
+    first_token_p95: float
+    shed: int
+    expired: int
+    unknown: int
+    over_wait: int
+
+
+@dataclass(frozen=True)
+class ReplayResult:
+    """A whole replay's figures.
+
+    :param wasted_share: tokens thrown away, of all tokens made.
+    :param oversubscribed: most work that any engine ran above its slots.
+    :param messages_per_request: peer messages for each request.
+    """
+
+    policy: str
+    nodes: int
+    seed: int
+    seconds: float
+    rows: tuple[ClassResult, ...]
+    goodput: float
+    wasted_share: float
+    unanswered: int
+    run_twice: int
+    oversubscribed: int
+    messages_per_request: float
+
+    def row(self, name: str) -> ClassResult:
+        """Return one class's figures."""
+        return next(row for row in self.rows if row.name == name)
+
+    def as_json(self) -> dict[str, object]:
+        """Return the result for a script."""
+        return asdict(self)
+
+
+def judge(cluster: Cluster, catalog: Catalog, policy: str, seed: int) -> ReplayResult:
+    """Return the figures of a replay that has been played."""
+    callers = cluster.callers
+    seconds = max((caller.arrival.at for caller in callers), default=1.0)
+    rows = []
+    for name, spec in catalog.classes.items():
+        of_class = [item for item in callers if item.arrival.service_class == name]
+        if of_class:
+            rows.append(_judge_class(name, spec, of_class, seconds))
+    made = sum(engine.totals.tokens for engine in cluster.engines.values())
+    wasted = sum(caller.wasted for caller in callers)
+    excess = [
+        engine.totals.busiest - catalog.upstreams[name].slots
+        for name, engine in cluster.engines.items()
+    ]
+    messages = sum(node.messages for node in cluster.nodes)
+    return ReplayResult(
+        policy=policy,
+        nodes=len(cluster.nodes),
+        seed=seed,
+        seconds=seconds,
+        rows=tuple(sorted(rows, key=lambda row: (row.tier, row.name))),
+        goodput=sum(row.goodput for row in rows),
+        wasted_share=wasted / made if made else 0.0,
+        unanswered=sum(caller.outcome is None for caller in callers),
+        run_twice=_count_run_twice(callers),
+        oversubscribed=max(0, *excess) if excess else 0,
+        messages_per_request=messages / max(1, len(callers)),
+    )
+
+
+def _count_run_twice(callers: Sequence[Caller]) -> int:
+    return sum(
+        not caller.arrival.repeatable and caller.starts > 1 for caller in callers
+    )
+
+
+def _judge_class(
+    name: ClassName,
+    spec: ServiceClassSpec,
+    callers: Sequence[Caller],
+    seconds: float,
+) -> ClassResult:
+    attained = [caller for caller in callers if has_attained(spec, caller)]
+    waits = sorted(_wait_of(caller) for caller in callers)
+    limit = spec.max_wait_seconds + _TICK_MARGIN
+    return ClassResult(
+        name=name,
+        tier=spec.tier,
+        requests=len(callers),
+        completed=sum(caller.outcome is Outcome.COMPLETED for caller in callers),
+        attainment=len(attained) / len(callers),
+        goodput=sum(item.arrival.output_tokens for item in attained) / seconds,
+        starved=waits[-1],
+        first_token_p95=waits[int(0.95 * (len(waits) - 1))],
+        shed=sum(caller.reason == "overload" for caller in callers),
+        expired=sum(caller.reason == "waited too long" for caller in callers),
+        unknown=sum(caller.outcome is Outcome.UNKNOWN for caller in callers),
+        over_wait=sum(wait > limit for wait in waits),
+    )
+
+
+_TICK_MARGIN = 1.5
+
+
+def _wait_of(caller: Caller) -> float:
+    started = caller.first_token_at or caller.ended_at
+    return (started - caller.sent_at) if started is not None else 0.0
+
+
+def has_attained(spec: ServiceClassSpec, caller: Caller) -> bool:
+    """Tell whether a caller's answer met every target of its class."""
+    if caller.outcome is not Outcome.COMPLETED or caller.ended_at is None:
+        return False
+    whole = caller.ended_at - caller.sent_at
+    first = whole
+    if caller.first_token_at is not None:
+        first = caller.first_token_at - caller.sent_at
+    targets = spec.targets
+    if targets.first_token_seconds is not None and first > targets.first_token_seconds:
+        return False
+    tokens = caller.arrival.output_tokens
+    if targets.between_tokens_seconds is not None and tokens > 1:
+        if (whole - first) / (tokens - 1) > targets.between_tokens_seconds:
+            return False
+    if targets.whole_answer_seconds is not None:
+        return whole <= targets.whole_answer_seconds
+    return True
