Serve work that can still be in time before work that is late

Cause: within a tier the oldest work went first, so under a burst every request of a class became late, each one waiting behind others that were late already.

Change: within a tier, work whose start is not yet overdue goes first; late work follows, and the class's floor still serves its oldest.

Price: some quotes now wait out their 30 s and are refused, where all were served late before.

--- a/src/rudderpass/admission/_queue.py
+++ b/src/rudderpass/admission/_queue.py
@@ -1,9 +1,11 @@
 """The order of service in one pool.
 
-Tier first; within a tier the class whose oldest work has the least slack to its
-target; within a class the team that was served least. Every class with waiting
-work also earns credit at its floor share, and is served ahead of the order when
-the credit pays for its oldest work, so that no class starves.
+Tier first. Within a tier, work that can still start in time goes before work that
+is late already, because serving the late one first would only make both late. Then
+the class with the least slack to its target; within a class the team that was
+served least. Every class with waiting work also earns credit at its floor share,
+and its oldest work is served ahead of the order when the credit pays for it, so
+that no class starves.
 """
 
 from __future__ import annotations
@@ -34,8 +36,27 @@
     lanes: dict[Lane, SortedKeyList] = field(default_factory=dict)
 
     def heads(self) -> list[Reservation]:
+        """Return the oldest work of each lane."""
         return sorted((lane[0] for lane in self.lanes.values()), key=_age_order)
 
+    def heads_in_time(self, now: float) -> list[Reservation]:
+        """Return, of each lane, the oldest work that can still start in time."""
+        found = (_oldest_in_time(lane, now) for lane in self.lanes.values())
+        return sorted((work for work in found if work is not None), key=_age_order)
+
+
+def _oldest_in_time(lane: SortedKeyList, now: float) -> Reservation | None:
+    """Return the first work of ``lane`` whose start is not overdue.
+
+    All work of a lane is of one class, so its start is due in order of arrival.
+    """
+    first: Reservation = lane[0]
+    if first.resumed or first.start_by >= now:
+        return first
+    due_since = now - first.start_target
+    position = lane.bisect_key_left((True, due_since, ""))
+    return lane[position] if position < len(lane) else None
+
 
 @dataclass
 class _ClassQueue:
@@ -55,10 +76,18 @@
         return min(heads, key=_age_order)
 
     def heads(self) -> Iterator[Reservation]:
-        teams = sorted(self.teams.items(), key=lambda item: (item[1].served, item[0]))
-        for _, team in teams:
+        for team in self._teams_in_order():
             yield from team.heads()
 
+    def heads_in_time(self, now: float) -> list[Reservation]:
+        return [
+            work for team in self._teams_in_order() for work in team.heads_in_time(now)
+        ]
+
+    def _teams_in_order(self) -> list[_TeamQueue]:
+        ordered = sorted(self.teams.items(), key=lambda item: (item[1].served, item[0]))
+        return [team for _, team in ordered]
+
 
 class AdmissionQueue:
     """Waiting work of one pool, in the order in which it is to be served."""
@@ -139,17 +168,29 @@
         return self.remove(request_id)
 
     def in_order(self, now: float) -> Iterator[Reservation]:
-        """Yield the oldest work of each team and lane, next to be served first."""
+        """Yield the work that may be served next, best first.
+
+        A lane whose first work cannot be placed is of no more use, so only the
+        first of each lane is there, or the first in time and the first of all.
+        """
         queues = [queue for queue in self._classes.values() if queue.count]
         due = [queue for queue in queues if self._floor_is_due(queue)]
         due.sort(key=lambda queue: (-queue.credit, queue.tier, queue.name))
         for queue in due:
             yield from queue.heads()
-        rest = [queue for queue in queues if queue not in due]
-        rest.sort(
-            key=lambda queue: (queue.tier, queue.oldest().start_by - now, queue.name)
-        )
-        for queue in rest:
+        for tier in sorted({queue.tier for queue in queues}):
+            of_tier = [queue for queue in queues if queue.tier == tier]
+            yield from self._tier_in_order(of_tier, now)
+
+    @staticmethod
+    def _tier_in_order(queues: list[_ClassQueue], now: float) -> Iterator[Reservation]:
+        """Yield a tier's work, all that can be in time before all that is late."""
+        in_time = [(queue.heads_in_time(now), queue.name) for queue in queues]
+        in_time = [(heads, name) for heads, name in in_time if heads]
+        in_time.sort(key=lambda item: (min(w.start_by for w in item[0]), item[1]))
+        for heads, _ in in_time:
+            yield from heads
+        for queue in sorted(queues, key=lambda each: each.oldest().start_by):
             yield from queue.heads()
 
     def expired(self, now: float) -> tuple[Reservation, ...]:
