Learn an upstream's speed while streams run, and keep slow ones for last

Cause: an engine that slowed down six times was only known to be slow when its first answer ended, some 15 s later; until then it got its share of work.

Change: entry nodes renew with the tokens that have passed, so the owner learns the gap between tokens every second; work whose class has a target between tokens takes a slower upstream only when it cannot wait any longer. A renewed grant now names only id, upstream, token, tier and tokens, not its reservation.

Relaxing one criterion at a time when no candidate is left is the idea of the paper on choosing a database copy.

--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -22,6 +22,7 @@
   12: string zone
   13: bool resumed
   14: double floor_share
+  15: double gap_target
 }
 
 struct Cancel {
@@ -55,10 +56,14 @@
   8: i32 ending
 }
 
+/* Work that holds a slot. The tokens and their seconds show the upstream's speed
+ * long before the work ends. */
 struct Running {
-  1: Reserve reserve
+  1: string request_id
   2: string upstream
   3: i64 token
+  4: i32 tier
+  5: i32 tokens
 }
 
 /* All that an entry node holds of one pool, sent at a fixed interval. */
--- a/src/rudderpass/admission/_work.py
+++ b/src/rudderpass/admission/_work.py
@@ -26,6 +26,7 @@
     :param prefix_hash: hash of the prompt's prefix, 0 if unknown.
     :param upstreams: the upstreams that the selectors allow, sorted.
     :param floor_share: share of service guaranteed to the class.
+    :param gap_target: seconds between tokens that the class asks for, 0 for none.
     :param resumed: whether the request already ran in part and lost its upstream.
 
     .. versionadded:: 0.1
@@ -44,6 +45,7 @@
     upstreams: tuple[UpstreamId, ...]
     zone: AvailabilityZone
     floor_share: float = 0.0
+    gap_target: float = 0.0
     resumed: bool = False
 
     @property
--- a/src/rudderpass/core/_core.py
+++ b/src/rudderpass/core/_core.py
@@ -212,6 +212,7 @@
             upstreams=self._allowed(match, submission.excluded),
             zone=self._zone,
             floor_share=service_class.floor_share,
+            gap_target=service_class.targets.between_tokens_seconds or 0.0,
             resumed=submission.resumed,
         )
         admitted = Admitted(
@@ -232,6 +233,10 @@
         self._forget(request_id, usage, now)
         return self._run(self._entry.finish(request_id, usage), now)
 
+    def note_progress(self, request_id: RequestId, tokens: int) -> None:
+        """Remember how many tokens a running request has brought so far."""
+        self._entry.note_progress(request_id, tokens)
+
     def shed_lowest(self, reason: str, now: float) -> list[CoreAction]:
         """Refuse the newest waiting request of the lowest tier on this node."""
         work = self._entry.lowest_waiting()
--- a/src/rudderpass/gateway/_serve.py
+++ b/src/rudderpass/gateway/_serve.py
@@ -199,7 +199,7 @@
             try:
                 with self._services.watch.watching(self._caller.is_gone, answer.close):
                     if answer.is_stream():
-                        usage, body = self._pass_stream(answer, spec, began)
+                        usage, body = self._pass_stream(attempt, answer, spec, began)
                     else:
                         usage, body = self._pass_whole(answer, spec, began)
             finally:
@@ -244,7 +244,7 @@
         return open_answer(spec, sent, self._services.upstream_timeout)
 
     def _pass_stream(
-        self, answer: OpenAnswer, spec: UpstreamSpec, began: float
+        self, attempt: RequestId, answer: OpenAnswer, spec: UpstreamSpec, began: float
     ) -> tuple[Usage, Iterable[bytes]]:
         if self._write is None:
             headers = [
@@ -254,7 +254,12 @@
             ]
             write = self._caller.start_response("200 OK", headers)
             self._write = convert_disconnect(write)
-        caller = CallerSide(self._write, self._caller.pending, self._caller.is_gone)
+        caller = CallerSide(
+            self._write,
+            self._caller.pending,
+            self._caller.is_gone,
+            lambda tokens: self._services.admission.note_progress(attempt, tokens),
+        )
         relayed_from = time.monotonic()
         future = self._services.relay.relay(
             answer.socket,
--- a/src/rudderpass/gateway/_ticket.py
+++ b/src/rudderpass/gateway/_ticket.py
@@ -41,5 +41,8 @@
     def finish(self, request_id: RequestId, usage: Usage) -> None:
         """Give back whatever a request holds."""
 
+    def note_progress(self, request_id: RequestId, tokens: int) -> None:
+        """Tell how many tokens a running request has brought so far."""
+
     def shed_lowest(self, reason: str) -> None:
         """Refuse the newest waiting request of the lowest tier."""
--- a/src/rudderpass/node/_node.py
+++ b/src/rudderpass/node/_node.py
@@ -45,6 +45,10 @@
         """Give back whatever a request holds."""
         self._runtime.finish(request_id, usage)
 
+    def note_progress(self, request_id: RequestId, tokens: int) -> None:
+        """Tell how many tokens a running request has brought so far."""
+        self._runtime.core.note_progress(request_id, tokens)
+
     def shed_lowest(self, reason: str) -> None:
         """Refuse the newest waiting request of the lowest tier."""
         self._runtime.shed_lowest(reason)
--- a/src/rudderpass/peers/_codec.py
+++ b/src/rudderpass/peers/_codec.py
@@ -135,9 +135,11 @@
 def _(message: Renew, now: float) -> wire.Message:
     running = [
         wire.Running(
-            reserve=_encode_reservation(work.reservation, now),
+            request_id=work.request_id,
             upstream=work.upstream,
             token=work.token,
+            tier=work.tier,
+            tokens=work.tokens,
         )
         for work in message.running
     ]
@@ -195,6 +197,7 @@
         zone=work.zone,
         resumed=work.resumed,
         floor_share=work.floor_share,
+        gap_target=work.gap_target,
     )
 
 
@@ -213,6 +216,7 @@
         upstreams=tuple(UpstreamId(name) for name in value.upstreams),
         zone=AvailabilityZone(value.zone),
         floor_share=value.floor_share,
+        gap_target=value.gap_target,
         resumed=value.resumed,
     )
 
@@ -258,9 +262,11 @@
 def _decode_renew(value: wire.Renew, now: float) -> Renew:
     running = tuple(
         RunningWork(
-            _decode_reservation(item.reserve, now),
+            RequestId(item.request_id),
             UpstreamId(item.upstream),
             item.token,
+            item.tier,
+            item.tokens,
         )
         for item in value.running
     )
--- a/src/rudderpass/peers/_gen/wire/ttypes.py
+++ b/src/rudderpass/peers/_gen/wire/ttypes.py
@@ -33,6 +33,7 @@
      - zone
      - resumed
      - floor_share
+     - gap_target
 
     """
 
@@ -51,10 +52,11 @@
         'zone',
         'resumed',
         'floor_share',
+        'gap_target',
     )
 
 
-    def __init__(self, request_id=None, pool=None, service_class=None, tier=None, team=None, age=None, target=None, max_wait=None, expected_tokens=None, prefix_hash=None, upstreams=None, zone=None, resumed=None, floor_share=None,):
+    def __init__(self, request_id=None, pool=None, service_class=None, tier=None, team=None, age=None, target=None, max_wait=None, expected_tokens=None, prefix_hash=None, upstreams=None, zone=None, resumed=None, floor_share=None, gap_target=None,):
         self.request_id = request_id
         self.pool = pool
         self.service_class = service_class
@@ -69,6 +71,7 @@
         self.zone = zone
         self.resumed = resumed
         self.floor_share = floor_share
+        self.gap_target = gap_target
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -154,6 +157,11 @@
                     self.floor_share = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.DOUBLE:
+                    self.gap_target = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -223,6 +231,10 @@
             oprot.writeFieldBegin('floor_share', TType.DOUBLE, 14)
             oprot.writeDouble(self.floor_share)
             oprot.writeFieldEnd()
+        if self.gap_target is not None:
+            oprot.writeFieldBegin('gap_target', TType.DOUBLE, 15)
+            oprot.writeDouble(self.gap_target)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -703,23 +715,29 @@
 class Running(object):
     """
     Attributes:
-     - reserve
+     - request_id
      - upstream
      - token
+     - tier
+     - tokens
 
     """
 
     __slots__ = (
-        'reserve',
+        'request_id',
         'upstream',
         'token',
+        'tier',
+        'tokens',
     )
 
 
-    def __init__(self, reserve=None, upstream=None, token=None,):
-        self.reserve = reserve
+    def __init__(self, request_id=None, upstream=None, token=None, tier=None, tokens=None,):
+        self.request_id = request_id
         self.upstream = upstream
         self.token = token
+        self.tier = tier
+        self.tokens = tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -731,9 +749,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.reserve = Reserve()
-                    self.reserve.read(iprot)
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -746,6 +763,16 @@
                     self.token = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.tier = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -756,9 +783,9 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('Running')
-        if self.reserve is not None:
-            oprot.writeFieldBegin('reserve', TType.STRUCT, 1)
-            self.reserve.write(oprot)
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
             oprot.writeFieldEnd()
         if self.upstream is not None:
             oprot.writeFieldBegin('upstream', TType.STRING, 2)
@@ -768,6 +795,14 @@
             oprot.writeFieldBegin('token', TType.I64, 3)
             oprot.writeI64(self.token)
             oprot.writeFieldEnd()
+        if self.tier is not None:
+            oprot.writeFieldBegin('tier', TType.I32, 4)
+            oprot.writeI32(self.tier)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 5)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1809,6 +1844,7 @@
     (12, TType.STRING, 'zone', 'UTF8', None, ),  # 12
     (13, TType.BOOL, 'resumed', None, None, ),  # 13
     (14, TType.DOUBLE, 'floor_share', None, None, ),  # 14
+    (15, TType.DOUBLE, 'gap_target', None, None, ),  # 15
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
@@ -1848,9 +1884,11 @@
 all_structs.append(Running)
 Running.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'reserve', [Reserve, None], None, ),  # 1
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
     (3, TType.I64, 'token', None, None, ),  # 3
+    (4, TType.I32, 'tier', None, None, ),  # 4
+    (5, TType.I32, 'tokens', None, None, ),  # 5
 )
 all_structs.append(Renew)
 Renew.thrift_spec = (
--- a/src/rudderpass/pools/_entry.py
+++ b/src/rudderpass/pools/_entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from rudderpass._ids import NodeId, PoolId, RequestId, UpstreamId
 from rudderpass.admission import Reservation
@@ -49,6 +49,7 @@
     reservation: Reservation
     upstream: UpstreamId | None = None
     token: int = 0
+    tokens: int = 0
 
 
 class EntryDesk:
@@ -147,6 +148,12 @@
         release = Release(work.pool, request_id, held.upstream, held.token, usage)
         return [Send(owner, release)]
 
+    def note_progress(self, request_id: RequestId, tokens: int) -> None:
+        """Remember how many tokens a running request has brought so far."""
+        held = self._held.get(request_id)
+        if held is not None:
+            held.tokens = tokens
+
     def set_owner(self, pool: PoolId, owner: NodeId) -> list[EntryAction]:
         """Register everything with the pool's new owner."""
         old = self._owners.get(pool)
@@ -175,8 +182,11 @@
             if held.upstream is None:
                 waiting.append(request_id)
             else:
-                brief = replace(work, upstreams=())
-                running.append(RunningWork(brief, held.upstream, held.token))
+                running.append(
+                    RunningWork(
+                        request_id, held.upstream, held.token, work.tier, held.tokens
+                    )
+                )
         message = Renew(pool, tuple(waiting), tuple(running))
         return [Send(self._owners[pool], message)]
 
--- a/src/rudderpass/pools/_messages.py
+++ b/src/rudderpass/pools/_messages.py
@@ -62,11 +62,16 @@
 
 @dataclass(frozen=True)
 class RunningWork:
-    """A granted reservation, as its entry node reports it."""
+    """A granted reservation, as its entry node reports it.
 
-    reservation: Reservation
+    :param tokens: tokens that have passed so far.
+    """
+
+    request_id: RequestId
     upstream: UpstreamId
     token: int
+    tier: int
+    tokens: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/rudderpass/pools/_owner.py
+++ b/src/rudderpass/pools/_owner.py
@@ -50,11 +50,13 @@
     """Work that holds a slot."""
 
     entry: NodeId
-    reservation: Reservation
+    tier: int
     upstream: UpstreamId
     token: int
     since: float
     confirmed: bool = False
+    tokens: int = 0
+    tokens_at: float = 0.0
 
 
 class PoolOwner:
@@ -147,7 +149,7 @@
     def renew(self, entry: NodeId, message: Renew, now: float) -> list[OwnerAction]:
         """Reconcile with what an entry node holds."""
         self._renewed[entry] = now
-        running = {work.reservation.request_id for work in message.running}
+        running = {work.request_id for work in message.running}
         waiting = set(message.waiting)
         for work in message.running:
             self._adopt(entry, work, now)
@@ -220,7 +222,7 @@
         self._queue.serve(work.request_id)
         self._next_token += 1
         entry = self._entries.pop(work.request_id)
-        granted = _Granted(entry, work, choice.chosen, self._next_token, now)
+        granted = _Granted(entry, work.tier, choice.chosen, self._next_token, now)
         self._granted[work.request_id] = granted
         upstream = self._upstreams[choice.chosen]
         upstream.running += 1
@@ -256,9 +258,7 @@
 
     def _is_protected(self, victim: Reservation) -> bool:
         """Tell whether lower-tier work is admitted, so that this may not be shed."""
-        return any(
-            item.reservation.tier > victim.tier for item in self._granted.values()
-        )
+        return any(item.tier > victim.tier for item in self._granted.values())
 
     def _queue_seconds(self, now: float) -> float:
         rate = self._served_rate.per_second(now)
@@ -281,19 +281,27 @@
 
     def _adopt(self, entry: NodeId, work: RunningWork, now: float) -> None:
         """Take over a grant of an earlier owner, or confirm one of our own."""
-        request_id = work.reservation.request_id
-        known = self._granted.get(request_id)
+        known = self._granted.get(work.request_id)
         if known is not None:
             known.confirmed = True
+            self._note_progress(known, work.tokens, now)
             return
-        self._forget_waiting(request_id)
-        self._granted[request_id] = _Granted(
-            entry, work.reservation, work.upstream, work.token, now, confirmed=True
+        self._forget_waiting(work.request_id)
+        self._granted[work.request_id] = _Granted(
+            entry, work.tier, work.upstream, work.token, now, confirmed=True
         )
         upstream = self._upstreams.get(work.upstream)
         if upstream is not None:
             upstream.running += 1
 
+    def _note_progress(self, item: _Granted, tokens: int, now: float) -> None:
+        """Learn the upstream's present speed from two reports of one stream."""
+        upstream = self._upstreams.get(item.upstream)
+        if upstream is not None and item.tokens > 0:
+            upstream.health.note_progress(tokens - item.tokens, now - item.tokens_at)
+        item.tokens = tokens
+        item.tokens_at = now
+
     def _reconcile_granted(
         self,
         entry: NodeId,
--- a/src/rudderpass/replay/_cluster.py
+++ b/src/rudderpass/replay/_cluster.py
@@ -203,9 +203,17 @@
     ) -> simpy.events.ProcessGenerator:
         yield self.env.timeout(self.rng.random() * _TICK_SECONDS)
         while node.scheduler is scheduler:
+            self._report_progress(node)
             self._on_node(node, lambda: scheduler.tick(self.env.now))
             yield self.env.timeout(_TICK_SECONDS)
 
+    def _report_progress(self, node: _VirtualNode) -> None:
+        for request_id, caller in node.callers.items():
+            if caller.work is None or caller.engine is None or caller.work.ended:
+                continue
+            tokens = caller.engine.tokens_of(caller.work)
+            node.scheduler.note_progress(request_id, tokens)
+
     def _on_node(
         self, node: _VirtualNode, event: Callable[[], list[CoreAction]]
     ) -> None:
--- a/src/rudderpass/replay/_engine.py
+++ b/src/rudderpass/replay/_engine.py
@@ -127,6 +127,11 @@
         self._fill()
         self._replan()
 
+    def tokens_of(self, work: EngineWork) -> int:
+        """Return how many tokens work has brought so far."""
+        self._advance()
+        return int(work.produced)
+
     def set_slowdown(self, factor: float) -> None:
         """Run ``factor`` times slower from now on."""
         self._advance()
--- a/src/rudderpass/replay/_policies.py
+++ b/src/rudderpass/replay/_policies.py
@@ -117,6 +117,9 @@
         """Ignore peers."""
         return []
 
+    def note_progress(self, request_id: RequestId, tokens: int) -> None:
+        """Ignore progress; baselines learn nothing."""
+
     def tick(self, now: float) -> list[CoreAction]:
         """Do what is due."""
         return []
--- a/src/rudderpass/routing/_choice.py
+++ b/src/rudderpass/routing/_choice.py
@@ -16,6 +16,10 @@
 """Share of the time to the first token that a cached prefix is taken to save."""
 
 _TRIAL_PENALTY_SECONDS = 0.5
+_LAST_MOMENT_SECONDS = 0.3
+"""Before its start is due by this much, work may wait for a faster upstream."""
+
+FULL = "full"
 _LOAD_SLOWDOWN = 0.6
 """How much a full upstream is taken to be slower than an empty one."""
 
@@ -58,24 +62,41 @@
 def choose_upstream(
     work: Reservation, pool: Iterable[UpstreamSlots], now: float
 ) -> Choice:
-    """Choose the allowed upstream that should finish ``work`` first."""
+    """Choose the allowed upstream that should finish ``work`` first.
+
+    An upstream too slow for the class's target between tokens is taken only when
+    no other one is allowed, or when the work cannot wait any longer for one.
+    """
     allowed = set(work.upstreams)
-    candidates: list[tuple[float, UpstreamId]] = []
+    fast: list[tuple[float, UpstreamId]] = []
+    slow: list[tuple[float, UpstreamId]] = []
     ruled_out: list[RuledOut] = []
+    may_wait = False
     for upstream in pool:
+        too_slow = _is_too_slow(work, upstream)
         reason = _rule_out(upstream, allowed, now)
         if reason:
             ruled_out.append(RuledOut(upstream.upstream, reason))
+            may_wait |= reason == FULL and not too_slow
             continue
-        candidates.append((estimate_seconds(work, upstream, now), upstream.upstream))
+        score = estimate_seconds(work, upstream, now)
+        (slow if too_slow else fast).append((score, upstream.upstream))
+    if not fast and may_wait and now < work.start_by - _LAST_MOMENT_SECONDS:
+        ruled_out += [RuledOut(name, "too slow") for _, name in slow]
+        return Choice(None, 0.0, (), tuple(ruled_out))
+    candidates = sorted(fast or slow)
     if not candidates:
         return Choice(None, 0.0, (), tuple(ruled_out))
-    candidates.sort()
     score, chosen = candidates[0]
     names = tuple(name for _, name in candidates)
     return Choice(chosen, score, names, tuple(ruled_out))
 
 
+def _is_too_slow(work: Reservation, upstream: UpstreamSlots) -> bool:
+    gap = upstream.health.gap
+    return work.gap_target > 0 and gap is not None and gap > work.gap_target
+
+
 def _rule_out(upstream: UpstreamSlots, allowed: set[UpstreamId], now: float) -> str:
     if upstream.upstream not in allowed:
         return "selector"
@@ -84,7 +105,7 @@
     if upstream.health.is_ejected(now):
         return "failing"
     if upstream.free < 1:
-        return "full"
+        return FULL
     if upstream.health.is_on_trial(now) and upstream.running > 0:
         return "on trial"
     return ""
--- a/src/rudderpass/routing/_health.py
+++ b/src/rudderpass/routing/_health.py
@@ -92,6 +92,12 @@
             streaming = max(0.0, usage.duration - usage.first_token)
             self._gap = _smooth(self._gap, streaming / (usage.tokens - 1))
 
+    def note_progress(self, tokens: int, seconds: float) -> None:
+        """Learn from a stream that goes on: tokens made in so many seconds."""
+        if seconds <= 0:
+            return
+        self._gap = _smooth(self._gap, seconds / max(1, tokens))
+
     def _note_failure(self, now: float) -> None:
         self._failures += 1
         if self._failures < _EJECT_AFTER_FAILURES and self._ejections == 0:
--- a/src/rudderpass/streams/_relay.py
+++ b/src/rudderpass/streams/_relay.py
@@ -28,6 +28,7 @@
 _MAX_PENDING_BYTES = 256 * 1024
 _RESUME_PENDING_BYTES = 64 * 1024
 _SWEEP_SECONDS = 0.05
+_REPORT_SECONDS = 0.5
 
 
 class StreamEnd(Enum):
@@ -57,11 +58,13 @@
     :param write: passes bytes on; raises CallerGone when nobody takes them.
     :param pending: returns the bytes that the caller has not taken yet.
     :param is_gone: tells whether the caller closed its connection.
+    :param note_progress: told now and then how many tokens have passed.
     """
 
     write: Callable[[bytes], object]
     pending: Callable[[], int]
     is_gone: Callable[[], bool]
+    note_progress: Callable[[int], None] = lambda tokens: None
 
 
 class _Stream:
@@ -83,6 +86,7 @@
         self.started = time.monotonic()
         self.last_read = self.started
         self.paused = False
+        self.next_report = self.started + _REPORT_SECONDS
         self._decoder = ChunkDecoder() if chunked else None
         self._held = b""
         self._tokens = 0
@@ -115,6 +119,12 @@
         self._count(whole, now)
         self.caller.write(whole)
 
+    def report(self, now: float) -> None:
+        """Tell how far the stream is, at most once in a fixed interval."""
+        if now >= self.next_report:
+            self.next_report = now + _REPORT_SECONDS
+            self.caller.note_progress(self._tokens)
+
     def finish(self, end: StreamEnd, now: float, reason: str = "") -> None:
         """Report how the stream ended."""
         result = StreamResult(
@@ -260,6 +270,7 @@
 
     def _sweep(self, now: float) -> None:
         for stream in list(self._streams):
+            stream.report(now)
             if stream.caller.is_gone():
                 self._end(stream, StreamEnd.CALLER_GONE, now)
             elif stream.paused:
