Keep an upstream out only for the zones that cannot reach it

Cause: when a zone was cut off, owners went on granting its engines to nodes outside it, and each such grant cost the caller a connect timeout.

Change: a connection that could not be made is reported as such; the owner keeps the upstream out for that zone's nodes, for 2 to 8 s at a time. The connect timeout is 0.3 s instead of 1 s; round trips inside a region take 2 ms.

--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -54,6 +54,7 @@
   6: double first_token
   7: double duration
   8: i32 ending
+  9: string zone
 }
 
 /* Work that holds a slot. The tokens and their seconds show the upstream's speed
--- a/src/rudderpass/core/_core.py
+++ b/src/rudderpass/core/_core.py
@@ -95,7 +95,7 @@
         self._config = ConfigState()
         self._catalog = Catalog()
         self._view = MembershipView(node, zone, rng)
-        self._entry = EntryDesk()
+        self._entry = EntryDesk(zone)
         self._owned: dict[PoolId, PoolOwner] = {}
         self._requests: dict[RequestId, _Request] = {}
         self._limiters: dict[TeamId, TeamLimiter] = {}
--- a/src/rudderpass/gateway/_serve.py
+++ b/src/rudderpass/gateway/_serve.py
@@ -208,6 +208,8 @@
             usage = broken.usage
             raise broken.error from None
         except UpstreamError as error:
+            if not error.sent:
+                usage = Usage(Ending.UNREACHABLE)
             if error.refused:
                 usage = Usage(Ending.UNUSED)
             if self._caller.is_gone():
--- a/src/rudderpass/peers/_codec.py
+++ b/src/rudderpass/peers/_codec.py
@@ -127,6 +127,7 @@
         first_token=message.usage.first_token,
         duration=message.usage.duration,
         ending=message.usage.ending.value,
+        zone=message.zone,
     )
     return wire.Message(release=release)
 
@@ -256,6 +257,7 @@
         UpstreamId(value.upstream),
         value.token,
         usage,
+        AvailabilityZone(value.zone),
     )
 
 
--- a/src/rudderpass/peers/_gen/wire/ttypes.py
+++ b/src/rudderpass/peers/_gen/wire/ttypes.py
@@ -571,6 +571,7 @@
      - first_token
      - duration
      - ending
+     - zone
 
     """
 
@@ -583,10 +584,11 @@
         'first_token',
         'duration',
         'ending',
+        'zone',
     )
 
 
-    def __init__(self, request_id=None, pool=None, upstream=None, token=None, tokens=None, first_token=None, duration=None, ending=None,):
+    def __init__(self, request_id=None, pool=None, upstream=None, token=None, tokens=None, first_token=None, duration=None, ending=None, zone=None,):
         self.request_id = request_id
         self.pool = pool
         self.upstream = upstream
@@ -595,6 +597,7 @@
         self.first_token = first_token
         self.duration = duration
         self.ending = ending
+        self.zone = zone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -645,6 +648,11 @@
                     self.ending = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -687,6 +695,10 @@
             oprot.writeFieldBegin('ending', TType.I32, 8)
             oprot.writeI32(self.ending)
             oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 9)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1880,6 +1892,7 @@
     (6, TType.DOUBLE, 'first_token', None, None, ),  # 6
     (7, TType.DOUBLE, 'duration', None, None, ),  # 7
     (8, TType.I32, 'ending', None, None, ),  # 8
+    (9, TType.STRING, 'zone', 'UTF8', None, ),  # 9
 )
 all_structs.append(Running)
 Running.thrift_spec = (
--- a/src/rudderpass/pools/_entry.py
+++ b/src/rudderpass/pools/_entry.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from rudderpass._ids import NodeId, PoolId, RequestId, UpstreamId
+from rudderpass._ids import AvailabilityZone, NodeId, PoolId, RequestId, UpstreamId
 from rudderpass.admission import Reservation
 from rudderpass.pools._messages import (
     Cancel,
@@ -55,13 +55,13 @@
 class EntryDesk:
     """The state machine of an entry node's reservations.
 
-    :param owners: the owner that each pool has in this node's view; kept up to
-        date with :meth:`set_owner`.
+    :param zone: this node's availability zone.
 
     .. versionadded:: 0.1
     """
 
-    def __init__(self) -> None:
+    def __init__(self, zone: AvailabilityZone) -> None:
+        self._zone = zone
         self._held: dict[RequestId, _Held] = {}
         self._owners: dict[PoolId, NodeId] = {}
 
@@ -116,6 +116,7 @@
             message.upstream,
             message.token,
             Usage(Ending.UNUSED),
+            self._zone,
         )
         return [Send(sender, unused)]
 
@@ -145,7 +146,9 @@
         owner = self._owners[work.pool]
         if held.upstream is None:
             return [Send(owner, Cancel(work.pool, request_id))]
-        release = Release(work.pool, request_id, held.upstream, held.token, usage)
+        release = Release(
+            work.pool, request_id, held.upstream, held.token, usage, work.zone
+        )
         return [Send(owner, release)]
 
     def note_progress(self, request_id: RequestId, tokens: int) -> None:
--- a/src/rudderpass/pools/_messages.py
+++ b/src/rudderpass/pools/_messages.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from rudderpass._ids import NodeId, PoolId, RequestId, UpstreamId
+from rudderpass._ids import AvailabilityZone, NodeId, PoolId, RequestId, UpstreamId
 from rudderpass.admission import Reservation
 from rudderpass.routing import RuledOut, Usage
 
@@ -51,13 +51,14 @@
 
 @dataclass(frozen=True)
 class Release:
-    """An entry node gives a slot back."""
+    """An entry node in ``zone`` gives a slot back."""
 
     pool: PoolId
     request_id: RequestId
     upstream: UpstreamId
     token: int
     usage: Usage
+    zone: AvailabilityZone
 
 
 @dataclass(frozen=True)
--- a/src/rudderpass/pools/_owner.py
+++ b/src/rudderpass/pools/_owner.py
@@ -143,7 +143,7 @@
         """Take a slot back and learn from its use."""
         upstream = self._upstreams.get(message.upstream)
         if upstream is not None:
-            upstream.health.note_usage(message.usage, now)
+            upstream.health.note_usage(message.usage, message.zone, now)
         return self._free(message.request_id, message.token, now)
 
     def renew(self, entry: NodeId, message: Renew, now: float) -> list[OwnerAction]:
--- a/src/rudderpass/replay/_cluster.py
+++ b/src/rudderpass/replay/_cluster.py
@@ -50,6 +50,7 @@
     note_failure,
     outcome_of,
 )
+from rudderpass.upstreams import CONNECT_TIMEOUT
 
 _NEW_GAP = 0.015
 _OLD_GAP = 0.030
@@ -342,9 +343,11 @@
         zone = AvailabilityZone(
             self._catalog.upstreams[granted.upstream].availability_zone
         )
-        if not engine.is_up or self._is_zone_cut(node, zone):
-            error = UpstreamError("connection refused", sent=False)
-            self._failed(node, caller, granted, 0, error)
+        if not engine.is_up:
+            self._refuse_connection(node, caller, granted)
+            return
+        if self._is_zone_cut(node, zone):
+            self.env.process(self._time_out_connection(node, caller, granted))
             return
         caller.starts += 1
         caller.engine = engine
@@ -359,6 +362,19 @@
         )
         engine.start(caller.work)
 
+    def _refuse_connection(
+        self, node: _VirtualNode, caller: Caller, granted: Granted
+    ) -> None:
+        error = UpstreamError("connection refused", sent=False)
+        self._failed(node, caller, granted, 0, error)
+
+    def _time_out_connection(
+        self, node: _VirtualNode, caller: Caller, granted: Granted
+    ) -> simpy.events.ProcessGenerator:
+        yield self.env.timeout(CONNECT_TIMEOUT)
+        if node.callers.get(granted.request_id) is caller:
+            self._refuse_connection(node, caller, granted)
+
     def _book(
         self, node: _VirtualNode, caller: Caller, granted: Granted
     ) -> simpy.events.ProcessGenerator:
@@ -406,7 +422,7 @@
         error: UpstreamError,
     ) -> None:
         usage = Usage(
-            Ending.FAILED,
+            Ending.FAILED if error.sent else Ending.UNREACHABLE,
             produced,
             caller.attempt_first,
             self.env.now - caller.attempt_began,
--- a/src/rudderpass/replay/_policies.py
+++ b/src/rudderpass/replay/_policies.py
@@ -262,7 +262,9 @@
         if held is None:
             return []
         pool, grant = held
-        release = Release(grant.pool, request_id, grant.upstream, grant.token, usage)
+        release = Release(
+            grant.pool, request_id, grant.upstream, grant.token, usage, self._zone
+        )
         return self._collect(self._owners[pool].release(release, now))
 
     def tick(self, now: float) -> list[CoreAction]:
--- a/src/rudderpass/routing/_choice.py
+++ b/src/rudderpass/routing/_choice.py
@@ -74,7 +74,7 @@
     may_wait = False
     for upstream in pool:
         too_slow = _is_too_slow(work, upstream)
-        reason = _rule_out(upstream, allowed, now)
+        reason = _rule_out(work, upstream, allowed, now)
         if reason:
             ruled_out.append(RuledOut(upstream.upstream, reason))
             may_wait |= reason == FULL and not too_slow
@@ -97,13 +97,17 @@
     return work.gap_target > 0 and gap is not None and gap > work.gap_target
 
 
-def _rule_out(upstream: UpstreamSlots, allowed: set[UpstreamId], now: float) -> str:
+def _rule_out(
+    work: Reservation, upstream: UpstreamSlots, allowed: set[UpstreamId], now: float
+) -> str:
     if upstream.upstream not in allowed:
         return "selector"
     if upstream.leaving:
         return "leaving"
     if upstream.health.is_ejected(now):
         return "failing"
+    if upstream.health.is_unreachable_from(work.zone, now):
+        return "unreachable"
     if upstream.free < 1:
         return FULL
     if upstream.health.is_on_trial(now) and upstream.running > 0:
--- a/src/rudderpass/routing/_health.py
+++ b/src/rudderpass/routing/_health.py
@@ -6,12 +6,15 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from rudderpass._ids import AvailabilityZone
+
 _SMOOTHING = 0.2
 """Weight of a new sample in the moving averages."""
 
 _EJECT_AFTER_FAILURES = 2
 _FIRST_EJECTION_SECONDS = 2.0
 _LONGEST_EJECTION_SECONDS = 60.0
+_LONGEST_UNREACHABLE_SECONDS = 8.0
 _PREFIXES_KEPT = 256
 _MIN_TOKENS_FOR_GAP = 4
 
@@ -23,6 +26,7 @@
     FAILED = 1
     CANCELLED = 2
     UNUSED = 3
+    UNREACHABLE = 4
 
 
 @dataclass(frozen=True)
@@ -35,6 +39,14 @@
     duration: float = 0.0
 
 
+@dataclass(frozen=True)
+class _Pause:
+    """Until when an upstream is kept out, and for how long that was."""
+
+    until: float
+    seconds: float
+
+
 class UpstreamHealth:
     """Evidence of one upstream's speed and health."""
 
@@ -45,6 +57,7 @@
         self._ejections = 0
         self._ejected_until = 0.0
         self._prefixes: OrderedDict[int, float] = OrderedDict()
+        self._unreachable: dict[AvailabilityZone, _Pause] = {}
 
     @property
     def first_token(self) -> float | None:
@@ -60,6 +73,11 @@
         """Tell whether the upstream is kept out for its failures."""
         return now < self._ejected_until
 
+    def is_unreachable_from(self, zone: AvailabilityZone, now: float) -> bool:
+        """Tell whether nodes of ``zone`` could not connect lately."""
+        pause = self._unreachable.get(zone)
+        return pause is not None and now < pause.until
+
     def is_on_trial(self, now: float) -> bool:
         """Tell whether the upstream was ejected and has not yet answered since."""
         return self._ejections > 0 and now >= self._ejected_until
@@ -77,8 +95,13 @@
         if len(self._prefixes) > _PREFIXES_KEPT:
             self._prefixes.popitem(last=False)
 
-    def note_usage(self, usage: Usage, now: float) -> None:
-        """Learn from a grant that ended."""
+    def note_usage(self, usage: Usage, zone: AvailabilityZone, now: float) -> None:
+        """Learn from a grant that ended on a node of ``zone``."""
+        if usage.ending is Ending.UNREACHABLE:
+            self._note_unreachable(zone, now)
+            return
+        if usage.ending in (Ending.COMPLETED, Ending.CANCELLED):
+            self._unreachable.pop(zone, None)
         if usage.ending is Ending.FAILED:
             self._note_failure(now)
             return
@@ -98,6 +121,16 @@
             return
         self._gap = _smooth(self._gap, seconds / max(1, tokens))
 
+    def _note_unreachable(self, zone: AvailabilityZone, now: float) -> None:
+        """Keep out for nodes of one zone what only they may fail to reach."""
+        known = self._unreachable.get(zone)
+        seconds = _FIRST_EJECTION_SECONDS
+        if known is not None:
+            if now < known.until:
+                return
+            seconds = min(known.seconds * 2, _LONGEST_UNREACHABLE_SECONDS)
+        self._unreachable[zone] = _Pause(now + seconds, seconds)
+
     def _note_failure(self, now: float) -> None:
         self._failures += 1
         if self._failures < _EJECT_AFTER_FAILURES and self._ejections == 0:
--- a/src/rudderpass/upstreams/__init__.py
+++ b/src/rudderpass/upstreams/__init__.py
@@ -1,6 +1,7 @@
 """Upstreams: exchanges over HTTP and what their answers mean."""
 
 from rudderpass.upstreams._exchange import (
+    CONNECT_TIMEOUT as CONNECT_TIMEOUT,
     EXECUTED_HEADER as EXECUTED_HEADER,
     PRIORITY_HEADER as PRIORITY_HEADER,
     RESUME_HEADER as RESUME_HEADER,
--- a/src/rudderpass/upstreams/_exchange.py
+++ b/src/rudderpass/upstreams/_exchange.py
@@ -15,7 +15,9 @@
 from rudderpass.declarations import UpstreamKind, UpstreamSpec
 from rudderpass.errors import UpstreamError
 
-_CONNECT_TIMEOUT = 1.0
+CONNECT_TIMEOUT = 0.3
+"""Seconds after which an upstream counts as unreachable."""
+
 _LEFTOVER_BYTES = 65536
 
 RESUME_HEADER = "X-Resume-Offset"
@@ -100,7 +102,7 @@
     :param timeout: seconds of silence after which the exchange has failed.
     :raises UpstreamError: saying whether any byte may have left.
     """
-    connection = http.client.HTTPConnection(spec.address, timeout=_CONNECT_TIMEOUT)
+    connection = http.client.HTTPConnection(spec.address, timeout=CONNECT_TIMEOUT)
     try:
         connection.connect()
     except OSError as error:
