--- a/tests/test_smoke.py
+++ b/tests/declarations/test_examples.py
@@ -7,7 +7,7 @@
 
 from rudderpass.declarations import load_declarations
 
-EXAMPLES = Path(__file__).parent.parent / "examples"
+EXAMPLES = Path(__file__).parents[2] / "examples"
 
 
 @pytest.mark.parametrize("profile", ["nourlight", "ektypo"])
--- /dev/null
+++ b/tests/pools/test_owner.py
@@ -0,0 +1,308 @@
+"""The owner of a pool: grants, shedding, and recovery from what entry nodes say."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from rudderpass._ids import ClassName, NodeId, RequestId, TeamId, UpstreamId
+from rudderpass.pools import (
+    GRACE_SECONDS,
+    LEASE_SECONDS,
+    Cancel,
+    Grant,
+    PoolOwner,
+    Release,
+    Renew,
+    Resend,
+    Reserve,
+    RunningWork,
+    Send,
+    Shed,
+)
+from rudderpass.routing import Ending, Usage
+from tests.builders import POOL, ZONE, make_upstream, make_work
+
+ENTRY = NodeId("10.0.0.1:7000")
+OTHER = NodeId("10.0.0.2:7000")
+START = 100.0
+READY = START + GRACE_SECONDS
+U1, U2 = UpstreamId("u1"), UpstreamId("u2")
+
+
+def make_owner(**slots: int) -> PoolOwner:
+    owner = PoolOwner(POOL, 1, START)
+    specs = {
+        UpstreamId(name): make_upstream(slots=count)
+        for name, count in (slots or {"u1": 2}).items()
+    }
+    owner.set_upstreams(specs, (), 1.0)
+    return owner
+
+
+def work(number: int, **changes: Any) -> Reserve:
+    values = {"arrived": READY + number / 1000, **changes}
+    return Reserve(make_work(number, **values))
+
+
+def messages(actions: Sequence[object], kind: type[Any]) -> list[Any]:
+    return [
+        action.message
+        for action in actions
+        if isinstance(action, Send) and isinstance(action.message, kind)
+    ]
+
+
+def grants(actions: Sequence[object]) -> list[Grant]:
+    return messages(actions, Grant)
+
+
+def release(grant: Grant, ending: Ending = Ending.COMPLETED) -> Release:
+    usage = Usage(ending, 10, 0.1, 1.0)
+    return Release(POOL, grant.request_id, grant.upstream, grant.token, usage, ZONE)
+
+
+def test_grants_up_to_the_slots_and_the_next_on_release() -> None:
+    owner = make_owner(u1=2)
+    sent = [owner.reserve(ENTRY, work(number), READY) for number in range(3)]
+    granted = [grant for actions in sent for grant in grants(actions)]
+    assert [grant.request_id for grant in granted] == ["r0000", "r0001"]
+    following = grants(owner.release(release(granted[0]), READY + 1))
+    assert [grant.request_id for grant in following] == ["r0002"]
+
+
+def test_a_new_owner_grants_nothing_within_its_grace() -> None:
+    owner = make_owner()
+    assert grants(owner.reserve(ENTRY, work(0), START + 0.01)) == []
+    assert len(grants(owner.tick(READY))) == 1
+
+
+def test_a_new_owner_counts_what_already_runs() -> None:
+    owner = make_owner(u1=2)
+    running = tuple(
+        RunningWork(RequestId(f"old-{number}"), U1, number, 2) for number in range(2)
+    )
+    owner.renew(ENTRY, Renew(POOL, (), running), START + 0.1)
+    assert grants(owner.reserve(OTHER, work(0), READY)) == []
+    done = release(Grant(POOL, RequestId("old-0"), U1, 0))
+    assert len(grants(owner.release(done, READY + 1))) == 1
+
+
+def test_a_repeated_reservation_is_granted_once() -> None:
+    owner = make_owner()
+    first = owner.reserve(ENTRY, work(0), READY)
+    assert len(grants(first)) == 1
+    assert grants(owner.reserve(ENTRY, work(0), READY)) == []
+
+
+def test_a_lost_grant_is_sent_again() -> None:
+    owner = make_owner()
+    (grant,) = grants(owner.reserve(ENTRY, work(0), READY))
+    renew = Renew(POOL, (grant.request_id,), ())
+    assert grants(owner.renew(ENTRY, renew, READY + 0.5)) == []
+    (again,) = grants(owner.renew(ENTRY, renew, READY + 2.0))
+    assert (again.upstream, again.token) == (grant.upstream, grant.token)
+
+
+def test_an_unknown_waiting_request_is_asked_for() -> None:
+    owner = make_owner()
+    actions = owner.renew(ENTRY, Renew(POOL, (RequestId("lost"),), ()), READY)
+    (resend,) = messages(actions, Resend)
+    assert resend.request_ids == ("lost",)
+
+
+def test_a_lost_release_is_found_by_renewal() -> None:
+    owner = make_owner(u1=1)
+    (grant,) = grants(owner.reserve(ENTRY, work(0), READY))
+    owner.reserve(ENTRY, work(1), READY)
+    held = RunningWork(grant.request_id, U1, grant.token, 2)
+    waiting = (RequestId("r0001"),)
+    owner.renew(ENTRY, Renew(POOL, waiting, (held,)), READY + 1)
+    following = grants(owner.renew(ENTRY, Renew(POOL, waiting, ()), READY + 2))
+    assert [item.request_id for item in following] == ["r0001"]
+
+
+def test_what_a_lost_entry_node_held_is_free_after_its_lease() -> None:
+    owner = make_owner(u1=1)
+    owner.reserve(ENTRY, work(0), READY)
+    owner.reserve(OTHER, work(1), READY)
+    now = READY + LEASE_SECONDS - 0.1
+    renew = Renew(POOL, (RequestId("r0001"),), ())
+    assert grants(owner.renew(OTHER, renew, now)) == []
+    (grant,) = grants(owner.tick(READY + LEASE_SECONDS + 0.2))
+    assert grant.request_id == "r0001"
+
+
+def test_cancelled_work_is_not_granted() -> None:
+    owner = make_owner(u1=1)
+    (grant,) = grants(owner.reserve(ENTRY, work(0), READY))
+    owner.reserve(ENTRY, work(1), READY)
+    owner.cancel(Cancel(POOL, RequestId("r0001")), READY)
+    assert grants(owner.release(release(grant), READY + 1)) == []
+
+
+def test_a_leaving_upstream_gets_nothing_new() -> None:
+    owner = make_owner(u1=2, u2=2)
+    specs = {U1: make_upstream(slots=2), U2: make_upstream(slots=2)}
+    owner.set_upstreams(specs, (U1,), 1.0)
+    upstreams = (U1, U2)
+    for number in range(4):
+        actions = owner.reserve(ENTRY, work(number, upstreams=upstreams), READY)
+        assert all(grant.upstream == U2 for grant in grants(actions))
+    assert owner.running == 2 and owner.waiting == 2
+
+
+def test_work_that_waited_too_long_is_refused_with_a_time_to_return() -> None:
+    owner = make_owner(u1=1)
+    owner.reserve(ENTRY, work(0), READY)
+    owner.reserve(ENTRY, work(1, max_wait=1.0), READY)
+    owner.keep_entry(ENTRY, READY + 2)
+    (shed,) = messages(owner.tick(READY + 2), Shed)
+    assert shed.request_id == "r0001" and shed.retry_after >= 1.0
+
+
+def overload(owner: PoolOwner, running_tier: int) -> list[Shed]:
+    """Fill the pool, then queue far more tier-2 work than it can serve in time."""
+    now = READY
+    first = work(9000, tier=running_tier, service_class=f"class-{running_tier}")
+    owner.reserve(ENTRY, first, now)
+    shed: list[Shed] = []
+    for number in range(300):
+        now = READY + 6 + number / 100
+        owner.keep_entry(ENTRY, now)
+        reserve = work(number, arrived=now, max_wait=30.0, expected_tokens=100.0)
+        shed += messages(owner.reserve(ENTRY, reserve, now), Shed)
+    return shed
+
+
+def test_overload_is_shed_at_once_and_newest_first() -> None:
+    shed = overload(make_owner(u1=1), running_tier=2)
+    assert shed and shed[0].reason == "overload"
+
+
+def test_a_tier_is_not_shed_while_lower_work_runs() -> None:
+    assert overload(make_owner(u1=1), running_tier=3) == []
+
+
+@pytest.mark.parametrize(
+    ("ending", "kept_out"),
+    [(Ending.FAILED, True), (Ending.COMPLETED, False), (Ending.UNREACHABLE, True)],
+)
+def test_failures_keep_an_upstream_out(ending: Ending, kept_out: bool) -> None:
+    owner = make_owner(u1=1, u2=1)
+    both = (U1, U2)
+    used = []
+    for number in range(6):
+        actions = owner.reserve(ENTRY, work(number, upstreams=both), READY)
+        for grant in grants(actions):
+            used.append(grant.upstream)
+            ended = ending if grant.upstream == U1 else Ending.COMPLETED
+            owner.release(release(grant, ended), READY)
+    assert (used.count(U1) <= 2) is kept_out
+
+
+class OwnerMachine(RuleBasedStateMachine):
+    """Two entry nodes use one owner; messages may be repeated or lost."""
+
+    slots = 3
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.owner = PoolOwner(POOL, 1, START)
+        self.owner.set_upstreams({U1: make_upstream(slots=self.slots)}, (), 1.0)
+        self.now = READY
+        self.number = 0
+        self.tiers: dict[str, int] = {}
+        self.waiting: dict[str, NodeId] = {}
+        self.running: dict[str, tuple[NodeId, Grant]] = {}
+
+    def take(self, actions: Sequence[object]) -> None:
+        for action in actions:
+            if not isinstance(action, Send):
+                continue
+            message = action.message
+            if isinstance(message, Grant) and message.request_id in self.waiting:
+                entry = self.waiting.pop(message.request_id)
+                assert entry == action.peer
+                self.running[message.request_id] = (entry, message)
+            elif isinstance(message, Shed):
+                self.check_shed(message)
+                self.waiting.pop(message.request_id, None)
+
+    def check_shed(self, shed: Shed) -> None:
+        if shed.reason != "overload":
+            return
+        tier = self.tiers[shed.request_id]
+        others = [*self.waiting, *self.running]
+        assert all(
+            self.tiers[name] <= tier for name in others if name != shed.request_id
+        )
+
+    @rule(
+        tier=st.integers(1, 3),
+        entry=st.sampled_from([ENTRY, OTHER]),
+        team=st.sampled_from(["a", "b"]),
+        repeat=st.booleans(),
+    )
+    def reserve(self, tier: int, entry: NodeId, team: str, repeat: bool) -> None:
+        self.number += 1
+        message = work(
+            self.number,
+            arrived=self.now,
+            tier=tier,
+            service_class=ClassName(f"class-{tier}"),
+            team=TeamId(team),
+            floor_share=0.05,
+            max_wait=8.0,
+            expected_tokens=200.0,
+        )
+        name = message.reservation.request_id
+        self.tiers[name] = tier
+        self.waiting[name] = entry
+        self.take(self.owner.reserve(entry, message, self.now))
+        if repeat:
+            self.take(self.owner.reserve(entry, message, self.now))
+
+    @precondition(lambda self: self.running)
+    @rule(pick=st.integers(0, 100), lost=st.booleans())
+    def finish(self, pick: int, lost: bool) -> None:
+        name = sorted(self.running)[pick % len(self.running)]
+        _, grant = self.running.pop(name)
+        if not lost:
+            self.take(self.owner.release(release(grant), self.now))
+
+    @rule(seconds=st.floats(0.05, 1.0))
+    def let_time_pass(self, seconds: float) -> None:
+        self.now += seconds
+        for entry in (ENTRY, OTHER):
+            waiting = tuple(
+                RequestId(name) for name, node in self.waiting.items() if node == entry
+            )
+            running = tuple(
+                RunningWork(RequestId(name), U1, grant.token, self.tiers[name])
+                for name, (node, grant) in self.running.items()
+                if node == entry
+            )
+            renew = Renew(POOL, waiting, running)
+            self.take(self.owner.renew(entry, renew, self.now))
+        self.take(self.owner.tick(self.now))
+
+    @invariant()
+    def never_more_than_the_slots(self) -> None:
+        assert len(self.running) <= self.slots
+        assert self.owner.running >= len(self.running)
+
+    @invariant()
+    def no_slot_is_idle_while_work_waits_unseen(self) -> None:
+        assert self.owner.waiting <= len(self.waiting)
+
+
+OwnerMachine.TestCase.settings = settings(
+    max_examples=120, stateful_step_count=60, deadline=None, derandomize=True
+)
+TestOwnerMachine = OwnerMachine.TestCase
