--- a/src/rudderpass/cli/_replay.py
+++ b/src/rudderpass/cli/_replay.py
@@ -95,10 +95,13 @@
 @click.option(
     "--skewed", is_flag=True, help="Most requests enter through a quarter of nodes."
 )
-def make_trace(kind: str, declarations: Path, seed: int, skewed: bool) -> None:
+@click.option("--scale", type=float, default=1.0, help="Multiplies all times.")
+def make_trace(
+    kind: str, declarations: Path, seed: int, skewed: bool, scale: float
+) -> None:
     """Print a seeded trace, sized by what the declared engines can serve."""
     catalog = _load(declarations)
-    for line in generate(catalog, TraceKind(kind), seed, skewed):
+    for line in generate(catalog, TraceKind(kind), seed, skewed, scale):
         click.echo(dump_line(line))
 
 
--- a/src/rudderpass/demo/_world.py
+++ b/src/rudderpass/demo/_world.py
@@ -11,7 +11,7 @@
 
 from returns.result import Failure
 
-from rudderpass._ids import AvailabilityZone, NodeId, UpstreamId
+from rudderpass._ids import AvailabilityZone, UpstreamId
 from rudderpass.declarations import (
     Catalog,
     ConfigState,
@@ -171,11 +171,10 @@
         return engine.address
 
     def _start_node(self, zone: str) -> None:
-        peer = free_address()
         settings = NodeSettings(
             listen="127.0.0.1:0",
             admin="127.0.0.1:0",
-            peer=peer,
+            peer="127.0.0.1:0",
             zone=zone,
             log_service=self.log.address,
             host_list=self.hosts.address,
@@ -187,7 +186,8 @@
         node = Node(settings)
         node.start()
         self.nodes.append(node)
-        self.hosts.set_node(HostRecord(NodeId(peer), AvailabilityZone(zone)))
+        record = HostRecord(node.runtime.core.node, AvailabilityZone(zone))
+        self.hosts.set_node(record)
 
 
 def _load(directory: Path) -> Catalog:
--- a/src/rudderpass/node/_node.py
+++ b/src/rudderpass/node/_node.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from rudderpass._ids import AvailabilityZone, ClassName, NodeId, RequestId
+from rudderpass._ids import AvailabilityZone, ClassName, RequestId
 from rudderpass.core import NodeCore, Submission
 from rudderpass.declarations import Catalog
 from rudderpass.gateway import CallerWatch, Gateway, HttpServer, Services, Ticket
@@ -66,7 +66,7 @@
         settings.check()
         self._settings = settings
         zone = AvailabilityZone(settings.zone)
-        self._runtime = NodeRuntime(NodeId(settings.peer), zone, settings.keys)
+        self._runtime = NodeRuntime(settings.peer, zone, settings.keys)
         self._relay = Relay()
         self._watch = CallerWatch()
         self._metrics = NodeMetrics(self._gauges)
@@ -120,7 +120,7 @@
         self._admin.start()
         self._follower.start()
         self._server.start()
-        log("node", f"listening on {self.address}.", node=self._settings.peer)
+        log("node", f"listening on {self.address}.", node=self._runtime.core.node)
 
     def wait_ready(self, timeout: float) -> bool:
         """Wait until the node may take callers; tell whether it may."""
@@ -138,13 +138,13 @@
         for at most the setting ``stop_seconds``.
         """
         self._runtime.leave()
-        log("node", "stopping, not ready any more.", node=self._settings.peer)
+        log("node", "stopping, not ready any more.", node=self._runtime.core.node)
         self._wait_drained(_BALANCER_SECONDS, until_empty=False)
         self._server.stop_accepting()
         self._wait_drained(self._settings.stop_seconds, until_empty=True)
         cut = self._gateway.active
         if cut:
-            log("node", f"cut {cut} requests in flight.", node=self._settings.peer)
+            log("node", f"cut {cut} requests in flight.", node=self._runtime.core.node)
         self.kill()
         return cut
 
--- a/src/rudderpass/node/_runtime.py
+++ b/src/rudderpass/node/_runtime.py
@@ -33,20 +33,21 @@
 class NodeRuntime:
     """A node's core with its links to peers and its clock.
 
-    :param node: this node's id, its peer address.
+    :param address: this node's peer address, which is also its id.
     :param zone: this host's availability zone.
     :param keys: the deployment's secrets.
 
     .. versionadded:: 0.1
     """
 
-    def __init__(self, node: NodeId, zone: AvailabilityZone, keys: KeySource) -> None:
+    def __init__(self, address: str, zone: AvailabilityZone, keys: KeySource) -> None:
         incarnation = time.time_ns() // 1_000_000
+        self._server = PeerServer(address, keys, self._receive, self._complain)
+        node = self._server.node
         self._lock = threading.RLock()
         self._core = NodeCore(node, zone, incarnation % (1 << 38), random.Random())
         self._tickets: dict[RequestId, Ticket] = {}
         self._links = PeerLinks(node, incarnation, keys, self._note_call)
-        self._server = PeerServer(node, keys, self._receive, self._complain)
         self._stopping = threading.Event()
         self._ticker = threading.Thread(target=self._tick, name="tick", daemon=True)
         self._hosts = HostList((), ())
--- a/src/rudderpass/peers/_server.py
+++ b/src/rudderpass/peers/_server.py
@@ -40,7 +40,10 @@
 class PeerServer:
     """Listens for peers' batches.
 
-    :param node: this node; batches for any other are refused.
+    The port is bound at once, so that port 0 can be asked for and :attr:`node` then
+    names the port that it became.
+
+    :param address: ``ip:port`` of this node; batches for any other are refused.
     :param keys: checks the signatures.
     :param receive: called with the sender and its messages, in order.
     :param complain: called with a sentence for each batch refused.
@@ -49,12 +52,12 @@
     """
 
     def __init__(
-        self, node: NodeId, keys: KeySource, receive: Receive, complain: Complain
+        self, address: str, keys: KeySource, receive: Receive, complain: Complain
     ) -> None:
-        host, _, port = node.rpartition(":")
-        handler = _Handler(node, keys, receive, complain)
-        self._socket = TServerSocket(host.strip("[]"), int(port))
-        self._socket.setBacklog(_BACKLOG)
+        host, _, port = address.rpartition(":")
+        self._socket = _BoundSocket(host.strip("[]"), int(port))
+        self.node = NodeId(f"{host}:{self._socket.bound_port}")
+        handler = _Handler(self.node, keys, receive, complain)
         self._server = _QuietServer(
             Peer.Processor(handler),
             self._socket,
@@ -69,8 +72,7 @@
         self._closing = False
 
     def start(self) -> None:
-        """Listen on the node's peer port."""
-        self._socket.listen()
+        """Begin to take messages."""
         self._thread.start()
 
     def close(self) -> None:
@@ -86,6 +88,19 @@
                 raise
 
 
+class _BoundSocket(TServerSocket):  # type: ignore[misc]
+    """A server socket that listens from its construction on."""
+
+    def __init__(self, host: str, port: int) -> None:
+        super().__init__(host, port)
+        self.setBacklog(_BACKLOG)
+        super().listen()
+        self.bound_port: int = self.handle.getsockname()[1]
+
+    def listen(self) -> None:
+        """Do nothing; the server that serves this socket asks for it again."""
+
+
 class _QuietServer(TThreadedServer):  # type: ignore[misc]
     """A threaded server that reports a broken connection instead of raising."""
 
--- a/src/rudderpass/replay/_generate.py
+++ b/src/rudderpass/replay/_generate.py
@@ -5,7 +5,7 @@
 import math
 import random
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from rudderpass._ids import ClassName, PoolId
@@ -55,23 +55,33 @@
         return self.base
 
 
-def shape_of(kind: TraceKind, skewed: bool = False) -> TraceShape:
-    """Return the shape of a kind of trace."""
+def shape_of(kind: TraceKind, skewed: bool = False, scale: float = 1.0) -> TraceShape:
+    """Return the shape of a kind of trace, its times multiplied by ``scale``."""
     shapes = {
         TraceKind.LOAD_IN_MORNING: TraceShape(90, 0.6, 2.0, 25, 55, skewed),
         TraceKind.UPLOAD_WAVE: TraceShape(90, 0.5, 2.0, 20, 50, skewed),
         TraceKind.STEADY_DAY: TraceShape(60, 0.75, 0.75, 0, 0, skewed),
         TraceKind.WEEK_OF_FAULTS: TraceShape(120, 0.6, 1.3, 40, 60, skewed),
     }
-    return shapes[kind]
+    shape = shapes[kind]
+    return replace(
+        shape,
+        seconds=shape.seconds * scale,
+        burst_from=shape.burst_from * scale,
+        burst_until=shape.burst_until * scale,
+    )
 
 
 def generate(
-    catalog: Catalog, kind: TraceKind, seed: int, skewed: bool = False
+    catalog: Catalog,
+    kind: TraceKind,
+    seed: int,
+    skewed: bool = False,
+    scale: float = 1.0,
 ) -> tuple[TraceLine, ...]:
     """Return a trace; the same arguments give the same trace."""
     rng = random.Random(f"{kind.value}|{seed}")
-    shape = shape_of(kind, skewed)
+    shape = shape_of(kind, skewed, scale)
     lines: list[TraceLine] = []
     for route in catalog.routes.values():
         if route.models:
@@ -79,7 +89,7 @@
         else:
             lines += _bookings(catalog, route, shape, rng)
     if kind is TraceKind.WEEK_OF_FAULTS:
-        lines += _faults(catalog, shape, rng)
+        lines += _faults(catalog, scale, rng)
     lines.sort(key=lambda line: line.at)
     return tuple(_number(lines))
 
@@ -188,13 +198,14 @@
         )
 
 
-def _faults(catalog: Catalog, shape: TraceShape, rng: random.Random) -> Iterator[Fault]:
+def _faults(catalog: Catalog, scale: float, rng: random.Random) -> Iterator[Fault]:
     """Yield each of the brief's faults, some of them at the same time."""
     engines = [name for name, spec in catalog.upstreams.items() if spec.labels]
     zones = sorted({spec.availability_zone for spec in catalog.upstreams.values()})
 
     def fault(kind: str, at: float, seconds: float, **fields: object) -> Fault:
-        value = {"kind": kind, "at": at, "until": at + seconds, **fields}
+        times = {"at": at * scale, "until": (at + seconds) * scale}
+        value = {"kind": kind, **times, **fields}
         return Fault.model_validate(value)
 
     choose: Callable[[], str] = lambda: rng.choice(engines)
--- a/src/rudderpass/replay/_trace.py
+++ b/src/rudderpass/replay/_trace.py
@@ -93,6 +93,8 @@
             field = ".".join(str(step) for step in detail["loc"])
             message = f"{path}:{number}: {field}: {detail['msg']}"
             raise TraceError(message, step="read trace") from error
+    if not any(isinstance(line, Arrival) for line in lines):
+        raise TraceError(f"{path}: holds no arrivals", step="read trace")
     return tuple(sorted(lines, key=lambda item: item.at))
 
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -62,8 +62,16 @@
     return UpstreamSpec.model_validate({**values, **changes})
 
 
-def make_catalog(**upstreams: dict[str, Any]) -> Catalog:
-    """Return a catalog of three classes, two teams, a model and a desk."""
+def _declare_desk(address: str) -> list[tuple[Kind, str, dict[str, Any]]]:
+    route = {"pathPrefix": "/bookings", "runner": "desk", "repeatable": False}
+    changes = {"kind": "desk", "runner": "desk", "address": address}
+    spec = make_upstream(**changes).model_dump(mode="json", by_alias=True)
+    return [(Kind.ROUTE, "bookings", route), (Kind.UPSTREAM, "desk-1", spec)]
+
+
+def make_catalog(desk: str | None = None, **upstreams: dict[str, Any]) -> Catalog:
+    """Return a catalog of two classes, two teams, a model, and perhaps a desk."""
+    declared_desk = [] if desk is None else _declare_desk(desk)
     declared: list[tuple[Kind, str, dict[str, Any]]] = [
         (
             Kind.SERVICE_CLASS,
@@ -86,6 +94,7 @@
             {"tokenDigests": [digest_token("token-b")], "classes": ["batch"]},
         ),
         (Kind.ROUTE, "chat", {"models": ["small"], "runner": POOL}),
+        *declared_desk,
     ]
     for name, changes in (upstreams or {"u1": {}}).items():
         spec = make_upstream(**changes).model_dump(mode="json", by_alias=True)
--- /dev/null
+++ b/tests/peers/test_peers.py
@@ -0,0 +1,198 @@
+"""Messages between nodes: signed, in order, once; garbage is dropped."""
+
+from __future__ import annotations
+
+import contextlib
+import queue
+import socket
+import struct
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+import pytest
+
+from rudderpass._ids import AvailabilityZone, NodeId, RequestId, UpstreamId
+from rudderpass.core import PeerMessage, StateReply, StateRequest
+from rudderpass.errors import SettingsError
+from rudderpass.membership import Probe, Suspicion
+from rudderpass.peers import (
+    FixedKeys,
+    KeySource,
+    PeerKeyFile,
+    PeerKeys,
+    PeerLinks,
+    PeerServer,
+)
+from rudderpass.peers._codec import from_wire, to_wire
+from rudderpass.peers._link import MAX_FRAME_BYTES
+from rudderpass.pools import (
+    Cancel,
+    Grant,
+    Release,
+    Renew,
+    Resend,
+    Reserve,
+    RunningWork,
+    Shed,
+)
+from rudderpass.routing import Ending, Usage
+from tests.builders import POOL, make_work
+
+TIMEOUT = 10.0
+OLD, NEW = b"an-old-secret-of-tests", b"a-new-secret-of-tests"
+R0, U1 = RequestId("r0"), UpstreamId("u1")
+ZONE = AvailabilityZone("nasr")
+
+MESSAGES: list[PeerMessage] = [
+    Reserve(make_work(1, arrived=5.0, prefix_hash=2**62, gap_target=0.03)),
+    Cancel(POOL, R0),
+    Grant(POOL, R0, U1, 2**60, "granted"),
+    Shed(POOL, R0, "overload", 2.5),
+    Release(POOL, R0, U1, 7, Usage(Ending.UNREACHABLE, 3, 0.1, 0.5), ZONE),
+    Renew(POOL, (R0,), (RunningWork(RequestId("r1"), U1, 9, 2, 40),)),
+    Resend(POOL, (R0,)),
+    Probe(12, (Suspicion(NodeId("n"), 1.5),), True),
+    StateRequest(3),
+    StateReply(4, b"state"),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda item: type(item).__name__)
+def test_a_message_comes_back_as_it_was(message: PeerMessage) -> None:
+    assert from_wire(to_wire(message, 10.0), 10.0) == message
+
+
+def test_a_time_is_carried_as_an_age() -> None:
+    sent = Reserve(make_work(1, arrived=5.0))
+    got = from_wire(to_wire(sent, 7.0), 107.0)
+    assert isinstance(got, Reserve) and got.reservation.arrived == 105.0
+
+
+class Peer:
+    """A node's server whose messages land in a queue."""
+
+    def __init__(self, keys: KeySource) -> None:
+        self.got: queue.Queue[tuple[NodeId, Sequence[PeerMessage]]] = queue.Queue()
+        self.complaints: queue.Queue[str] = queue.Queue()
+        self.results: queue.Queue[bool] = queue.Queue()
+        self.server = PeerServer(
+            "127.0.0.1:0", keys, lambda *item: self.got.put(item), self.complaints.put
+        )
+        self.node = self.server.node
+        self.server.start()
+
+
+def keys(*secrets: bytes) -> FixedKeys:
+    return FixedKeys(PeerKeys(secrets))
+
+
+@pytest.fixture
+def peer() -> Iterator[Peer]:
+    running = Peer(keys(NEW, OLD))
+    yield running
+    running.server.close()
+
+
+def link(peer: Peer, source: KeySource, incarnation: int = 1) -> PeerLinks:
+    return PeerLinks(
+        NodeId("10.9.9.9:1"),
+        incarnation,
+        source,
+        lambda _, succeeded: peer.results.put(succeeded),
+    )
+
+
+def test_messages_arrive_in_order(peer: Peer) -> None:
+    links = link(peer, keys(NEW))
+    for number in range(300):
+        links.send(peer.node, StateRequest(number))
+    got: list[PeerMessage] = []
+    while len(got) < 300:
+        got += peer.got.get(timeout=TIMEOUT)[1]
+    assert got == [StateRequest(number) for number in range(300)]
+    assert links.counters.calls <= 300
+    links.close()
+
+
+@pytest.mark.parametrize(
+    ("secret", "accepted"), [(NEW, True), (OLD, True), (b"some-other-secret", False)]
+)
+def test_only_holders_of_a_secret_are_heard(
+    peer: Peer, secret: bytes, accepted: bool
+) -> None:
+    links = link(peer, keys(secret))
+    links.send(peer.node, StateRequest(1))
+    assert peer.results.get(timeout=TIMEOUT) is accepted
+    assert peer.got.empty() is not accepted
+    if not accepted:
+        assert "signature" in peer.complaints.get(timeout=TIMEOUT)
+    links.close()
+
+
+def test_a_replayed_batch_is_taken_once(peer: Peer) -> None:
+    first, second = link(peer, keys(NEW)), link(peer, keys(NEW))
+    for links in (first, second):
+        links.send(peer.node, StateRequest(1))
+        assert peer.results.get(timeout=TIMEOUT)
+    assert peer.got.qsize() == 1
+    restarted = link(peer, keys(NEW), incarnation=2)
+    restarted.send(peer.node, StateRequest(1))
+    assert peer.results.get(timeout=TIMEOUT)
+    assert peer.got.qsize() == 2
+    for links in (first, second, restarted):
+        links.close()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        struct.pack("!i", MAX_FRAME_BYTES + 1) + b"x",
+        struct.pack("!i", -5),
+        struct.pack("!i", 4) + b"\xff\xff\xff\xff",
+        struct.pack("!i", 30) + b"\x80\x01\x00\x01" + b"\xff" * 26,
+    ],
+)
+def test_garbage_is_dropped_and_the_peer_goes_on(peer: Peer, data: bytes) -> None:
+    host, _, port = peer.node.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=TIMEOUT) as sock:
+        with contextlib.suppress(OSError):
+            sock.sendall(data)
+            sock.shutdown(socket.SHUT_WR)
+            while sock.recv(4096):
+                pass
+    assert "dropped" in peer.complaints.get(timeout=TIMEOUT)
+    links = link(peer, keys(NEW))
+    links.send(peer.node, StateRequest(1))
+    assert peer.results.get(timeout=TIMEOUT)
+    links.close()
+
+
+def test_an_unreachable_peer_is_reported(peer: Peer) -> None:
+    links = link(peer, keys(NEW))
+    with socket.socket() as silent:
+        silent.bind(("127.0.0.1", 0))
+        port = silent.getsockname()[1]
+        links.send(NodeId(f"127.0.0.1:{port}"), StateRequest(1))
+        assert peer.results.get(timeout=TIMEOUT) is False
+    links.close()
+
+
+def test_secrets_rotate_without_a_stop(tmp_path: Path) -> None:
+    path = tmp_path / "secrets"
+    path.write_bytes(OLD + b"\n")
+    source = PeerKeyFile(path)
+    mac = source.current().sign(b"payload")
+    path.write_bytes(NEW + b"\n" + OLD + b"\n")
+    assert source.current().verify(b"payload", mac)
+    assert source.current().sign(b"payload") != mac
+    path.write_bytes(NEW + b"\n")
+    assert not source.current().verify(b"payload", mac)
+    path.write_bytes(b"")
+    assert source.current().verify(b"payload", PeerKeys((NEW,)).sign(b"payload"))
+
+
+@pytest.mark.parametrize("secrets", [(), (b"short",)])
+def test_bad_secrets_are_refused(secrets: tuple[bytes, ...]) -> None:
+    with pytest.raises(SettingsError):
+        PeerKeys(secrets)
