Measure control per node, and make its messages and lookups smaller

Cause: nothing showed what control costs at 400 nodes. The first measurement, at 160 nodes with the load of two years, found every probe recomputing the owners of all pools, every submission walking all routes twice, and 306 bytes for a reservation.

--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -5,24 +5,24 @@
  */
 namespace py wire
 
-/* Times are seconds. Ages are relative to the moment of sending, because hosts
- * share no clock. */
+/* Ages are relative to the moment of sending, because hosts share no clock. Small
+ * integers are short in the compact protocol, and fields at zero are left out. */
 struct Reserve {
   1: string request_id
   2: string pool
   3: string service_class
   4: i32 tier
   5: string team
-  6: double age
-  7: double target
-  8: double max_wait
-  9: double expected_tokens
+  6: i32 age_ms
+  7: i32 target_ms
+  8: i32 max_wait_ms
+  9: i32 expected_tokens
   10: i64 prefix_hash
-  11: list<string> upstreams
+  11: list<string> upstreams /* left out: all of the pool */
   12: string zone
   13: bool resumed
-  14: double floor_share
-  15: double gap_target
+  14: i32 floor_ppm
+  15: i32 gap_us
 }
 
 struct Cancel {
@@ -35,7 +35,6 @@
   2: string pool
   3: string upstream
   4: i64 token
-  5: string reason
 }
 
 struct Shed {
@@ -51,8 +50,8 @@
   3: string upstream
   4: i64 token
   5: i32 tokens
-  6: double first_token
-  7: double duration
+  6: i32 first_token_ms
+  7: i32 duration_ms
   8: i32 ending
   9: string zone
 }
--- a/src/rudderpass/admission/_work.py
+++ b/src/rudderpass/admission/_work.py
@@ -24,7 +24,8 @@
     :param max_wait: seconds from arrival after which nobody waits any more.
     :param expected_tokens: estimated output tokens, the unit of work served.
     :param prefix_hash: hash of the prompt's prefix, 0 if unknown.
-    :param upstreams: the upstreams that the selectors allow, sorted.
+    :param upstreams: the upstreams that the selectors allow, sorted; none stands
+        for all of the pool.
     :param floor_share: share of service guaranteed to the class.
     :param gap_target: seconds between tokens that the class asks for, 0 for none.
     :param resumed: whether the request already ran in part and lost its upstream.
--- a/src/rudderpass/bench/_slopes.py
+++ b/src/rudderpass/bench/_slopes.py
@@ -9,18 +9,11 @@
 import random
 import time
 import tracemalloc
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
-from rudderpass._ids import (
-    AvailabilityZone,
-    ClassName,
-    NodeId,
-    PoolId,
-    RequestId,
-    TeamId,
-    UpstreamId,
-)
+from rudderpass._ids import AvailabilityZone, ClassName, NodeId, RequestId, TeamId
 from rudderpass.core import CoreAction, NodeCore, PeerMessage, SendPeer, Submission
 from rudderpass.declarations import (
     AnySpec,
@@ -130,6 +123,7 @@
         self.size = size
         self.rng = random.Random(_SEED)
         self.now = 0.0
+        self.serial = 0
         self.cost = ControlCost(size)
         self.counting = False
         self.held: list[tuple[float, int, RequestId]] = []
@@ -151,6 +145,7 @@
             NodeCore(host.node, host.zone, number + 1, random.Random(number))
             for number, host in enumerate(hosts)
         ]
+        self.numbers = {core.node: number for number, core in enumerate(self.cores)}
         self.by_id = {core.node: core for core in self.cores}
         for number, core in enumerate(self.cores):
             if number == 0:
@@ -171,7 +166,7 @@
         while self.now < end:
             self.now += _TICK_SECONDS
             for core in self.cores:
-                self._on(core, "tick")
+                self._on(core, partial(core.tick, self.now))
             self._arrive()
             self._finish()
 
@@ -181,7 +176,7 @@
         for _ in range(whole):
             number = self.rng.randrange(len(self.cores))
             core = self.cores[number]
-            self.serial = getattr(self, "serial", 0) + 1
+            self.serial += 1
             submission = Submission(
                 RequestId(f"req-{self.serial:032d}.0"),
                 TeamId(f"team-{self.rng.randrange(self.size.teams)}"),
@@ -190,19 +185,20 @@
                 "/v1/chat/completions",
                 prefix_hash=self.rng.getrandbits(60),
             )
-            self._on(core, "submit", submission)
+            self._on(core, partial(core.submit, submission, self.now))
 
     def _finish(self) -> None:
         due = [item for item in self.held if item[0] <= self.now]
         self.held = [item for item in self.held if item[0] > self.now]
         for _, number, request_id in due:
             usage = Usage(Ending.COMPLETED, 120, 0.2, _HOLD_SECONDS)
-            self._on(self.cores[number], "finish", request_id, usage)
+            core = self.cores[number]
+            self._on(core, partial(core.finish, request_id, usage, self.now))
 
-    def _on(self, core: NodeCore, event: str, *arguments: object) -> None:
+    def _on(self, core: NodeCore, event: Callable[[], list[CoreAction]]) -> None:
         timed = self.counting and core is self.measured
         began = time.process_time() if timed else 0.0
-        actions: Sequence[CoreAction] = getattr(core, event)(*arguments, self.now)
+        actions = event()
         if timed:
             self.cost.cpu += time.process_time() - began
         self._carry_out(core, actions)
@@ -212,7 +208,7 @@
             if isinstance(action, SendPeer):
                 self._send(core, action)
             elif isinstance(action, Granted):
-                number = self.cores.index(core)
+                number = self.numbers[core.node]
                 hold = self.now + self.rng.expovariate(1 / _HOLD_SECONDS)
                 self.held.append((hold, number, action.request_id))
             elif isinstance(action, Refused):
@@ -224,7 +220,7 @@
         peer = self.by_id[action.peer]
         if self.counting and peer is self.measured:
             self._count_received(action.message)
-        self._on(peer, "take_message", _Delivery(core.node, action.message))
+        self._on(peer, lambda: peer.receive(core.node, action.message, self.now))
 
     def _count_sent(self, message: PeerMessage) -> None:
         began = time.process_time()
@@ -242,12 +238,6 @@
         self.cost.received_bytes += size
 
 
-@dataclass(frozen=True)
-class _Delivery:
-    sender: NodeId
-    message: PeerMessage
-
-
 def measure_control(sizes: Sequence[SystemSize]) -> Iterator[ControlCost]:
     """Yield what control costs one node, for each size."""
     for size in sizes:
@@ -262,6 +252,3 @@
         cost.received_bytes /= size.seconds
         cost.kinds = {name: size_ / size.seconds for name, size_ in cost.kinds.items()}
         yield cost
-
-
-__all__ = ["PoolId", "UpstreamId"]
--- a/src/rudderpass/core/_core.py
+++ b/src/rudderpass/core/_core.py
@@ -41,7 +41,6 @@
 )
 from rudderpass.membership import HostRecord, MembershipView, Probe
 from rudderpass.pools import (
-    RENEW_SECONDS,
     Cancel,
     EntryDesk,
     Grant,
@@ -55,6 +54,7 @@
     RoutingDecision,
     Send,
     Shed,
+    renew_interval,
 )
 from rudderpass.routing import Ending, LengthEstimator, RouteMatch, Usage, find_route
 
@@ -71,6 +71,15 @@
     route: str
 
 
+@dataclass(frozen=True)
+class _OwnerBasis:
+    """What the owners of all pools follow from."""
+
+    live: tuple[NodeId, ...]
+    version: int
+    leaving: frozenset[UpstreamId]
+
+
 class NodeCore:
     """The decisions of one node.
 
@@ -103,6 +112,7 @@
         self._leaving_upstreams: frozenset[UpstreamId] = frozenset()
         self._owners: dict[PoolId, NodeId] = {}
         self._next_renew = 0.0
+        self._owner_basis: _OwnerBasis | None = None
         self._local: deque[tuple[NodeId, PeerMessage]] = deque()
 
     @property
@@ -172,14 +182,12 @@
 
     def submit(self, submission: Submission, now: float) -> list[CoreAction]:
         """Match a request to its class, route and pool, and ask for a slot."""
-        rejected = self._check(submission, now)
-        if rejected is not None:
-            return [rejected]
+        match = self._check(submission)
+        if isinstance(match, Rejected):
+            return [match]
         team = self._catalog.teams[submission.team]
         name = submission.service_class or ClassName(team.class_by_default)
         service_class = self._catalog.classes[name]
-        match = self._match(submission)
-        assert match is not None
         limiter = self._limiters.setdefault(submission.team, TeamLimiter(now))
         nodes = max(1, len(self._view.live()))
         reached = limiter.admit(team.limits, nodes, now)
@@ -282,7 +290,7 @@
             probe = self._view.make_probe(self._config.version, now)
             actions += [SendPeer(peer, probe) for peer in targets]
         if now >= self._next_renew:
-            self._next_renew = now + RENEW_SECONDS
+            self._next_renew = now + self._renew_seconds()
             actions += self._update_owners(now)
             for pool in self._entry.pools:
                 actions += self._run(self._entry.renew(pool), now)
@@ -293,7 +301,7 @@
 
     # Parts.
 
-    def _check(self, submission: Submission, now: float) -> Rejected | None:
+    def _check(self, submission: Submission) -> RouteMatch | Rejected:
         request_id = submission.request_id
         if self._view.leaving and not submission.resumed:
             text = "this node is stopping"
@@ -320,7 +328,7 @@
             )
             text = f"no upstream matches the request's labels ({why})"
             return Rejected(request_id, RefusalKind.NO_UPSTREAM, text)
-        return None
+        return match
 
     def _match(self, submission: Submission) -> RouteMatch | None:
         labels = {**self._catalog.teams[submission.team].labels, **submission.labels}
@@ -330,8 +338,11 @@
     def _allowed(
         match: RouteMatch, excluded: tuple[UpstreamId, ...]
     ) -> tuple[UpstreamId, ...]:
+        """Return the upstreams to name; none stands for all of the pool."""
         kept = tuple(name for name in match.upstreams if name not in excluded)
-        return kept or match.upstreams
+        if kept and len(kept) < len(match.upstreams):
+            return kept
+        return match.upstreams if match.ruled_out else ()
 
     def _owner_of(self, pool: PoolId) -> NodeId:
         owner = self._owners.get(pool)
@@ -340,6 +351,13 @@
         return owner
 
     def _update_owners(self, now: float) -> list[CoreAction]:
+        """Follow changes of live nodes, configuration and leaving upstreams."""
+        basis = _OwnerBasis(
+            self._view.live(), self._config.version, self._leaving_upstreams
+        )
+        if basis == self._owner_basis:
+            return []
+        self._owner_basis = basis
         actions: list[CoreAction] = []
         share = self._careful_share()
         for pool, specs in self._catalog.pools.items():
@@ -354,7 +372,8 @@
                 self._own(pool, now)
             owned = self._owned.get(pool)
             if owned is not None:
-                owned.set_upstreams(specs, leaving, share)
+                renew = self._renew_seconds()
+                owned.set_upstreams(specs, leaving, share, renew)
         for pool in set(self._owned) - set(self._catalog.pools):
             del self._owned[pool]
         return actions
@@ -367,6 +386,9 @@
             if owner.waiting == 0 and owner.running == 0:
                 del self._owned[pool]
 
+    def _renew_seconds(self) -> float:
+        return renew_interval(len(self._view.live()))
+
     def _careful_share(self) -> float:
         reach = self._view.reach()
         return 1.0 if reach >= _CAREFUL_BELOW_REACH else reach
@@ -377,7 +399,8 @@
             owner = self._owned[pool] = PoolOwner(pool, self._incarnation, now)
             specs = self._catalog.pools.get(pool, {})
             leaving = self._leaving_upstreams & set(specs)
-            owner.set_upstreams(specs, leaving, self._careful_share())
+            share = self._careful_share()
+            owner.set_upstreams(specs, leaving, share, self._renew_seconds())
         return owner
 
     def _forget(self, request_id: RequestId, usage: Usage, now: float) -> None:
--- a/src/rudderpass/declarations/_catalog.py
+++ b/src/rudderpass/declarations/_catalog.py
@@ -79,6 +79,20 @@
         """Routes by name."""
         return self._of(Kind.ROUTE, RouteSpec)
 
+    @cached_property
+    def routes_by_model(self) -> dict[str, dict[str, RouteSpec]]:
+        """Routes by the models that they serve."""
+        found: dict[str, dict[str, RouteSpec]] = {}
+        for name, route in self.routes.items():
+            for model in route.models:
+                found.setdefault(model, {})[name] = route
+        return found
+
+    @cached_property
+    def routes_by_path(self) -> dict[str, RouteSpec]:
+        """Routes that match by path."""
+        return {name: spec for name, spec in self.routes.items() if spec.path_prefix}
+
     @cached_property
     def upstreams(self) -> dict[UpstreamId, UpstreamSpec]:
         """Upstreams by name."""
--- a/src/rudderpass/membership/_view.py
+++ b/src/rudderpass/membership/_view.py
@@ -83,6 +83,8 @@
         self._next_probe = 0.0
         self._probe_soon: set[NodeId] = set()
         self._cached_live: tuple[NodeId, ...] | None = None
+        self._placed_over: tuple[NodeId, ...] = ()
+        self._placed: dict[str, _Placement] = {}
 
     @property
     def node(self) -> NodeId:
@@ -116,9 +118,34 @@
         return len(reached) / len(listed)
 
     def owner_of(self, key: str) -> NodeId:
-        """Return the live node that owns ``key``, by rendezvous hashing."""
+        """Return the live node that owns ``key``, by rendezvous hashing.
+
+        A node that goes moves only its own keys, and one that comes takes only
+        those it outweighs, so what was placed before is kept.
+        """
+        self._update_placements()
+        placement = self._placed.get(key)
+        if placement is None:
+            placement = self._placed[key] = _place(key, self._placed_over)
+        return placement.node
+
+    def _update_placements(self) -> None:
         nodes = self.live() or (self._node,)
-        return max(nodes, key=lambda node: _weight(node, key))
+        if nodes is self._placed_over:
+            return
+        known, present = set(self._placed_over), set(nodes)
+        self._placed_over = nodes
+        if not known & present:
+            self._placed.clear()
+            return
+        for key, placement in list(self._placed.items()):
+            if placement.node not in present:
+                del self._placed[key]
+        for node in sorted(present - known):
+            for key, placement in self._placed.items():
+                weight = _weight(node, key)
+                if (weight, node) > (placement.weight, placement.node):
+                    self._placed[key] = _Placement(node, weight)
 
     def note_listed(self, hosts: Iterable[HostRecord]) -> None:
         """Take the platform's host list."""
@@ -210,5 +237,18 @@
                 self._cached_live = None
 
 
+@dataclass(frozen=True)
+class _Placement:
+    """The node that owns one key, and its weight for it."""
+
+    node: NodeId
+    weight: int
+
+
+def _place(key: str, nodes: tuple[NodeId, ...]) -> _Placement:
+    weight, node = max((_weight(node, key), node) for node in nodes)
+    return _Placement(node, weight)
+
+
 def _weight(node: NodeId, key: str) -> int:
     return int(xxhash.xxh64_intdigest(f"{node}|{key}".encode()))
--- a/src/rudderpass/peers/__init__.py
+++ b/src/rudderpass/peers/__init__.py
@@ -6,5 +6,9 @@
     PeerKeyFile as PeerKeyFile,
     PeerKeys as PeerKeys,
 )
-from rudderpass.peers._link import LinkCounters as LinkCounters, PeerLinks as PeerLinks
+from rudderpass.peers._link import (
+    LinkCounters as LinkCounters,
+    PeerLinks as PeerLinks,
+    measure_batch as measure_batch,
+)
 from rudderpass.peers._server import PeerServer as PeerServer
--- a/src/rudderpass/peers/_codec.py
+++ b/src/rudderpass/peers/_codec.py
@@ -41,6 +41,9 @@
 from rudderpass.routing import Ending, Usage
 
 _PROTOCOL = TCompactProtocolAcceleratedFactory()
+_MILLI = 1_000
+_MICRO = 1_000_000
+_LARGEST = 2**31 - 1
 
 
 def encode_batch(batch: wire.Batch) -> bytes:
@@ -100,7 +103,6 @@
         pool=message.pool,
         upstream=message.upstream,
         token=message.token,
-        reason=message.reason,
     )
     return wire.Message(grant=grant)
 
@@ -123,9 +125,9 @@
         pool=message.pool,
         upstream=message.upstream,
         token=message.token,
-        tokens=message.usage.tokens,
-        first_token=message.usage.first_token,
-        duration=message.usage.duration,
+        tokens=message.usage.tokens or None,
+        first_token_ms=_scale(message.usage.first_token, _MILLI),
+        duration_ms=_scale(message.usage.duration, _MILLI),
         ending=message.usage.ending.value,
         zone=message.zone,
     )
@@ -140,7 +142,7 @@
             upstream=work.upstream,
             token=work.token,
             tier=work.tier,
-            tokens=work.tokens,
+            tokens=work.tokens or None,
         )
         for work in message.running
     ]
@@ -182,6 +184,15 @@
     return wire.Message(state_reply=reply)
 
 
+def _scale(value: float, factor: int) -> int | None:
+    """Return a number as a bounded integer, None for zero."""
+    return max(-_LARGEST, min(round(value * factor), _LARGEST)) or None
+
+
+def _unscale(value: int | None, factor: int) -> float:
+    return (value or 0) / factor
+
+
 def _encode_reservation(work: Reservation, now: float) -> wire.Reserve:
     return wire.Reserve(
         request_id=work.request_id,
@@ -189,16 +200,16 @@
         service_class=work.service_class,
         tier=work.tier,
         team=work.team,
-        age=now - work.arrived,
-        target=work.start_target,
-        max_wait=work.max_wait,
-        expected_tokens=work.expected_tokens,
-        prefix_hash=work.prefix_hash,
-        upstreams=list(work.upstreams),
+        age_ms=_scale(now - work.arrived, _MILLI),
+        target_ms=_scale(work.start_target, _MILLI),
+        max_wait_ms=_scale(work.max_wait, _MILLI),
+        expected_tokens=_scale(work.expected_tokens, 1),
+        prefix_hash=work.prefix_hash or None,
+        upstreams=list(work.upstreams) or None,
         zone=work.zone,
-        resumed=work.resumed,
-        floor_share=work.floor_share,
-        gap_target=work.gap_target,
+        resumed=work.resumed or None,
+        floor_ppm=_scale(work.floor_share, _MICRO),
+        gap_us=_scale(work.gap_target, _MICRO),
     )
 
 
@@ -209,16 +220,16 @@
         service_class=ClassName(value.service_class),
         tier=value.tier,
         team=TeamId(value.team),
-        arrived=now - value.age,
-        start_target=value.target,
-        max_wait=value.max_wait,
-        expected_tokens=value.expected_tokens,
-        prefix_hash=value.prefix_hash,
-        upstreams=tuple(UpstreamId(name) for name in value.upstreams),
+        arrived=now - _unscale(value.age_ms, _MILLI),
+        start_target=_unscale(value.target_ms, _MILLI),
+        max_wait=_unscale(value.max_wait_ms, _MILLI),
+        expected_tokens=_unscale(value.expected_tokens, 1),
+        prefix_hash=value.prefix_hash or 0,
+        upstreams=tuple(UpstreamId(name) for name in value.upstreams or ()),
         zone=AvailabilityZone(value.zone),
-        floor_share=value.floor_share,
-        gap_target=value.gap_target,
-        resumed=value.resumed,
+        floor_share=_unscale(value.floor_ppm, _MICRO),
+        gap_target=_unscale(value.gap_us, _MICRO),
+        resumed=bool(value.resumed),
     )
 
 
@@ -236,7 +247,6 @@
         RequestId(value.request_id),
         UpstreamId(value.upstream),
         value.token,
-        value.reason,
     )
 
 
@@ -250,7 +260,12 @@
 
 
 def _decode_release(value: wire.Release, now: float) -> Release:
-    usage = Usage(Ending(value.ending), value.tokens, value.first_token, value.duration)
+    usage = Usage(
+        Ending(value.ending),
+        value.tokens or 0,
+        _unscale(value.first_token_ms, _MILLI),
+        _unscale(value.duration_ms, _MILLI),
+    )
     return Release(
         PoolId(value.pool),
         RequestId(value.request_id),
@@ -268,7 +283,7 @@
             UpstreamId(item.upstream),
             item.token,
             item.tier,
-            item.tokens,
+            item.tokens or 0,
         )
         for item in value.running
     )
--- a/src/rudderpass/peers/_gen/wire/ttypes.py
+++ b/src/rudderpass/peers/_gen/wire/ttypes.py
@@ -24,16 +24,16 @@
      - service_class
      - tier
      - team
-     - age
-     - target
-     - max_wait
+     - age_ms
+     - target_ms
+     - max_wait_ms
      - expected_tokens
      - prefix_hash
      - upstreams
      - zone
      - resumed
-     - floor_share
-     - gap_target
+     - floor_ppm
+     - gap_us
 
     """
 
@@ -43,35 +43,35 @@
         'service_class',
         'tier',
         'team',
-        'age',
-        'target',
-        'max_wait',
+        'age_ms',
+        'target_ms',
+        'max_wait_ms',
         'expected_tokens',
         'prefix_hash',
         'upstreams',
         'zone',
         'resumed',
-        'floor_share',
-        'gap_target',
+        'floor_ppm',
+        'gap_us',
     )
 
 
-    def __init__(self, request_id=None, pool=None, service_class=None, tier=None, team=None, age=None, target=None, max_wait=None, expected_tokens=None, prefix_hash=None, upstreams=None, zone=None, resumed=None, floor_share=None, gap_target=None,):
+    def __init__(self, request_id=None, pool=None, service_class=None, tier=None, team=None, age_ms=None, target_ms=None, max_wait_ms=None, expected_tokens=None, prefix_hash=None, upstreams=None, zone=None, resumed=None, floor_ppm=None, gap_us=None,):
         self.request_id = request_id
         self.pool = pool
         self.service_class = service_class
         self.tier = tier
         self.team = team
-        self.age = age
-        self.target = target
-        self.max_wait = max_wait
+        self.age_ms = age_ms
+        self.target_ms = target_ms
+        self.max_wait_ms = max_wait_ms
         self.expected_tokens = expected_tokens
         self.prefix_hash = prefix_hash
         self.upstreams = upstreams
         self.zone = zone
         self.resumed = resumed
-        self.floor_share = floor_share
-        self.gap_target = gap_target
+        self.floor_ppm = floor_ppm
+        self.gap_us = gap_us
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -108,23 +108,23 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.DOUBLE:
-                    self.age = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
-                if ftype == TType.DOUBLE:
-                    self.target = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.target_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
-                if ftype == TType.DOUBLE:
-                    self.max_wait = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.max_wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
-                if ftype == TType.DOUBLE:
-                    self.expected_tokens = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.expected_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
@@ -153,13 +153,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
-                if ftype == TType.DOUBLE:
-                    self.floor_share = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.floor_ppm = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
-                if ftype == TType.DOUBLE:
-                    self.gap_target = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.gap_us = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -192,21 +192,21 @@
             oprot.writeFieldBegin('team', TType.STRING, 5)
             oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
             oprot.writeFieldEnd()
-        if self.age is not None:
-            oprot.writeFieldBegin('age', TType.DOUBLE, 6)
-            oprot.writeDouble(self.age)
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
-        if self.target is not None:
-            oprot.writeFieldBegin('target', TType.DOUBLE, 7)
-            oprot.writeDouble(self.target)
+        if self.target_ms is not None:
+            oprot.writeFieldBegin('target_ms', TType.I32, 7)
+            oprot.writeI32(self.target_ms)
             oprot.writeFieldEnd()
-        if self.max_wait is not None:
-            oprot.writeFieldBegin('max_wait', TType.DOUBLE, 8)
-            oprot.writeDouble(self.max_wait)
+        if self.max_wait_ms is not None:
+            oprot.writeFieldBegin('max_wait_ms', TType.I32, 8)
+            oprot.writeI32(self.max_wait_ms)
             oprot.writeFieldEnd()
         if self.expected_tokens is not None:
-            oprot.writeFieldBegin('expected_tokens', TType.DOUBLE, 9)
-            oprot.writeDouble(self.expected_tokens)
+            oprot.writeFieldBegin('expected_tokens', TType.I32, 9)
+            oprot.writeI32(self.expected_tokens)
             oprot.writeFieldEnd()
         if self.prefix_hash is not None:
             oprot.writeFieldBegin('prefix_hash', TType.I64, 10)
@@ -227,13 +227,13 @@
             oprot.writeFieldBegin('resumed', TType.BOOL, 13)
             oprot.writeBool(self.resumed)
             oprot.writeFieldEnd()
-        if self.floor_share is not None:
-            oprot.writeFieldBegin('floor_share', TType.DOUBLE, 14)
-            oprot.writeDouble(self.floor_share)
+        if self.floor_ppm is not None:
+            oprot.writeFieldBegin('floor_ppm', TType.I32, 14)
+            oprot.writeI32(self.floor_ppm)
             oprot.writeFieldEnd()
-        if self.gap_target is not None:
-            oprot.writeFieldBegin('gap_target', TType.DOUBLE, 15)
-            oprot.writeDouble(self.gap_target)
+        if self.gap_us is not None:
+            oprot.writeFieldBegin('gap_us', TType.I32, 15)
+            oprot.writeI32(self.gap_us)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -347,7 +347,6 @@
      - pool
      - upstream
      - token
-     - reason
 
     """
 
@@ -356,16 +355,14 @@
         'pool',
         'upstream',
         'token',
-        'reason',
     )
 
 
-    def __init__(self, request_id=None, pool=None, upstream=None, token=None, reason=None,):
+    def __init__(self, request_id=None, pool=None, upstream=None, token=None,):
         self.request_id = request_id
         self.pool = pool
         self.upstream = upstream
         self.token = token
-        self.reason = reason
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -396,11 +393,6 @@
                     self.token = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRING:
-                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -427,10 +419,6 @@
             oprot.writeFieldBegin('token', TType.I64, 4)
             oprot.writeI64(self.token)
             oprot.writeFieldEnd()
-        if self.reason is not None:
-            oprot.writeFieldBegin('reason', TType.STRING, 5)
-            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -568,8 +556,8 @@
      - upstream
      - token
      - tokens
-     - first_token
-     - duration
+     - first_token_ms
+     - duration_ms
      - ending
      - zone
 
@@ -581,21 +569,21 @@
         'upstream',
         'token',
         'tokens',
-        'first_token',
-        'duration',
+        'first_token_ms',
+        'duration_ms',
         'ending',
         'zone',
     )
 
 
-    def __init__(self, request_id=None, pool=None, upstream=None, token=None, tokens=None, first_token=None, duration=None, ending=None, zone=None,):
+    def __init__(self, request_id=None, pool=None, upstream=None, token=None, tokens=None, first_token_ms=None, duration_ms=None, ending=None, zone=None,):
         self.request_id = request_id
         self.pool = pool
         self.upstream = upstream
         self.token = token
         self.tokens = tokens
-        self.first_token = first_token
-        self.duration = duration
+        self.first_token_ms = first_token_ms
+        self.duration_ms = duration_ms
         self.ending = ending
         self.zone = zone
 
@@ -634,13 +622,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.DOUBLE:
-                    self.first_token = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.first_token_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
-                if ftype == TType.DOUBLE:
-                    self.duration = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.duration_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
@@ -683,13 +671,13 @@
             oprot.writeFieldBegin('tokens', TType.I32, 5)
             oprot.writeI32(self.tokens)
             oprot.writeFieldEnd()
-        if self.first_token is not None:
-            oprot.writeFieldBegin('first_token', TType.DOUBLE, 6)
-            oprot.writeDouble(self.first_token)
+        if self.first_token_ms is not None:
+            oprot.writeFieldBegin('first_token_ms', TType.I32, 6)
+            oprot.writeI32(self.first_token_ms)
             oprot.writeFieldEnd()
-        if self.duration is not None:
-            oprot.writeFieldBegin('duration', TType.DOUBLE, 7)
-            oprot.writeDouble(self.duration)
+        if self.duration_ms is not None:
+            oprot.writeFieldBegin('duration_ms', TType.I32, 7)
+            oprot.writeI32(self.duration_ms)
             oprot.writeFieldEnd()
         if self.ending is not None:
             oprot.writeFieldBegin('ending', TType.I32, 8)
@@ -1847,16 +1835,16 @@
     (3, TType.STRING, 'service_class', 'UTF8', None, ),  # 3
     (4, TType.I32, 'tier', None, None, ),  # 4
     (5, TType.STRING, 'team', 'UTF8', None, ),  # 5
-    (6, TType.DOUBLE, 'age', None, None, ),  # 6
-    (7, TType.DOUBLE, 'target', None, None, ),  # 7
-    (8, TType.DOUBLE, 'max_wait', None, None, ),  # 8
-    (9, TType.DOUBLE, 'expected_tokens', None, None, ),  # 9
+    (6, TType.I32, 'age_ms', None, None, ),  # 6
+    (7, TType.I32, 'target_ms', None, None, ),  # 7
+    (8, TType.I32, 'max_wait_ms', None, None, ),  # 8
+    (9, TType.I32, 'expected_tokens', None, None, ),  # 9
     (10, TType.I64, 'prefix_hash', None, None, ),  # 10
     (11, TType.LIST, 'upstreams', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.STRING, 'zone', 'UTF8', None, ),  # 12
     (13, TType.BOOL, 'resumed', None, None, ),  # 13
-    (14, TType.DOUBLE, 'floor_share', None, None, ),  # 14
-    (15, TType.DOUBLE, 'gap_target', None, None, ),  # 15
+    (14, TType.I32, 'floor_ppm', None, None, ),  # 14
+    (15, TType.I32, 'gap_us', None, None, ),  # 15
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
@@ -1871,7 +1859,6 @@
     (2, TType.STRING, 'pool', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'upstream', 'UTF8', None, ),  # 3
     (4, TType.I64, 'token', None, None, ),  # 4
-    (5, TType.STRING, 'reason', 'UTF8', None, ),  # 5
 )
 all_structs.append(Shed)
 Shed.thrift_spec = (
@@ -1889,8 +1876,8 @@
     (3, TType.STRING, 'upstream', 'UTF8', None, ),  # 3
     (4, TType.I64, 'token', None, None, ),  # 4
     (5, TType.I32, 'tokens', None, None, ),  # 5
-    (6, TType.DOUBLE, 'first_token', None, None, ),  # 6
-    (7, TType.DOUBLE, 'duration', None, None, ),  # 7
+    (6, TType.I32, 'first_token_ms', None, None, ),  # 6
+    (7, TType.I32, 'duration_ms', None, None, ),  # 7
     (8, TType.I32, 'ending', None, None, ),  # 8
     (9, TType.STRING, 'zone', 'UTF8', None, ),  # 9
 )
--- a/src/rudderpass/peers/_keys.py
+++ b/src/rudderpass/peers/_keys.py
@@ -14,6 +14,7 @@
 from rudderpass.errors import SettingsError
 
 MIN_SECRET_LENGTH = 16
+_MAC_BYTES = 16
 
 
 class PeerKeys:
@@ -34,16 +35,20 @@
 
     def sign(self, payload: bytes) -> bytes:
         """Return the MAC of ``payload``."""
-        return hmac.digest(self._secrets[0], payload, hashlib.sha256)
+        return _mac(self._secrets[0], payload)
 
     def verify(self, payload: bytes, mac: bytes) -> bool:
         """Tell whether one of the secrets made ``mac``."""
         return any(
-            hmac.compare_digest(hmac.digest(secret, payload, hashlib.sha256), mac)
-            for secret in self._secrets
+            hmac.compare_digest(_mac(secret, payload), mac) for secret in self._secrets
         )
 
 
+def _mac(secret: bytes, payload: bytes) -> bytes:
+    """Return HMAC-SHA256 truncated to 128 bits (RFC 2104, section 5)."""
+    return hmac.digest(secret, payload, hashlib.sha256)[:_MAC_BYTES]
+
+
 class PeerKeyFile:
     """Secrets in a file, one a line, read again when the file changes.
 
--- a/src/rudderpass/peers/_link.py
+++ b/src/rudderpass/peers/_link.py
@@ -30,6 +30,8 @@
 _MAX_BATCH = 512
 _MAX_QUEUED = 20_000
 _WORKERS = 16
+_ENVELOPE_BYTES = 16 + 4 + 30 + 30 + 80
+"""MAC, frame, call, answer, and the TCP/IP headers of both."""
 
 
 @dataclass
@@ -177,6 +179,14 @@
         return wire.SignedBatch(payload=payload, mac=self._keys.current().sign(payload))
 
 
+def measure_batch(message: PeerMessage, now: float) -> int:
+    """Return the bytes of a batch of one message as it is sent."""
+    batch = wire.Batch(
+        "10.0.0.1:7000", 1 << 40, 1, "10.0.0.2:7000", [to_wire(message, now)]
+    )
+    return len(encode_batch(batch)) + _ENVELOPE_BYTES
+
+
 def _connect(peer: NodeId) -> Peer.Client:
     host, _, port = peer.rpartition(":")
     socket = TSocket(host.strip("[]"), int(port))
--- a/src/rudderpass/pools/__init__.py
+++ b/src/rudderpass/pools/__init__.py
@@ -20,7 +20,8 @@
 )
 from rudderpass.pools._owner import (
     GRACE_SECONDS as GRACE_SECONDS,
-    LEASE_SECONDS as LEASE_SECONDS,
+    LEASE_INTERVALS as LEASE_INTERVALS,
     RENEW_SECONDS as RENEW_SECONDS,
     PoolOwner as PoolOwner,
+    renew_interval as renew_interval,
 )
--- a/src/rudderpass/pools/_entry.py
+++ b/src/rudderpass/pools/_entry.py
@@ -27,7 +27,6 @@
     request_id: RequestId
     upstream: UpstreamId
     token: int
-    reason: str
 
 
 @dataclass(frozen=True)
@@ -103,11 +102,7 @@
         if held is not None and held.upstream is None:
             held.upstream = message.upstream
             held.token = message.token
-            return [
-                Granted(
-                    message.request_id, message.upstream, message.token, message.reason
-                )
-            ]
+            return [Granted(message.request_id, message.upstream, message.token)]
         if held is not None and held.token == message.token:
             return []
         unused = Release(
--- a/src/rudderpass/pools/_messages.py
+++ b/src/rudderpass/pools/_messages.py
@@ -36,7 +36,6 @@
     request_id: RequestId
     upstream: UpstreamId
     token: int
-    reason: str = ""
 
 
 @dataclass(frozen=True)
--- a/src/rudderpass/pools/_owner.py
+++ b/src/rudderpass/pools/_owner.py
@@ -30,21 +30,33 @@
 from rudderpass.routing import Choice, UpstreamSlots, choose_upstream
 
 RENEW_SECONDS = 1.0
-"""How often entry nodes renew."""
+"""How often entry nodes renew in a small system."""
 
-LEASE_SECONDS = 3.5 * RENEW_SECONDS
-"""An entry node that does not renew for this long has lost what it held."""
+LEASE_INTERVALS = 3.5
+"""An entry node that does not renew for so many intervals has lost what it held."""
+
+_NODES_PER_SECOND = 160
+_LONGEST_RENEW_SECONDS = 2.5
 
 GRACE_SECONDS = 0.4
 """How long a new owner listens before its first grant."""
 
-_REGRANT_SECONDS = 1.5 * RENEW_SECONDS
+_REGRANT_INTERVALS = 1.5
 _MIN_RETRY_AFTER = 1.0
 _MAX_RETRY_AFTER = 30.0
 _RATE_AFTER_SECONDS = 5.0
 """The service rate is believed once the owner has granted for this long."""
 
 
+def renew_interval(nodes: int) -> float:
+    """Return how often entry nodes renew, in seconds.
+
+    Each renews with every owner that it holds work of, and in a large system those
+    are many; the interval grows so that the traffic a node does not.
+    """
+    return min(_LONGEST_RENEW_SECONDS, max(RENEW_SECONDS, nodes / _NODES_PER_SECOND))
+
+
 @dataclass
 class _Granted:
     """Work that holds a slot."""
@@ -78,7 +90,7 @@
         self._granted: dict[RequestId, _Granted] = {}
         self._upstreams: dict[UpstreamId, UpstreamSlots] = {}
         self._renewed: dict[NodeId, float] = {}
-        self._share = 1.0
+        self._renew_seconds = RENEW_SECONDS
         self._served_rate = _Rate(now)
 
     @property
@@ -101,15 +113,17 @@
         specs: Mapping[UpstreamId, UpstreamSpec],
         leaving: Iterable[UpstreamId],
         share: float,
+        renew_seconds: float = RENEW_SECONDS,
     ) -> None:
         """Take the declared upstreams.
 
         :param leaving: those that may get no new work.
         :param share: the part of each upstream's slots that this owner may use,
             below one when it reaches only part of the nodes.
+        :param renew_seconds: how often entry nodes renew.
         """
         gone = set(leaving)
-        self._share = share
+        self._renew_seconds = renew_seconds
         for name in set(self._upstreams) - set(specs):
             del self._upstreams[name]
         for name, spec in specs.items():
@@ -184,7 +198,7 @@
         """Drop entry nodes whose lease ended and work that waited too long."""
         actions: list[OwnerAction] = []
         for entry, renewed in list(self._renewed.items()):
-            if now - renewed > LEASE_SECONDS:
+            if now - renewed > LEASE_INTERVALS * self._renew_seconds:
                 actions += self.drop_entry(entry, now)
         for work in self._queue.expired(now):
             actions += self._refuse(work, "waited too long", now)
@@ -238,9 +252,7 @@
             choice.candidates,
             choice.ruled_out,
         )
-        grant = Grant(
-            self._pool, work.request_id, choice.chosen, granted.token, "granted"
-        )
+        grant = Grant(self._pool, work.request_id, choice.chosen, granted.token)
         return [decision, Send(entry, grant)]
 
     def _shed_overload(self, now: float) -> list[OwnerAction]:
@@ -313,12 +325,11 @@
         for request_id, item in list(self._granted.items()):
             if item.entry != entry or request_id in running:
                 continue
-            if now - item.since < _REGRANT_SECONDS and not item.confirmed:
+            settled = now - item.since >= _REGRANT_INTERVALS * self._renew_seconds
+            if not settled and not item.confirmed:
                 continue
             if request_id in waiting and not item.confirmed:
-                grant = Grant(
-                    self._pool, request_id, item.upstream, item.token, "granted again"
-                )
+                grant = Grant(self._pool, request_id, item.upstream, item.token)
                 actions.append(Send(entry, grant))
                 continue
             self._drop_grant(request_id)
--- a/src/rudderpass/replay/_policies.py
+++ b/src/rudderpass/replay/_policies.py
@@ -185,7 +185,7 @@
         chosen = min(allowed, key=self._load_of)
         self._sent[chosen] += 1
         self._where[submission.request_id] = chosen
-        return [Granted(submission.request_id, chosen, 0, "dispatched")]
+        return [Granted(submission.request_id, chosen, 0)]
 
     def finish(
         self, request_id: RequestId, usage: Usage, now: float
@@ -284,9 +284,7 @@
             if isinstance(message, Grant):
                 self._held[message.request_id] = (message.pool, message)
                 actions.append(
-                    Granted(
-                        message.request_id, message.upstream, message.token, "share"
-                    )
+                    Granted(message.request_id, message.upstream, message.token)
                 )
             elif isinstance(message, Shed):
                 refused = Refused(
--- a/src/rudderpass/routing/_choice.py
+++ b/src/rudderpass/routing/_choice.py
@@ -100,7 +100,7 @@
 def _rule_out(
     work: Reservation, upstream: UpstreamSlots, allowed: set[UpstreamId], now: float
 ) -> str:
-    if upstream.upstream not in allowed:
+    if allowed and upstream.upstream not in allowed:
         return "selector"
     if upstream.leaving:
         return "leaving"
--- a/src/rudderpass/routing/_match.py
+++ b/src/rudderpass/routing/_match.py
@@ -37,8 +37,8 @@
     """
     matching = [
         (name, route)
-        for name, route in catalog.routes.items()
-        if _matches(route, model, path, request_labels)
+        for name, route in _routes_for(catalog, model).items()
+        if _matches(route, path, request_labels)
     ]
     if not matching:
         return None
@@ -49,11 +49,13 @@
     )
 
 
-def _matches(
-    route: RouteSpec, model: str | None, path: str, labels: Mapping[str, str]
-) -> bool:
-    if route.models and model not in route.models:
-        return False
+def _routes_for(catalog: Catalog, model: str | None) -> Mapping[str, RouteSpec]:
+    if model is None:
+        return catalog.routes_by_path
+    return catalog.routes_by_model.get(model, {})
+
+
+def _matches(route: RouteSpec, path: str, labels: Mapping[str, str]) -> bool:
     if route.path_prefix is not None and not path.startswith(route.path_prefix):
         return False
     return route.request.matches(labels)
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -46,7 +46,7 @@
 MESSAGES: list[PeerMessage] = [
     Reserve(make_work(1, arrived=5.0, prefix_hash=2**62, gap_target=0.03)),
     Cancel(POOL, R0),
-    Grant(POOL, R0, U1, 2**60, "granted"),
+    Grant(POOL, R0, U1, 2**60),
     Shed(POOL, R0, "overload", 2.5),
     Release(POOL, R0, U1, 7, Usage(Ending.UNREACHABLE, 3, 0.1, 0.5), ZONE),
     Renew(POOL, (R0,), (RunningWork(RequestId("r1"), U1, 9, 2, 40),)),
--- a/tests/pools/test_owner.py
+++ b/tests/pools/test_owner.py
@@ -13,7 +13,8 @@
 from rudderpass._ids import ClassName, NodeId, RequestId, TeamId, UpstreamId
 from rudderpass.pools import (
     GRACE_SECONDS,
-    LEASE_SECONDS,
+    LEASE_INTERVALS,
+    RENEW_SECONDS,
     Cancel,
     Grant,
     PoolOwner,
@@ -31,6 +32,7 @@
 ENTRY = NodeId("10.0.0.1:7000")
 OTHER = NodeId("10.0.0.2:7000")
 START = 100.0
+LEASE_SECONDS = LEASE_INTERVALS * RENEW_SECONDS
 READY = START + GRACE_SECONDS
 U1, U2 = UpstreamId("u1"), UpstreamId("u2")
 
