Bound the number of pools a node owns

Cause: rendezvous hashing alone gave the worst of 160 nodes several times the average number of pools, and so of traffic.

Change: each pool goes to the first node of its preference order that owns no more than a quarter above the average; preference orders are kept and changed node by node. Renewal is every 5 s at 400 nodes. rudderpass bench-control.

--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,4 @@
 
 bench: setup
 	bench/streams.sh
+	$(BIN)/rudderpass bench-control
--- a/src/rudderpass/bench/_slopes.py
+++ b/src/rudderpass/bench/_slopes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+import threading
 import time
 import tracemalloc
 from collections.abc import Callable, Iterator, Sequence
@@ -32,8 +33,8 @@
     dump_record,
     take_snapshot,
 )
-from rudderpass.membership import HostRecord
-from rudderpass.peers import measure_batch
+from rudderpass.membership import HostRecord, Probe
+from rudderpass.peers import FixedKeys, PeerKeys, PeerLinks, PeerServer, measure_batch
 from rudderpass.pools import Granted, Refused
 from rudderpass.routing import Ending, Usage
 
@@ -67,6 +68,8 @@
     """What one node spends on control, a second.
 
     :param cpu: processor seconds a second, decisions and encoding.
+    :param sent_messages: messages that leave the measured node a second.
+    :param mean_messages: the same, on the average over all nodes.
     :param sent_bytes: payload that leaves the node a second.
     :param state_bytes: memory of one node's core, with its configuration.
     """
@@ -74,6 +77,7 @@
     size: SystemSize
     cpu: float = 0.0
     sent_messages: float = 0.0
+    mean_messages: float = 0.0
     sent_bytes: float = 0.0
     received_bytes: float = 0.0
     state_bytes: int = 0
@@ -126,6 +130,7 @@
         self.serial = 0
         self.cost = ControlCost(size)
         self.counting = False
+        self.all_messages = 0
         self.held: list[tuple[float, int, RequestId]] = []
         catalog = make_system(size)
         change = build_change(ConfigState(), catalog, "bench", "bench")
@@ -215,6 +220,8 @@
                 raise AssertionError(f"the system is too small: {action.reason}")
 
     def _send(self, core: NodeCore, action: SendPeer) -> None:
+        if self.counting:
+            self.all_messages += 1
         if self.counting and core is self.measured:
             self._count_sent(action.message)
         peer = self.by_id[action.peer]
@@ -248,7 +255,25 @@
         cost = network.cost
         cost.cpu /= size.seconds
         cost.sent_messages /= size.seconds
+        cost.mean_messages = network.all_messages / size.seconds / size.nodes
         cost.sent_bytes /= size.seconds
         cost.received_bytes /= size.seconds
         cost.kinds = {name: size_ / size.seconds for name, size_ in cost.kinds.items()}
         yield cost
+
+
+def measure_call(calls: int) -> float:
+    """Return the processor seconds of one peer call, both sides together."""
+    keys = FixedKeys(PeerKeys((b"a-secret-of-the-bench",)))
+    done = threading.Semaphore(0)
+    server = PeerServer("127.0.0.1:0", keys, lambda *_: None, lambda _: None)
+    server.start()
+    links = PeerLinks(NodeId("127.0.0.1:1"), 1, keys, lambda *_: done.release())
+    began = time.process_time()
+    for _ in range(calls):
+        links.send(server.node, Probe(1))
+        done.acquire()
+    used = time.process_time() - began
+    links.close()
+    server.close()
+    return used / calls
--- a/src/rudderpass/cli/_bench.py
+++ b/src/rudderpass/cli/_bench.py
@@ -11,7 +11,16 @@
 
 import click
 
-from rudderpass.bench import StreamLoad, StreamTimes, percentile, run_streams
+from rudderpass.bench import (
+    ControlCost,
+    StreamLoad,
+    StreamTimes,
+    SystemSize,
+    measure_call,
+    measure_control,
+    percentile,
+    run_streams,
+)
 from rudderpass.cli._base import json_option, print_json, quiet_libraries
 from rudderpass.cli._nodes import read_status
 from rudderpass.demo import World
@@ -160,3 +169,55 @@
         f"{row.gap_p50:>9.1f}{row.gap_p95:>8.1f}{row.gap_p99:>8.1f}"
         f"{row.first_p95:>11.1f}{row.cpu_us_per_token:>14.1f}{row.incomplete:>5}"
     )
+
+
+_LARGE = SystemSize(
+    nodes=400, runners=900, engines=7200, teams=510, models=33, requests=7400.0
+)
+_CALLS = 3000
+
+
+@click.command("bench-control")
+@click.option("--nodes", type=int, multiple=True, default=(8, 40, 160))
+@click.option("--seconds", type=int, default=5, show_default=True)
+@json_option
+def bench_control(nodes: tuple[int, ...], seconds: int, as_json: bool) -> None:
+    """Measure what control costs one node, for several numbers of nodes.
+
+    Runners, engines and requests grow with the nodes; teams and models do not.
+    """
+    costs = list(measure_control([_scaled(count, seconds) for count in nodes]))
+    call = measure_call(_CALLS)
+    if as_json:
+        print_json({"call_seconds": call, "costs": [asdict(cost) for cost in costs]})
+        return
+    click.echo(
+        f"{'nodes':>6}{'cpu %':>8}{'calls cpu %':>13}{'msg/s':>8}{'mean':>8}"
+        f"{'sent B/s':>10}{'got B/s':>10}{'state MB':>10}{'config KB':>11}"
+    )
+    for cost in costs:
+        _print_cost(cost, call)
+    click.echo(f"one peer call costs {call * _MICRO:.0f} us, both sides together")
+
+
+def _scaled(nodes: int, seconds: int) -> SystemSize:
+    share = nodes / _LARGE.nodes
+    return SystemSize(
+        nodes=nodes,
+        runners=max(1, round(_LARGE.runners * share)),
+        engines=round(_LARGE.engines * share),
+        teams=_LARGE.teams,
+        models=_LARGE.models,
+        requests=_LARGE.requests * share,
+        seconds=seconds,
+    )
+
+
+def _print_cost(cost: ControlCost, call: float) -> None:
+    calls = cost.sent_messages * call * 100
+    click.echo(
+        f"{cost.size.nodes:>6}{cost.cpu * 100:>8.2f}{calls:>13.2f}"
+        f"{cost.sent_messages:>8.0f}{cost.mean_messages:>8.0f}"
+        f"{cost.sent_bytes:>10.0f}{cost.received_bytes:>10.0f}"
+        f"{cost.state_bytes / 1e6:>10.1f}{cost.config_bytes / 1e3:>11.0f}"
+    )
--- a/src/rudderpass/cli/_main.py
+++ b/src/rudderpass/cli/_main.py
@@ -5,7 +5,12 @@
 import click
 
 from rudderpass.cli._base import Commands
-from rudderpass.cli._bench import bench_streams, standin_engine, standin_platform
+from rudderpass.cli._bench import (
+    bench_control,
+    bench_streams,
+    standin_engine,
+    standin_platform,
+)
 from rudderpass.cli._declarations import apply, check, diff, get, history
 from rudderpass.cli._demo import demo
 from rudderpass.cli._nodes import logs, node, status
@@ -38,6 +43,7 @@
     standin_platform,
     standin_engine,
     bench_streams,
+    bench_control,
 )
 
 for command in _COMMANDS:
--- a/src/rudderpass/core/_core.py
+++ b/src/rudderpass/core/_core.py
@@ -160,6 +160,7 @@
             return []
         self._config = state
         self._catalog = state.catalog
+        self._view.set_keys(self._catalog.pools)
         actions: list[CoreAction] = [ConfigInForce(state.version, source)]
         for pool in self._entry.pools - set(self._catalog.pools):
             refused = self._entry.refuse_waiting(pool, "runner is no longer declared")
--- a/src/rudderpass/membership/_view.py
+++ b/src/rudderpass/membership/_view.py
@@ -13,9 +13,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-import xxhash
-
 from rudderpass._ids import AvailabilityZone, NodeId
+from rudderpass.membership._ownership import Ownership
 
 PROBE_SECONDS = 1.0
 """How often a node probes one random peer and a few of its suspects."""
@@ -83,8 +82,7 @@
         self._next_probe = 0.0
         self._probe_soon: set[NodeId] = set()
         self._cached_live: tuple[NodeId, ...] | None = None
-        self._placed_over: tuple[NodeId, ...] = ()
-        self._placed: dict[str, _Placement] = {}
+        self._ownership = Ownership()
 
     @property
     def node(self) -> NodeId:
@@ -117,35 +115,14 @@
         reached = [node for node in listed if node not in self._suspects]
         return len(reached) / len(listed)
 
+    def set_keys(self, keys: Iterable[str]) -> None:
+        """Set the keys that are to be spread over the nodes."""
+        self._ownership.set_keys(keys)
+
     def owner_of(self, key: str) -> NodeId:
-        """Return the live node that owns ``key``, by rendezvous hashing.
-
-        A node that goes moves only its own keys, and one that comes takes only
-        those it outweighs, so what was placed before is kept.
-        """
-        self._update_placements()
-        placement = self._placed.get(key)
-        if placement is None:
-            placement = self._placed[key] = _place(key, self._placed_over)
-        return placement.node
-
-    def _update_placements(self) -> None:
+        """Return the live node that owns ``key``."""
         nodes = self.live() or (self._node,)
-        if nodes is self._placed_over:
-            return
-        known, present = set(self._placed_over), set(nodes)
-        self._placed_over = nodes
-        if not known & present:
-            self._placed.clear()
-            return
-        for key, placement in list(self._placed.items()):
-            if placement.node not in present:
-                del self._placed[key]
-        for node in sorted(present - known):
-            for key, placement in self._placed.items():
-                weight = _weight(node, key)
-                if (weight, node) > (placement.weight, placement.node):
-                    self._placed[key] = _Placement(node, weight)
+        return self._ownership.owner_of(key, nodes)
 
     def note_listed(self, hosts: Iterable[HostRecord]) -> None:
         """Take the platform's host list."""
@@ -235,20 +212,3 @@
             if now - heard > _HEARD_SECONDS:
                 del self._heard[peer]
                 self._cached_live = None
-
-
-@dataclass(frozen=True)
-class _Placement:
-    """The node that owns one key, and its weight for it."""
-
-    node: NodeId
-    weight: int
-
-
-def _place(key: str, nodes: tuple[NodeId, ...]) -> _Placement:
-    weight, node = max((_weight(node, key), node) for node in nodes)
-    return _Placement(node, weight)
-
-
-def _weight(node: NodeId, key: str) -> int:
-    return int(xxhash.xxh64_intdigest(f"{node}|{key}".encode()))
--- a/src/rudderpass/pools/_owner.py
+++ b/src/rudderpass/pools/_owner.py
@@ -35,8 +35,8 @@
 LEASE_INTERVALS = 3.5
 """An entry node that does not renew for so many intervals has lost what it held."""
 
-_NODES_PER_SECOND = 160
-_LONGEST_RENEW_SECONDS = 2.5
+_NODES_PER_SECOND = 80
+_LONGEST_RENEW_SECONDS = 5.0
 
 GRACE_SECONDS = 0.4
 """How long a new owner listens before its first grant."""
