Send what may be lost between nodes as datagrams

Change: reservations, grants and releases travel as signed datagrams of one thrift struct; probes, state and everything too large stay calls. An owner says when it has queued a reservation; one that it has not answered in 0.25 s is asked again by a call, which is also how a lost owner is found. Receivers keep a window of 4,096 sequence numbers instead of the last one, since datagrams may change order.

--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -44,6 +44,12 @@
   4: double retry_after
 }
 
+/* The owner has the reservation but no slot for it yet. */
+struct Queued {
+  1: string request_id
+  2: string pool
+}
+
 struct Release {
   1: string request_id
   2: string pool
@@ -110,6 +116,7 @@
   8: Probe probe
   9: StateRequest state_request
   10: StateReply state_reply
+  11: Queued queued
 }
 
 struct Batch {
@@ -120,7 +127,8 @@
   5: list<Message> messages
 }
 
-/* The payload is a Batch in the compact protocol; the MAC covers the payload. */
+/* The payload is a Batch in the compact protocol; the MAC covers the payload. A
+ * signed batch travels as a call, or alone in a datagram in the compact protocol. */
 struct SignedBatch {
   1: binary payload
   2: binary mac
--- a/src/rudderpass/bench/__init__.py
+++ b/src/rudderpass/bench/__init__.py
@@ -2,9 +2,10 @@
 
 from rudderpass.bench._slopes import (
     ControlCost as ControlCost,
+    MessageCost as MessageCost,
     SystemSize as SystemSize,
-    measure_call as measure_call,
     measure_control as measure_control,
+    measure_messages as measure_messages,
 )
 from rudderpass.bench._streams import (
     StreamLoad as StreamLoad,
--- a/src/rudderpass/bench/_slopes.py
+++ b/src/rudderpass/bench/_slopes.py
@@ -15,7 +15,7 @@
 from functools import partial
 
 from rudderpass._ids import AvailabilityZone, ClassName, NodeId, RequestId, TeamId
-from rudderpass.core import CoreAction, NodeCore, PeerMessage, SendPeer, Submission
+from rudderpass.core import CoreAction, NodeCore, SendPeer, Submission
 from rudderpass.declarations import (
     AnySpec,
     Catalog,
@@ -77,6 +77,7 @@
     size: SystemSize
     cpu: float = 0.0
     sent_messages: float = 0.0
+    sent_calls: float = 0.0
     mean_messages: float = 0.0
     sent_bytes: float = 0.0
     received_bytes: float = 0.0
@@ -223,24 +224,25 @@
         if self.counting:
             self.all_messages += 1
         if self.counting and core is self.measured:
-            self._count_sent(action.message)
+            self._count_sent(action)
         peer = self.by_id[action.peer]
         if self.counting and peer is self.measured:
-            self._count_received(action.message)
+            self._count_received(action)
         self._on(peer, lambda: peer.receive(core.node, action.message, self.now))
 
-    def _count_sent(self, message: PeerMessage) -> None:
+    def _count_sent(self, action: SendPeer) -> None:
         began = time.process_time()
-        size = measure_batch(message, self.now)
+        size = measure_batch(action.message, action.reliable, self.now)
         self.cost.cpu += time.process_time() - began
         self.cost.sent_messages += 1
+        self.cost.sent_calls += action.reliable
         self.cost.sent_bytes += size
-        name = type(message).__name__
+        name = type(action.message).__name__
         self.cost.kinds[name] = self.cost.kinds.get(name, 0) + size
 
-    def _count_received(self, message: PeerMessage) -> None:
+    def _count_received(self, action: SendPeer) -> None:
         began = time.process_time()
-        size = measure_batch(message, self.now)
+        size = measure_batch(action.message, action.reliable, self.now)
         self.cost.cpu += time.process_time() - began
         self.cost.received_bytes += size
 
@@ -255,6 +257,7 @@
         cost = network.cost
         cost.cpu /= size.seconds
         cost.sent_messages /= size.seconds
+        cost.sent_calls /= size.seconds
         cost.mean_messages = network.all_messages / size.seconds / size.nodes
         cost.sent_bytes /= size.seconds
         cost.received_bytes /= size.seconds
@@ -262,18 +265,34 @@
         yield cost
 
 
-def measure_call(calls: int) -> float:
-    """Return the processor seconds of one peer call, both sides together."""
+@dataclass(frozen=True)
+class MessageCost:
+    """Processor seconds of one message, both sides together."""
+
+    call: float
+    datagram: float
+
+
+def measure_messages(count: int) -> MessageCost:
+    """Measure calls and datagrams over loopback, one after the other."""
+    return MessageCost(
+        _measure_messages(count, reliable=True),
+        _measure_messages(count, reliable=False),
+    )
+
+
+def _measure_messages(count: int, reliable: bool) -> float:
     keys = FixedKeys(PeerKeys((b"a-secret-of-the-bench",)))
-    done = threading.Semaphore(0)
-    server = PeerServer("127.0.0.1:0", keys, lambda *_: None, lambda _: None)
+    taken = threading.Semaphore(0)
+    server = PeerServer("127.0.0.1:0", keys, lambda *_: taken.release(), lambda _: None)
     server.start()
-    links = PeerLinks(NodeId("127.0.0.1:1"), 1, keys, lambda *_: done.release())
+    sender = NodeId("127.0.0.1:1")
+    links = PeerLinks(sender, 1, keys, server.datagrams, lambda *_: None)
     began = time.process_time()
-    for _ in range(calls):
-        links.send(server.node, Probe(1))
-        done.acquire()
+    for _ in range(count):
+        links.send(server.node, Probe(1), reliable)
+        taken.acquire(timeout=1.0)
     used = time.process_time() - began
     links.close()
     server.close()
-    return used / calls
+    return used / count
--- a/src/rudderpass/cli/_bench.py
+++ b/src/rudderpass/cli/_bench.py
@@ -13,11 +13,12 @@
 
 from rudderpass.bench import (
     ControlCost,
+    MessageCost,
     StreamLoad,
     StreamTimes,
     SystemSize,
-    measure_call,
     measure_control,
+    measure_messages,
     percentile,
     run_streams,
 )
@@ -174,7 +175,7 @@
 _LARGE = SystemSize(
     nodes=400, runners=900, engines=7200, teams=510, models=33, requests=7400.0
 )
-_CALLS = 3000
+_MESSAGES = 3000
 
 
 @click.command("bench-control")
@@ -187,17 +188,25 @@
     Runners, engines and requests grow with the nodes; teams and models do not.
     """
     costs = list(measure_control([_scaled(count, seconds) for count in nodes]))
-    call = measure_call(_CALLS)
+    messages = measure_messages(_MESSAGES)
     if as_json:
-        print_json({"call_seconds": call, "costs": [asdict(cost) for cost in costs]})
+        print_json(
+            {
+                "messages": asdict(messages),
+                "costs": [asdict(cost) for cost in costs],
+            }
+        )
         return
     click.echo(
-        f"{'nodes':>6}{'cpu %':>8}{'calls cpu %':>13}{'msg/s':>8}{'mean':>8}"
+        f"{'nodes':>6}{'cpu %':>8}{'transport %':>13}{'msg/s':>8}{'mean':>8}"
         f"{'sent B/s':>10}{'got B/s':>10}{'state MB':>10}{'config KB':>11}"
     )
     for cost in costs:
-        _print_cost(cost, call)
-    click.echo(f"one peer call costs {call * _MICRO:.0f} us, both sides together")
+        _print_cost(cost, messages)
+    click.echo(
+        f"one call costs {messages.call * _MICRO:.0f} us, one datagram "
+        f"{messages.datagram * _MICRO:.0f} us, both sides together"
+    )
 
 
 def _scaled(nodes: int, seconds: int) -> SystemSize:
@@ -213,10 +222,12 @@
     )
 
 
-def _print_cost(cost: ControlCost, call: float) -> None:
-    calls = cost.sent_messages * call * 100
+def _print_cost(cost: ControlCost, messages: MessageCost) -> None:
+    datagrams = cost.sent_messages - cost.sent_calls
+    seconds = cost.sent_calls * messages.call + datagrams * messages.datagram
+    transport = seconds * 100
     click.echo(
-        f"{cost.size.nodes:>6}{cost.cpu * 100:>8.2f}{calls:>13.2f}"
+        f"{cost.size.nodes:>6}{cost.cpu * 100:>8.2f}{transport:>13.2f}"
         f"{cost.sent_messages:>8.0f}{cost.mean_messages:>8.0f}"
         f"{cost.sent_bytes:>10.0f}{cost.received_bytes:>10.0f}"
         f"{cost.state_bytes / 1e6:>10.1f}{cost.config_bytes / 1e3:>11.0f}"
--- a/src/rudderpass/core/_core.py
+++ b/src/rudderpass/core/_core.py
@@ -46,6 +46,7 @@
     Grant,
     Granted,
     PoolOwner,
+    Queued,
     Refused,
     Release,
     Renew,
@@ -232,7 +233,7 @@
             match.pool,
             match.repeatable,
         )
-        sent = self._entry.submit(reservation, self._owner_of(match.pool))
+        sent = self._entry.submit(reservation, self._owner_of(match.pool), now)
         return [admitted, *self._run(sent, now)]
 
     def finish(
@@ -295,6 +296,7 @@
             actions += self._update_owners(now)
             for pool in self._entry.pools:
                 actions += self._run(self._entry.renew(pool), now)
+        actions += self._run(self._entry.ask_again(now), now)
         for owner in self._owned.values():
             actions += self._run(owner.tick(now), now)
         self._drop_idle_owners()
@@ -436,7 +438,9 @@
                 if action.peer == self._node:
                     self._local.append((self._node, action.message))
                 else:
-                    actions.append(SendPeer(action.peer, action.message))
+                    actions.append(
+                        SendPeer(action.peer, action.message, action.reliable)
+                    )
                 continue
             if isinstance(action, Refused):
                 self._forget(action.request_id, Usage(Ending.UNUSED), now)
@@ -480,6 +484,10 @@
     def _(self, message: Grant, sender: NodeId, now: float) -> list[CoreAction]:
         return self._collect(self._entry.grant(sender, message), now)
 
+    @_receive.register
+    def _(self, message: Queued, sender: NodeId, now: float) -> list[CoreAction]:
+        return self._collect(self._entry.queued(message), now)
+
     @_receive.register
     def _(self, message: Shed, sender: NodeId, now: float) -> list[CoreAction]:
         return self._collect(self._entry.shed(message), now)
--- a/src/rudderpass/core/_messages.py
+++ b/src/rudderpass/core/_messages.py
@@ -89,10 +89,14 @@
 
 @dataclass(frozen=True)
 class SendPeer:
-    """An action: pass a message to another node."""
+    """An action: pass a message to another node.
+
+    :param reliable: make sure that it arrives, or learn that it did not.
+    """
 
     peer: NodeId
     message: PeerMessage
+    reliable: bool = True
 
 
 @dataclass(frozen=True)
--- a/src/rudderpass/node/_runtime.py
+++ b/src/rudderpass/node/_runtime.py
@@ -47,7 +47,9 @@
         self._lock = threading.RLock()
         self._core = NodeCore(node, zone, incarnation % (1 << 38), random.Random())
         self._tickets: dict[RequestId, Ticket] = {}
-        self._links = PeerLinks(node, incarnation, keys, self._note_call)
+        self._links = PeerLinks(
+            node, incarnation, keys, self._server.datagrams, self._note_call
+        )
         self._stopping = threading.Event()
         self._ticker = threading.Thread(target=self._tick, name="tick", daemon=True)
         self._hosts = HostList((), ())
@@ -158,7 +160,7 @@
 
     @_do.register
     def _(self, action: SendPeer) -> None:
-        self._links.send(action.peer, action.message)
+        self._links.send(action.peer, action.message, action.reliable)
 
     @_do.register
     def _(self, action: Admitted) -> None:
--- a/src/rudderpass/peers/_codec.py
+++ b/src/rudderpass/peers/_codec.py
@@ -31,6 +31,7 @@
 from rudderpass.pools import (
     Cancel,
     Grant,
+    Queued,
     Release,
     Renew,
     Resend,
@@ -62,6 +63,22 @@
         raise PeerError(f"not a batch: {error}", step="decode") from error
 
 
+def encode_signed(batch: wire.SignedBatch) -> bytes:
+    """Return a signed batch's bytes for a datagram."""
+    return bytes(serialize(batch, protocol_factory=_PROTOCOL))
+
+
+def decode_signed(data: bytes) -> wire.SignedBatch:
+    """Return the signed batch in a datagram.
+
+    :raises PeerError: when the bytes are not one.
+    """
+    try:
+        return deserialize(wire.SignedBatch(), data, protocol_factory=_PROTOCOL)
+    except (TException, EOFError, ValueError, TypeError) as error:
+        raise PeerError(f"not a signed batch: {error}", step="decode") from error
+
+
 def to_wire(message: PeerMessage, now: float) -> wire.Message:
     """Return the thrift union for ``message``."""
     return _to_wire(message, now)
@@ -75,10 +92,19 @@
     for name, decode in _DECODERS.items():
         value = getattr(message, name)
         if value is not None:
-            return decode(value, now)
+            return _decode_value(decode, value, now)
     raise PeerError("message of an unknown kind", step="decode")
 
 
+def _decode_value(
+    decode: Callable[[Any, float], PeerMessage], value: object, now: float
+) -> PeerMessage:
+    try:
+        return decode(value, now)
+    except (TypeError, ValueError) as error:
+        raise PeerError(f"message lacks a field: {error}", step="decode") from error
+
+
 @singledispatch
 def _to_wire(message: object, now: float) -> wire.Message:
     raise TypeError(f"no wire form for {type(message).__name__}")
@@ -107,6 +133,12 @@
     return wire.Message(grant=grant)
 
 
+@_to_wire.register
+def _(message: Queued, now: float) -> wire.Message:
+    queued = wire.Queued(request_id=message.request_id, pool=message.pool)
+    return wire.Message(queued=queued)
+
+
 @_to_wire.register
 def _(message: Shed, now: float) -> wire.Message:
     shed = wire.Shed(
@@ -250,6 +282,10 @@
     )
 
 
+def _decode_queued(value: wire.Queued, now: float) -> Queued:
+    return Queued(PoolId(value.pool), RequestId(value.request_id))
+
+
 def _decode_shed(value: wire.Shed, now: float) -> Shed:
     return Shed(
         PoolId(value.pool),
@@ -315,6 +351,7 @@
     "reserve": _decode_reserve,
     "cancel": _decode_cancel,
     "grant": _decode_grant,
+    "queued": _decode_queued,
     "shed": _decode_shed,
     "release": _decode_release,
     "renew": _decode_renew,
--- a/src/rudderpass/peers/_gen/wire/ttypes.py
+++ b/src/rudderpass/peers/_gen/wire/ttypes.py
@@ -548,6 +548,86 @@
         return not (self == other)
 
 
+class Queued(object):
+    """
+    Attributes:
+     - request_id
+     - pool
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'pool',
+    )
+
+
+    def __init__(self, request_id=None, pool=None,):
+        self.request_id = request_id
+        self.pool = pool
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Queued')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 2)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Release(object):
     """
     Attributes:
@@ -1367,6 +1447,7 @@
      - probe
      - state_request
      - state_reply
+     - queued
 
     """
 
@@ -1381,10 +1462,11 @@
         'probe',
         'state_request',
         'state_reply',
+        'queued',
     )
 
 
-    def __init__(self, reserve=None, cancel=None, grant=None, shed=None, release=None, renew=None, resend=None, probe=None, state_request=None, state_reply=None,):
+    def __init__(self, reserve=None, cancel=None, grant=None, shed=None, release=None, renew=None, resend=None, probe=None, state_request=None, state_reply=None, queued=None,):
         self.reserve = reserve
         self.cancel = cancel
         self.grant = grant
@@ -1395,6 +1477,7 @@
         self.probe = probe
         self.state_request = state_request
         self.state_reply = state_reply
+        self.queued = queued
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1465,6 +1548,12 @@
                     self.state_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.queued = Queued()
+                    self.queued.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1515,6 +1604,10 @@
             oprot.writeFieldBegin('state_reply', TType.STRUCT, 10)
             self.state_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.STRUCT, 11)
+            self.queued.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1868,6 +1961,12 @@
     (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
     (4, TType.DOUBLE, 'retry_after', None, None, ),  # 4
 )
+all_structs.append(Queued)
+Queued.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'pool', 'UTF8', None, ),  # 2
+)
 all_structs.append(Release)
 Release.thrift_spec = (
     None,  # 0
@@ -1940,6 +2039,7 @@
     (8, TType.STRUCT, 'probe', [Probe, None], None, ),  # 8
     (9, TType.STRUCT, 'state_request', [StateRequest, None], None, ),  # 9
     (10, TType.STRUCT, 'state_reply', [StateReply, None], None, ),  # 10
+    (11, TType.STRUCT, 'queued', [Queued, None], None, ),  # 11
 )
 all_structs.append(Batch)
 Batch.thrift_spec = (
--- a/src/rudderpass/peers/_keys.py
+++ b/src/rudderpass/peers/_keys.py
@@ -14,7 +14,7 @@
 from rudderpass.errors import SettingsError
 
 MIN_SECRET_LENGTH = 16
-_MAC_BYTES = 16
+MAC_BYTES = 16
 
 
 class PeerKeys:
@@ -46,7 +46,7 @@
 
 def _mac(secret: bytes, payload: bytes) -> bytes:
     """Return HMAC-SHA256 truncated to 128 bits (RFC 2104, section 5)."""
-    return hmac.digest(secret, payload, hashlib.sha256)[:_MAC_BYTES]
+    return hmac.digest(secret, payload, hashlib.sha256)[:MAC_BYTES]
 
 
 class PeerKeyFile:
--- a/src/rudderpass/peers/_link.py
+++ b/src/rudderpass/peers/_link.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+import socket
 import threading
 import time
 from collections import deque
@@ -21,17 +22,23 @@
 
 from rudderpass._ids import NodeId
 from rudderpass.core import PeerMessage
-from rudderpass.peers._codec import encode_batch, to_wire
+from rudderpass.peers._codec import encode_batch, encode_signed, to_wire
 from rudderpass.peers._gen.wire import Peer, ttypes as wire
-from rudderpass.peers._keys import KeySource
+from rudderpass.peers._keys import MAC_BYTES, KeySource
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+MAX_DATAGRAM_BYTES = 1200
+"""Fits one packet on every path; larger batches go as calls."""
+
 _CALL_TIMEOUT_MS = 1000
 _MAX_BATCH = 512
 _MAX_QUEUED = 20_000
 _WORKERS = 16
-_ENVELOPE_BYTES = 16 + 4 + 30 + 30 + 80
-"""MAC, frame, call, answer, and the TCP/IP headers of both."""
+_DATAGRAM_BYTES = 28
+"""UDP and IP headers."""
+
+_CALL_BYTES = 4 + 30 + 30 + 80
+"""Frame, call, answer, and the TCP and IP headers of both."""
 
 
 @dataclass
@@ -39,6 +46,7 @@
     """What left this node for its peers."""
 
     calls: int = 0
+    datagrams: int = 0
     messages: int = 0
     payload_bytes: int = 0
     failures: int = 0
@@ -60,6 +68,7 @@
     :param node: this node, the sender.
     :param incarnation: differs at each start of the node.
     :param keys: signs the batches.
+    :param datagrams: sends what may be lost.
     :param on_result: called with the peer and whether its call succeeded.
 
     .. versionadded:: 0.1
@@ -70,6 +79,7 @@
         node: NodeId,
         incarnation: int,
         keys: KeySource,
+        datagrams: socket.socket,
         on_result: Callable[[NodeId, bool], None],
     ) -> None:
         self._node = node
@@ -81,10 +91,16 @@
         self._sequence = itertools.count(1)
         self._pool = ThreadPoolExecutor(_WORKERS, thread_name_prefix="peer-link")
         self._closed = False
+        self._datagrams = datagrams
         self.counters = LinkCounters()
 
-    def send(self, peer: NodeId, message: PeerMessage) -> None:
-        """Queue a message; it leaves with the next call to the peer."""
+    def send(self, peer: NodeId, message: PeerMessage, reliable: bool = True) -> None:
+        """Send a message, as a datagram if it is small and may be lost.
+
+        A reliable one is queued and leaves with the next call to the peer.
+        """
+        if not reliable and self._send_datagram(peer, message):
+            return
         with self._lock:
             if self._closed:
                 return
@@ -109,6 +125,20 @@
         for queue in self._queues.values():
             _disconnect(queue)
 
+    def _send_datagram(self, peer: NodeId, message: PeerMessage) -> bool:
+        """Send one message by itself; tell whether it was small enough."""
+        with self._lock:
+            batch = self._sign(peer, [message])
+        data = encode_signed(batch)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            return False
+        self.counters.datagrams += 1
+        try:
+            self._datagrams.sendto(data, _address_of(peer))
+        except OSError:
+            self.counters.dropped += 1
+        return True
+
     def _has_waiting(self) -> bool:
         with self._lock:
             return any(queue.waiting or queue.busy for queue in self._queues.values())
@@ -130,6 +160,7 @@
     def _deliver(
         self, peer: NodeId, queue: _PeerQueue, messages: list[PeerMessage]
     ) -> bool:
+        self.counters.calls += 1
         batch = self._sign(peer, messages)
         reused = queue.client is not None
         try:
@@ -173,25 +204,33 @@
             messages=[to_wire(message, now) for message in messages],
         )
         payload = encode_batch(batch)
-        self.counters.calls += 1
         self.counters.messages += len(messages)
         self.counters.payload_bytes += len(payload)
         return wire.SignedBatch(payload=payload, mac=self._keys.current().sign(payload))
 
 
-def measure_batch(message: PeerMessage, now: float) -> int:
-    """Return the bytes of a batch of one message as it is sent."""
+def measure_batch(message: PeerMessage, reliable: bool, now: float) -> int:
+    """Return the bytes of a batch of one message as it is sent, headers included."""
     batch = wire.Batch(
         "10.0.0.1:7000", 1 << 40, 1, "10.0.0.2:7000", [to_wire(message, now)]
     )
-    return len(encode_batch(batch)) + _ENVELOPE_BYTES
+    payload = encode_batch(batch)
+    signed = encode_signed(wire.SignedBatch(payload=payload, mac=bytes(MAC_BYTES)))
+    if reliable or len(signed) > MAX_DATAGRAM_BYTES:
+        return len(signed) + _CALL_BYTES
+    return len(signed) + _DATAGRAM_BYTES
 
 
-def _connect(peer: NodeId) -> Peer.Client:
+def _address_of(peer: NodeId) -> tuple[str, int]:
     host, _, port = peer.rpartition(":")
-    socket = TSocket(host.strip("[]"), int(port))
-    socket.setTimeout(_CALL_TIMEOUT_MS)
-    transport = TFramedTransport(socket, MAX_FRAME_BYTES)
+    return host.strip("[]"), int(port)
+
+
+def _connect(peer: NodeId) -> Peer.Client:
+    host, port = _address_of(peer)
+    connection = TSocket(host, port)
+    connection.setTimeout(_CALL_TIMEOUT_MS)
+    transport = TFramedTransport(connection, MAX_FRAME_BYTES)
     transport.open()
     protocol = TBinaryProtocolAcceleratedFactory().getProtocol(transport)
     return Peer.Client(protocol)
--- a/src/rudderpass/peers/_server.py
+++ b/src/rudderpass/peers/_server.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 import threading
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
 from thrift.server.TServer import TThreadedServer
@@ -17,24 +18,53 @@
 from rudderpass._ids import NodeId
 from rudderpass.core import PeerMessage
 from rudderpass.errors import PeerError
-from rudderpass.peers._codec import decode_batch, from_wire
+from rudderpass.peers._codec import decode_batch, decode_signed, from_wire
 from rudderpass.peers._gen.wire import Peer, ttypes as wire
 from rudderpass.peers._keys import KeySource
 from rudderpass.peers._link import MAX_FRAME_BYTES
 
 _REMEMBERED_SENDERS = 2048
 _BACKLOG = 512
+_BIND_TRIES = 50
+_RECEIVE_BUFFER = 4 * 1024 * 1024
+_LARGEST_DATAGRAM = 65536
 
 Receive = Callable[[NodeId, Sequence[PeerMessage]], None]
 Complain = Callable[[str], None]
 
 
-@dataclass
-class _Seen:
-    """The newest batch taken from one sender."""
+class ReplayWindow:
+    """Tells which batches of one sender are new, in whatever order they come.
 
-    incarnation: int
-    sequence: int
+    .. versionadded:: 0.1
+    """
+
+    SIZE = 4096
+    """Batches older than the newest by more than this count as seen."""
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self._newest = 0
+        self._taken = 0
+
+    def take(self, incarnation: int, sequence: int) -> bool:
+        """Take one batch; tell whether it is new."""
+        if incarnation != self.incarnation:
+            return False
+        ahead = sequence - self._newest
+        if ahead > 0:
+            mask = (1 << self.SIZE) - 1
+            shifted = self._taken << ahead if ahead < self.SIZE else 0
+            self._taken = (shifted | 1) & mask
+            self._newest = sequence
+            return True
+        if -ahead >= self.SIZE:
+            return False
+        bit = 1 << -ahead
+        if self._taken & bit:
+            return False
+        self._taken |= bit
+        return True
 
 
 class PeerServer:
@@ -55,7 +85,7 @@
         self, address: str, keys: KeySource, receive: Receive, complain: Complain
     ) -> None:
         host, _, port = address.rpartition(":")
-        self._socket = _BoundSocket(host.strip("[]"), int(port))
+        self._socket, self.datagrams = _bind(host.strip("[]"), int(port))
         self.node = NodeId(f"{host}:{self._socket.bound_port}")
         handler = _Handler(self.node, keys, receive, complain)
         self._server = _QuietServer(
@@ -69,16 +99,26 @@
         self._thread = threading.Thread(
             target=self._serve, name="peer-server", daemon=True
         )
+        self._reader = threading.Thread(
+            target=_read_datagrams,
+            args=(self.datagrams, handler),
+            name="peer-datagrams",
+            daemon=True,
+        )
         self._closing = False
 
     def start(self) -> None:
         """Begin to take messages."""
         self._thread.start()
+        self._reader.start()
 
     def close(self) -> None:
         """Stop listening."""
         self._closing = True
         self._socket.close()
+        with contextlib.suppress(OSError):
+            self.datagrams.shutdown(socket.SHUT_RDWR)
+        self.datagrams.close()
 
     def _serve(self) -> None:
         try:
@@ -88,6 +128,35 @@
                 raise
 
 
+def _bind(host: str, port: int) -> tuple[_BoundSocket, socket.socket]:
+    """Bind one port for calls and datagrams; port 0 takes one free for both."""
+    for _ in range(_BIND_TRIES):
+        calls = _BoundSocket(host, port)
+        datagrams = socket.socket(calls.handle.family, socket.SOCK_DGRAM)
+        datagrams.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER)
+        try:
+            datagrams.bind((host, calls.bound_port))
+        except OSError:
+            calls.close()
+            datagrams.close()
+            if port:
+                raise
+            continue
+        return calls, datagrams
+    raise OSError(f"no port of {host} is free for calls and datagrams")
+
+
+def _read_datagrams(datagrams: socket.socket, handler: _Handler) -> None:
+    while True:
+        try:
+            data = datagrams.recv(_LARGEST_DATAGRAM)
+        except OSError:
+            return
+        if not data:
+            return
+        handler.take_datagram(data)
+
+
 class _BoundSocket(TServerSocket):  # type: ignore[misc]
     """A server socket that listens from its construction on."""
 
@@ -138,7 +207,7 @@
         self._receive = receive
         self._complain = complain
         self._lock = threading.Lock()
-        self._seen: OrderedDict[str, _Seen] = OrderedDict()
+        self._seen: OrderedDict[str, ReplayWindow] = OrderedDict()
 
     def deliver(self, batch: wire.SignedBatch) -> None:
         """Serve the thrift call of the same name."""
@@ -150,6 +219,16 @@
         if messages:
             self._receive(sender, messages)
 
+    def take_datagram(self, data: bytes) -> None:
+        """Take a signed batch that came by itself; drop what is not one."""
+        try:
+            sender, messages = self._open(decode_signed(data))
+        except PeerError as error:
+            self._complain(f"dropped a datagram: {error.show()}")
+            return
+        if messages:
+            self._receive(sender, messages)
+
     def _open(self, signed: wire.SignedBatch) -> tuple[NodeId, list[PeerMessage]]:
         payload, mac = signed.payload or b"", signed.mac or b""
         if not self._keys.current().verify(payload, mac):
@@ -164,12 +243,10 @@
 
     def _is_new(self, batch: wire.Batch) -> bool:
         with self._lock:
-            seen = self._seen.get(batch.sender)
-            current = (batch.incarnation, batch.sequence)
-            if seen is not None and current <= (seen.incarnation, seen.sequence):
-                return False
-            self._seen[batch.sender] = _Seen(batch.incarnation, batch.sequence)
+            window = self._seen.get(batch.sender)
+            if window is None or window.incarnation < batch.incarnation:
+                window = self._seen[batch.sender] = ReplayWindow(batch.incarnation)
             self._seen.move_to_end(batch.sender)
             if len(self._seen) > _REMEMBERED_SENDERS:
                 self._seen.popitem(last=False)
-            return True
+            return window.take(batch.incarnation, batch.sequence)
--- a/src/rudderpass/pools/__init__.py
+++ b/src/rudderpass/pools/__init__.py
@@ -1,6 +1,7 @@
 """Pools: one owner queues and grants, entry nodes hold and renew."""
 
 from rudderpass.pools._entry import (
+    ANSWER_SECONDS as ANSWER_SECONDS,
     EntryDesk as EntryDesk,
     Granted as Granted,
     Refused as Refused,
@@ -9,6 +10,7 @@
     Cancel as Cancel,
     Grant as Grant,
     PoolMessage as PoolMessage,
+    Queued as Queued,
     Release as Release,
     Renew as Renew,
     Resend as Resend,
--- a/src/rudderpass/pools/_entry.py
+++ b/src/rudderpass/pools/_entry.py
@@ -9,6 +9,7 @@
 from rudderpass.pools._messages import (
     Cancel,
     Grant,
+    Queued,
     Release,
     Renew,
     Resend,
@@ -19,6 +20,11 @@
 )
 from rudderpass.routing import Ending, Usage
 
+ANSWER_SECONDS = 0.25
+"""An owner that has not answered a reservation for so long is asked again."""
+
+_ASK_AGAIN_SECONDS = 1.0
+
 
 @dataclass(frozen=True)
 class Granted:
@@ -49,6 +55,8 @@
     upstream: UpstreamId | None = None
     token: int = 0
     tokens: int = 0
+    is_queued: bool = False
+    asked_at: float = 0.0
 
 
 class EntryDesk:
@@ -90,9 +98,11 @@
             default=None,
         )
 
-    def submit(self, reservation: Reservation, owner: NodeId) -> list[EntryAction]:
+    def submit(
+        self, reservation: Reservation, owner: NodeId, now: float
+    ) -> list[EntryAction]:
         """Ask the pool's owner for a slot."""
-        self._held[reservation.request_id] = _Held(reservation)
+        self._held[reservation.request_id] = _Held(reservation, asked_at=now)
         self._owners[reservation.pool] = owner
         return [Send(owner, Reserve(reservation))]
 
@@ -115,6 +125,29 @@
         )
         return [Send(sender, unused)]
 
+    def queued(self, message: Queued) -> list[EntryAction]:
+        """Note that the owner has the reservation."""
+        held = self._held.get(message.request_id)
+        if held is not None:
+            held.is_queued = True
+        return []
+
+    def ask_again(self, now: float) -> list[EntryAction]:
+        """Ask reliably for what the owner has not answered in time.
+
+        If the owner is gone, this is how the node learns of it.
+        """
+        actions: list[EntryAction] = []
+        for held in self._held.values():
+            if held.upstream is not None or held.is_queued:
+                continue
+            if now - held.asked_at < ANSWER_SECONDS:
+                continue
+            held.asked_at = now + _ASK_AGAIN_SECONDS
+            owner = self._owners[held.reservation.pool]
+            actions.append(Send(owner, Reserve(held.reservation), reliable=True))
+        return actions
+
     def shed(self, message: Shed) -> list[EntryAction]:
         """Pass on a refusal, unless the request was granted meanwhile."""
         held = self._held.get(message.request_id)
@@ -126,7 +159,7 @@
     def resend(self, sender: NodeId, message: Resend) -> list[EntryAction]:
         """Send the reservations that the owner does not know."""
         return [
-            Send(sender, Reserve(held.reservation))
+            Send(sender, Reserve(held.reservation), reliable=True)
             for request_id in message.request_ids
             if (held := self._held.get(request_id)) is not None
             and held.upstream is None
@@ -192,5 +225,6 @@
         actions: list[EntryAction] = self.renew(pool)
         for held in self._held.values():
             if held.reservation.pool == pool and held.upstream is None:
-                actions.append(Send(owner, Reserve(held.reservation)))
+                held.is_queued = False
+                actions.append(Send(owner, Reserve(held.reservation), reliable=True))
         return actions
--- a/src/rudderpass/pools/_messages.py
+++ b/src/rudderpass/pools/_messages.py
@@ -38,6 +38,14 @@
     token: int
 
 
+@dataclass(frozen=True)
+class Queued:
+    """The owner has a reservation but no slot for it yet."""
+
+    pool: PoolId
+    request_id: RequestId
+
+
 @dataclass(frozen=True)
 class Shed:
     """The owner will not serve a request; it was not run."""
@@ -91,15 +99,19 @@
     request_ids: tuple[RequestId, ...]
 
 
-PoolMessage = Reserve | Cancel | Grant | Shed | Release | Renew | Resend
+PoolMessage = Reserve | Cancel | Queued | Grant | Shed | Release | Renew | Resend
 
 
 @dataclass(frozen=True)
 class Send:
-    """An action: pass a message to a node (which may be this one)."""
+    """An action: pass a message to a node (which may be this one).
+
+    :param reliable: make sure that it arrives, or learn that it did not.
+    """
 
     peer: NodeId
     message: PoolMessage
+    reliable: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/rudderpass/pools/_owner.py
+++ b/src/rudderpass/pools/_owner.py
@@ -18,6 +18,7 @@
     Cancel,
     Grant,
     OwnerAction,
+    Queued,
     Release,
     Renew,
     Resend,
@@ -140,11 +141,16 @@
         """Queue a reservation; one that is known already changes nothing."""
         work = message.reservation
         self._renewed[entry] = now
-        if work.request_id in self._granted or work.request_id in self._queue:
+        if work.request_id in self._granted:
             return []
+        if work.request_id in self._queue:
+            return [Send(entry, Queued(self._pool, work.request_id))]
         self._entries[work.request_id] = entry
         self._queue.push(work)
-        return [*self._shed_overload(now), *self.grant(now)]
+        actions = [*self._shed_overload(now), *self.grant(now)]
+        if work.request_id in self._queue:
+            actions.append(Send(entry, Queued(self._pool, work.request_id)))
+        return actions
 
     def cancel(self, message: Cancel, now: float) -> list[OwnerAction]:
         """Forget a reservation that its caller no longer needs."""
--- a/src/rudderpass/replay/_cluster.py
+++ b/src/rudderpass/replay/_cluster.py
@@ -18,14 +18,7 @@
     TeamId,
     UpstreamId,
 )
-from rudderpass.core import (
-    Admitted,
-    CoreAction,
-    PeerMessage,
-    Rejected,
-    SendPeer,
-    Submission,
-)
+from rudderpass.core import Admitted, CoreAction, Rejected, SendPeer, Submission
 from rudderpass.declarations import (
     Catalog,
     ConfigState,
@@ -237,7 +230,7 @@
     @_carry_out.register
     def _(self, action: SendPeer, node: _VirtualNode) -> None:
         node.messages += 1
-        self.env.process(self._deliver(node, action.peer, action.message))
+        self.env.process(self._deliver(node, action))
 
     @_carry_out.register
     def _(self, action: Admitted, node: _VirtualNode) -> None:
@@ -264,9 +257,9 @@
         self._refuse(node, action.request_id, action.message or action.kind.value)
 
     def _deliver(
-        self, node: _VirtualNode, peer_id: NodeId, message: PeerMessage
+        self, node: _VirtualNode, action: SendPeer
     ) -> simpy.events.ProcessGenerator:
-        peer = self._by_id[peer_id]
+        peer = self._by_id[action.peer]
         is_near = peer.zone == node.zone
         yield self.env.timeout(_SAME_ZONE_LATENCY if is_near else _OTHER_ZONE_LATENCY)
         scheduler = node.scheduler
@@ -275,13 +268,16 @@
         elif self._is_cut(node, peer) or self.env.now < peer.paused_until:
             yield self.env.timeout(_CALL_TIMEOUT)
         else:
+            receive = peer.scheduler.receive
             sender = scheduler.node
-            self._on_node(
-                peer, lambda: peer.scheduler.receive(sender, message, self.env.now)
-            )
-            self._on_node(node, lambda: scheduler.note_reachable(peer_id, self.env.now))
+            self._on_node(peer, lambda: receive(sender, action.message, self.env.now))
+            if action.reliable:
+                note = scheduler.note_reachable
+                self._on_node(node, lambda: note(action.peer, self.env.now))
             return
-        self._on_node(node, lambda: scheduler.note_unreachable(peer_id, self.env.now))
+        if action.reliable:
+            note = scheduler.note_unreachable
+            self._on_node(node, lambda: note(action.peer, self.env.now))
 
     def _is_cut(self, node: _VirtualNode, peer: _VirtualNode) -> bool:
         return self._is_zone_cut(node, peer.zone)
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -25,9 +25,11 @@
 )
 from rudderpass.peers._codec import from_wire, to_wire
 from rudderpass.peers._link import MAX_FRAME_BYTES
+from rudderpass.peers._server import ReplayWindow
 from rudderpass.pools import (
     Cancel,
     Grant,
+    Queued,
     Release,
     Renew,
     Resend,
@@ -46,6 +48,7 @@
 MESSAGES: list[PeerMessage] = [
     Reserve(make_work(1, arrived=5.0, prefix_hash=2**62, gap_target=0.03)),
     Cancel(POOL, R0),
+    Queued(POOL, R0),
     Grant(POOL, R0, U1, 2**60),
     Shed(POOL, R0, "overload", 2.5),
     Release(POOL, R0, U1, 7, Usage(Ending.UNREACHABLE, 3, 0.1, 0.5), ZONE),
@@ -98,6 +101,7 @@
         NodeId("10.9.9.9:1"),
         incarnation,
         source,
+        peer.server.datagrams,
         lambda _, succeeded: peer.results.put(succeeded),
     )
 
@@ -196,3 +200,49 @@
 def test_bad_secrets_are_refused(secrets: tuple[bytes, ...]) -> None:
     with pytest.raises(SettingsError):
         PeerKeys(secrets)
+
+
+def test_what_may_be_lost_travels_as_a_datagram(peer: Peer) -> None:
+    links = link(peer, keys(NEW))
+    links.send(peer.node, Cancel(POOL, R0), reliable=False)
+    assert peer.got.get(timeout=TIMEOUT)[1] == [Cancel(POOL, R0)]
+    assert (links.counters.calls, links.counters.datagrams) == (0, 1)
+    links.close()
+
+
+def test_what_is_too_large_for_a_datagram_is_sent_as_a_call(peer: Peer) -> None:
+    links = link(peer, keys(NEW))
+    renew = Renew(POOL, tuple(RequestId(f"request-{n}") for n in range(500)), ())
+    links.send(peer.node, renew, reliable=False)
+    assert peer.got.get(timeout=TIMEOUT)[1] == [renew]
+    assert (links.counters.calls, links.counters.datagrams) == (1, 0)
+    links.close()
+
+
+@pytest.mark.parametrize("data", [b"x", b"\xff" * 100, b"\x00" * 1000])
+def test_a_garbage_datagram_is_dropped(peer: Peer, data: bytes) -> None:
+    host, _, port = peer.node.rpartition(":")
+    with socket.socket(type=socket.SOCK_DGRAM) as sock:
+        sock.sendto(data, (host, int(port)))
+    assert "dropped a datagram" in peer.complaints.get(timeout=TIMEOUT)
+    links = link(peer, keys(NEW))
+    links.send(peer.node, StateRequest(1), reliable=False)
+    assert peer.got.get(timeout=TIMEOUT)[1] == [StateRequest(1)]
+    links.close()
+
+
+@pytest.mark.parametrize(
+    ("sequences", "taken"),
+    [
+        ([1, 2, 3], [True, True, True]),
+        ([3, 1, 2, 3, 1], [True, True, True, False, False]),
+        ([5000, 1, 904, 905], [True, False, False, True]),
+        ([1, 9000, 1], [True, True, False]),
+    ],
+)
+def test_each_batch_is_taken_once_in_any_order(
+    sequences: list[int], taken: list[bool]
+) -> None:
+    window = ReplayWindow(7)
+    assert [window.take(7, number) for number in sequences] == taken
+    assert not window.take(6, 100_000)
--- a/tests/pools/test_entry.py
+++ b/tests/pools/test_entry.py
@@ -4,10 +4,12 @@
 
 from rudderpass._ids import NodeId, RequestId, UpstreamId
 from rudderpass.pools import (
+    ANSWER_SECONDS,
     Cancel,
     EntryDesk,
     Grant,
     Granted,
+    Queued,
     Refused,
     Release,
     Renew,
@@ -25,7 +27,7 @@
 
 def make_desk() -> EntryDesk:
     desk = EntryDesk(ZONE)
-    desk.submit(make_work(0), OWNER)
+    desk.submit(make_work(0), OWNER, 0.0)
     return desk
 
 
@@ -73,7 +75,7 @@
 
 def test_a_new_owner_is_told_everything() -> None:
     desk = make_desk()
-    desk.submit(make_work(1), OWNER)
+    desk.submit(make_work(1), OWNER, 0.0)
     desk.grant(OWNER, grant())
     sent = [
         item.message for item in desk.set_owner(POOL, NEXT) if isinstance(item, Send)
@@ -84,3 +86,18 @@
     reserved = [item for item in sent if isinstance(item, Reserve)]
     assert [item.reservation.request_id for item in reserved] == ["r0001"]
     assert desk.set_owner(POOL, NEXT) == []
+
+
+def test_an_owner_that_does_not_answer_is_asked_reliably() -> None:
+    desk = make_desk()
+    assert desk.ask_again(ANSWER_SECONDS / 2) == []
+    (again,) = desk.ask_again(ANSWER_SECONDS)
+    assert isinstance(again, Send) and again.reliable
+    assert isinstance(again.message, Reserve)
+    assert desk.ask_again(ANSWER_SECONDS + 0.1) == []
+
+
+def test_an_owner_that_has_queued_the_work_is_left_alone() -> None:
+    desk = make_desk()
+    desk.queued(Queued(POOL, R0))
+    assert desk.ask_again(100.0) == []
