Dispatch messages by a function, not a bound method

Cause: singledispatchmethod builds a wrapper at each call; in a profile of 40 nodes that was 14,884 wrappers, 3 % of the time.

Change: the core's handlers are functions of a plain singledispatch.

--- a/src/rudderpass/core/_core.py
+++ b/src/rudderpass/core/_core.py
@@ -6,7 +6,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from rudderpass._ids import (
     AvailabilityZone,
@@ -263,7 +263,7 @@
         """Take a peer's message."""
         news = self._view.note_heard(sender, now)
         actions = self._update_owners(now) if news else []
-        return [*actions, *self._receive(message, sender, now), *self._drain(now)]
+        return [*actions, *_receive(message, self, sender, now), *self._drain(now)]
 
     def note_unreachable(self, peer: NodeId, now: float) -> list[CoreAction]:
         """Take a failed call to a peer as evidence against it."""
@@ -451,69 +451,85 @@
         actions: list[CoreAction] = []
         while self._local:
             sender, message = self._local.popleft()
-            actions += self._receive(message, sender, now)
+            actions += _receive(message, self, sender, now)
         return actions
 
-    @singledispatchmethod
-    def _receive(
-        self, message: PeerMessage, sender: NodeId, now: float
-    ) -> list[CoreAction]:
-        raise TypeError(f"no handler for {type(message).__name__}")
-
-    @_receive.register
-    def _(self, message: Reserve, sender: NodeId, now: float) -> list[CoreAction]:
-        owner = self._own(message.reservation.pool, now)
-        return self._collect(owner.reserve(sender, message, now), now)
-
-    @_receive.register
-    def _(self, message: Cancel, sender: NodeId, now: float) -> list[CoreAction]:
-        owner = self._own(message.pool, now)
-        return self._collect(owner.cancel(message, now), now)
-
-    @_receive.register
-    def _(self, message: Release, sender: NodeId, now: float) -> list[CoreAction]:
-        owner = self._own(message.pool, now)
-        return self._collect(owner.release(message, now), now)
-
-    @_receive.register
-    def _(self, message: Renew, sender: NodeId, now: float) -> list[CoreAction]:
-        owner = self._own(message.pool, now)
-        return self._collect(owner.renew(sender, message, now), now)
-
-    @_receive.register
-    def _(self, message: Grant, sender: NodeId, now: float) -> list[CoreAction]:
-        return self._collect(self._entry.grant(sender, message), now)
-
-    @_receive.register
-    def _(self, message: Queued, sender: NodeId, now: float) -> list[CoreAction]:
-        return self._collect(self._entry.queued(message), now)
-
-    @_receive.register
-    def _(self, message: Shed, sender: NodeId, now: float) -> list[CoreAction]:
-        return self._collect(self._entry.shed(message), now)
-
-    @_receive.register
-    def _(self, message: Resend, sender: NodeId, now: float) -> list[CoreAction]:
-        return self._collect(self._entry.resend(sender, message), now)
-
-    @_receive.register
-    def _(self, message: Probe, sender: NodeId, now: float) -> list[CoreAction]:
-        self._view.note_probe(sender, message, now)
-        actions = self._update_owners(now)
-        if message.config_version > self._config.version:
-            actions.append(SendPeer(sender, StateRequest(self._config.version)))
-        return actions
 
-    @_receive.register
-    def _(self, message: StateRequest, sender: NodeId, now: float) -> list[CoreAction]:
-        if message.config_version >= self._config.version:
-            return []
-        state = dump_record(take_snapshot(self._config))
-        return [SendPeer(sender, StateReply(self._config.version, state))]
+@singledispatch
+def _receive(
+    message: PeerMessage, core: NodeCore, sender: NodeId, now: float
+) -> list[CoreAction]:
+    raise TypeError(f"no handler for {type(message).__name__}")
 
-    @_receive.register
-    def _(self, message: StateReply, sender: NodeId, now: float) -> list[CoreAction]:
-        snapshot = parse_snapshot(message.state)
-        if snapshot is None:
-            return []
-        return self.take_config(restore_snapshot(snapshot), f"peer {sender}", now)
+
+@_receive.register
+def _(message: Reserve, core: NodeCore, sender: NodeId, now: float) -> list[CoreAction]:
+    owner = core._own(message.reservation.pool, now)
+    return core._collect(owner.reserve(sender, message, now), now)
+
+
+@_receive.register
+def _(message: Cancel, core: NodeCore, sender: NodeId, now: float) -> list[CoreAction]:
+    owner = core._own(message.pool, now)
+    return core._collect(owner.cancel(message, now), now)
+
+
+@_receive.register
+def _(message: Release, core: NodeCore, sender: NodeId, now: float) -> list[CoreAction]:
+    owner = core._own(message.pool, now)
+    return core._collect(owner.release(message, now), now)
+
+
+@_receive.register
+def _(message: Renew, core: NodeCore, sender: NodeId, now: float) -> list[CoreAction]:
+    owner = core._own(message.pool, now)
+    return core._collect(owner.renew(sender, message, now), now)
+
+
+@_receive.register
+def _(message: Grant, core: NodeCore, sender: NodeId, now: float) -> list[CoreAction]:
+    return core._collect(core._entry.grant(sender, message), now)
+
+
+@_receive.register
+def _(message: Queued, core: NodeCore, sender: NodeId, now: float) -> list[CoreAction]:
+    return core._collect(core._entry.queued(message), now)
+
+
+@_receive.register
+def _(message: Shed, core: NodeCore, sender: NodeId, now: float) -> list[CoreAction]:
+    return core._collect(core._entry.shed(message), now)
+
+
+@_receive.register
+def _(message: Resend, core: NodeCore, sender: NodeId, now: float) -> list[CoreAction]:
+    return core._collect(core._entry.resend(sender, message), now)
+
+
+@_receive.register
+def _(message: Probe, core: NodeCore, sender: NodeId, now: float) -> list[CoreAction]:
+    core._view.note_probe(sender, message, now)
+    actions = core._update_owners(now)
+    if message.config_version > core._config.version:
+        actions.append(SendPeer(sender, StateRequest(core._config.version)))
+    return actions
+
+
+@_receive.register
+def _(
+    message: StateRequest, core: NodeCore, sender: NodeId, now: float
+) -> list[CoreAction]:
+    if message.config_version >= core._config.version:
+        return []
+    state = dump_record(take_snapshot(core._config))
+    return [SendPeer(sender, StateReply(core._config.version, state))]
+
+
+@_receive.register
+def _(
+    message: StateReply, core: NodeCore, sender: NodeId, now: float
+) -> list[CoreAction]:
+    snapshot = parse_snapshot(message.state)
+    if snapshot is None:
+        return []
+    return core.take_config(restore_snapshot(snapshot), f"peer {sender}", now)
