--- a/src/rudderpass/bench/_slopes.py
+++ b/src/rudderpass/bench/_slopes.py
@@ -31,6 +31,7 @@
     build_change,
     digest_token,
     dump_record,
+    restore_snapshot,
     take_snapshot,
 )
 from rudderpass.membership import HostRecord, Probe
@@ -153,14 +154,15 @@
         ]
         self.numbers = {core.node: number for number, core in enumerate(self.cores)}
         self.by_id = {core.node: core for core in self.cores}
-        for number, core in enumerate(self.cores):
-            if number == 0:
-                tracemalloc.start()
+        tracemalloc.start()
+        own = restore_snapshot(take_snapshot(state))
+        self.cores[0].take_hosts(hosts, 0.0)
+        self.cores[0].take_config(own, "bench", 0.0)
+        self.cost.state_bytes = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        for core in self.cores[1:]:
             core.take_hosts(hosts, 0.0)
             core.take_config(state, "bench", 0.0)
-            if number == 0:
-                self.cost.state_bytes = tracemalloc.get_traced_memory()[0]
-                tracemalloc.stop()
         self.measured = self._pick_measured()
 
     def _pick_measured(self) -> NodeCore:
--- a/src/rudderpass/cli/_declarations.py
+++ b/src/rudderpass/cli/_declarations.py
@@ -210,3 +210,11 @@
         "objects": [str(key) for key in verdict.keys],
         "conflicts": [conflict.show() for conflict in verdict.conflicts],
     }
+
+
+@click.command()
+@log_service_option
+def snapshot(log_service: str) -> None:
+    """Write the configuration in force again, so that older records may go."""
+    version = _publisher(log_service).write_snapshot()
+    click.echo(f"snapshot of version {version} written")
--- a/src/rudderpass/cli/_main.py
+++ b/src/rudderpass/cli/_main.py
@@ -11,7 +11,7 @@
     standin_engine,
     standin_platform,
 )
-from rudderpass.cli._declarations import apply, check, diff, get, history
+from rudderpass.cli._declarations import apply, check, diff, get, history, snapshot
 from rudderpass.cli._demo import demo
 from rudderpass.cli._nodes import logs, node, status
 from rudderpass.cli._replay import compare, make_trace, replay
@@ -35,6 +35,7 @@
     apply,
     get,
     history,
+    snapshot,
     status,
     logs,
     replay,
--- a/src/rudderpass/streams/_relay.py
+++ b/src/rudderpass/streams/_relay.py
@@ -86,6 +86,7 @@
         self.started = time.monotonic()
         self.last_read = self.started
         self.paused = False
+        self.paused_at = 0.0
         self.next_report = self.started + _REPORT_SECONDS
         self._decoder = ChunkDecoder() if chunked else None
         self._held = b""
@@ -266,6 +267,7 @@
             return
         if stream.caller.pending() > _MAX_PENDING_BYTES:
             stream.paused = True
+            stream.paused_at = now
             self._selector.unregister(stream.upstream)
 
     def _sweep(self, now: float) -> None:
@@ -281,6 +283,9 @@
 
     def _unpause(self, stream: _Stream, now: float) -> None:
         if stream.caller.pending() > _RESUME_PENDING_BYTES:
+            if now - stream.paused_at > stream.idle_timeout:
+                reason = f"the caller read nothing for {stream.idle_timeout:g} s"
+                self._end(stream, StreamEnd.CALLER_GONE, now, reason)
             return
         stream.paused = False
         stream.last_read = now
--- a/tests/streams/test_relay.py
+++ b/tests/streams/test_relay.py
@@ -128,3 +128,14 @@
     stuck.full = False
     far.sendall(chunk(DONE) + b"0\r\n\r\n")
     assert blocked.result(TIMEOUT).end is StreamEnd.COMPLETE
+
+
+def test_a_caller_that_never_reads_is_given_up(relay: Relay) -> None:
+    near, far = open_pair()
+    stuck = Sink()
+    stuck.full = True
+    future = relay.relay(near, b"", True, stuck.side(), 0.1)
+    far.sendall(chunk(EVENT))
+    result = future.result(TIMEOUT)
+    assert result.end is StreamEnd.CALLER_GONE and "read nothing" in result.reason
+    far.close()
