--- a/src/rudderpass/core/_messages.py
+++ b/src/rudderpass/core/_messages.py
@@ -14,6 +14,7 @@
 class RefusalKind(Enum):
     """Why a request cannot be served at all, as opposed to not now."""
 
+    UNKNOWN_TEAM = "unknown_team"
     UNKNOWN_CLASS = "unknown_class"
     CLASS_NOT_ALLOWED = "class_not_allowed"
     UNKNOWN_MODEL = "unknown_model"
--- a/src/rudderpass/gateway/_problems.py
+++ b/src/rudderpass/gateway/_problems.py
@@ -90,6 +90,7 @@
 
 
 _REJECTIONS: dict[RefusalKind, tuple[HTTPStatus, ProblemCode]] = {
+    RefusalKind.UNKNOWN_TEAM: (HTTPStatus.UNAUTHORIZED, ProblemCode.UNAUTHORIZED),
     RefusalKind.UNKNOWN_CLASS: (HTTPStatus.BAD_REQUEST, ProblemCode.UNKNOWN_CLASS),
     RefusalKind.CLASS_NOT_ALLOWED: (
         HTTPStatus.FORBIDDEN,
