Run keyed work at most once, by claims in the platform's log

Cause: two requests with the same idempotency key, through any nodes, both ran.

Change: a keyed request to a route that may not be repeated first claims its key in a log stream; the first claim in offset order wins, and its node dispatches only after reading it back. Work that was not run is released; a completed answer is kept and given to later requests with the key.

--- a/src/rudderpass/core/_matching.py
+++ b/src/rudderpass/core/_matching.py
@@ -11,6 +11,10 @@
 from rudderpass.routing import RouteMatch, find_route
 
 _REASONS_SHOWN = 3
+_TYPICAL_GAP_SECONDS = 0.03
+_LEAST_START_SHARE = 0.1
+_DESK_WORK = 1.0
+"""Work of a desk's request, which makes no tokens."""
 
 
 @dataclass(frozen=True)
@@ -65,6 +69,8 @@
     now: float,
 ) -> Reservation:
     """Return the reservation to send to the pool's owner."""
+    if submission.model is None:
+        expected_tokens = _DESK_WORK
     spec = matched.service_class
     return Reservation(
         request_id=submission.request_id,
@@ -73,7 +79,7 @@
         tier=spec.tier,
         team=submission.team,
         arrived=now if submission.arrived is None else submission.arrived,
-        start_target=spec.start_target,
+        start_target=_start_target(spec, expected_tokens),
         max_wait=spec.max_wait_seconds,
         expected_tokens=expected_tokens,
         prefix_hash=submission.prefix_hash,
@@ -85,6 +91,17 @@
     )
 
 
+def _start_target(spec: ServiceClassSpec, expected_tokens: float) -> float:
+    """Return within how many seconds work must start to meet its target.
+
+    A target for the whole answer leaves less time to wait, the longer it will run.
+    """
+    if spec.targets.first_token_seconds is not None:
+        return spec.start_target
+    running = expected_tokens * _TYPICAL_GAP_SECONDS
+    return max(spec.start_target - running, spec.start_target * _LEAST_START_SHARE)
+
+
 def _upstreams_to_name(
     route: RouteMatch, excluded: tuple[UpstreamId, ...]
 ) -> tuple[UpstreamId, ...]:
--- a/src/rudderpass/declarations/__init__.py
+++ b/src/rudderpass/declarations/__init__.py
@@ -1,5 +1,6 @@
 """Declarations: objects, selectors, files, and the version in force."""
 
+from rudderpass.declarations._base import Spec as Spec
 from rudderpass.declarations._catalog import (
     Catalog as Catalog,
     ObjectKey as ObjectKey,
--- a/src/rudderpass/gateway/__init__.py
+++ b/src/rudderpass/gateway/__init__.py
@@ -1,6 +1,7 @@
 """The gateway: callers' HTTP requests, their checks, and their answers."""
 
 from rudderpass.gateway._app import Gateway as Gateway
+from rudderpass.gateway._keyed import REPLAYED_HEADER as REPLAYED_HEADER
 from rudderpass.gateway._problems import (
     OUTCOME_HEADER as OUTCOME_HEADER,
     REQUEST_ID_HEADER as REQUEST_ID_HEADER,
@@ -14,12 +15,12 @@
     CallerRequest as CallerRequest,
     read_request as read_request,
 )
-from rudderpass.gateway._serve import Services as Services
 from rudderpass.gateway._server import (
     PENDING_KEY as PENDING_KEY,
     HttpServer as HttpServer,
     ServerLimits as ServerLimits,
 )
+from rudderpass.gateway._services import Services as Services
 from rudderpass.gateway._ticket import (
     Admission as Admission,
     Decision as Decision,
--- a/src/rudderpass/gateway/_app.py
+++ b/src/rudderpass/gateway/_app.py
@@ -11,8 +11,9 @@
 
 from rudderpass.gateway._problems import OUTCOME_HEADER, REQUEST_ID_HEADER, Problem
 from rudderpass.gateway._request import CallerRequest, new_request_id, read_request
-from rudderpass.gateway._serve import Caller, Services, Serving, StartResponse
+from rudderpass.gateway._serve import Caller, Serving, StartResponse
 from rudderpass.gateway._server import GONE_KEY, PENDING_KEY
+from rudderpass.gateway._services import Services
 from rudderpass.observe import log
 from rudderpass.streams import Outcome
 
--- a/src/rudderpass/gateway/_problems.py
+++ b/src/rudderpass/gateway/_problems.py
@@ -32,6 +32,7 @@
     OVERLOADED = "overloaded"
     NOT_READY = "not_ready"
     UPSTREAM_FAILED = "upstream_failed"
+    KEY_REUSED = "idempotency_key_reused"
     KEY_IN_USE = "idempotency_key_in_use"
     KEY_NOT_USABLE = "idempotency_unavailable"
 
@@ -73,7 +74,7 @@
 
     def status_line(self) -> str:
         """Return code and phrase."""
-        return f"{self.status.value} {self.status.phrase}"
+        return status_line(self.status.value)
 
     def event(self) -> bytes:
         """Return the error as an event inside a stream."""
@@ -104,6 +105,14 @@
 }
 
 
+def status_line(status: int) -> str:
+    """Return a status code with its phrase."""
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Status"
+
+
 def problem_of_rejection(
     kind: RefusalKind, message: str, retry_after: float | None, outcome: Outcome
 ) -> Problem:
--- a/src/rudderpass/gateway/_serve.py
+++ b/src/rudderpass/gateway/_serve.py
@@ -13,6 +13,7 @@
 from rudderpass.core import Admitted, Rejected, Submission
 from rudderpass.declarations import UpstreamKind, UpstreamSpec
 from rudderpass.errors import CallerGone, UpstreamError
+from rudderpass.gateway._keyed import REPLAYED_HEADER, KeyedWork
 from rudderpass.gateway._problems import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
@@ -20,12 +21,14 @@
     ProblemCode,
     overloaded,
     problem_of_rejection,
+    status_line,
 )
+from rudderpass.gateway._recording import AnswerRecorder
 from rudderpass.gateway._request import CallerRequest
 from rudderpass.gateway._server import convert_disconnect
-from rudderpass.gateway._ticket import Admission, Ticket
-from rudderpass.gateway._watch import CallerWatch
-from rudderpass.observe import Latency, NodeMetrics, log
+from rudderpass.gateway._services import Services
+from rudderpass.gateway._ticket import Ticket
+from rudderpass.observe import Latency, log
 from rudderpass.pools import Granted, Refused
 from rudderpass.routing import Ending, Usage
 from rudderpass.streams import (
@@ -33,7 +36,6 @@
     CallerSide,
     NextStep,
     Outcome,
-    Relay,
     RetryBudget,
     StreamEnd,
     StreamResult,
@@ -53,23 +55,6 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], Callable[[bytes], object]]
 
 
-@dataclass
-class Services:
-    """What serving needs, passed explicitly.
-
-    :param upstream_timeout: seconds of silence after which an exchange failed.
-    :param is_full: tells whether the server runs short of threads.
-    """
-
-    admission: Admission
-    relay: Relay
-    watch: CallerWatch
-    metrics: NodeMetrics
-    budgets: dict[ClassName, RetryBudget]
-    upstream_timeout: float
-    is_full: Callable[[], bool] = lambda: False
-
-
 @dataclass
 class Caller:
     """The caller's end of one request."""
@@ -100,15 +85,15 @@
         self._admitted: Admitted | None = None
         self._write: Callable[[bytes], object] | None = None
         self._excluded: tuple[UpstreamId, ...] = ()
-        self._first_token: float | None = None
-        self._worst_gap = 0.0
+        self._recorder = AnswerRecorder(services, request, self._arrived)
+        self._keyed: KeyedWork | None = None
 
     def run(self) -> Iterable[bytes]:
         """Return the answer's body; streamed answers are written meanwhile."""
         try:
             return self._run_attempts()
         except CallerGone:
-            self._record(Outcome.UNKNOWN, attained=None)
+            self._recorder.record(Outcome.UNKNOWN, self._state.produced)
             log(
                 "answer",
                 f"{self._request.request_id} caller is gone.",
@@ -119,8 +104,13 @@
     def _run_attempts(self) -> Iterable[bytes]:
         while True:
             attempt = RequestId(f"{self._request.request_id}.{self._state.attempts}")
+            attempt_is_first = self._state.attempts == 0
             ticket = self._services.admission.submit(self._submission(attempt))
             self._note_admitted(ticket)
+            if attempt_is_first and self._needs_claim():
+                answer = self._claim(attempt)
+                if answer is not None:
+                    return answer
             if self._services.is_full():
                 self._services.admission.shed_lowest("this node is full")
             granted = self._await_grant(attempt, ticket)
@@ -134,6 +124,33 @@
                 if problem is not None:
                     return self._fail(problem)
 
+    def _needs_claim(self) -> bool:
+        admitted = self._admitted
+        if admitted is None or admitted.repeatable:
+            return False
+        return self._request.key is not None
+
+    def _claim(self, attempt: RequestId) -> Iterable[bytes] | None:
+        """Claim the key; return an answer if this request may not run the work."""
+        assert self._admitted is not None
+        keyed = KeyedWork(self._services.claimer, self._request, self._admitted.route)
+        refusal = keyed.acquire()
+        if refusal is None:
+            self._keyed = keyed
+            return None
+        self._services.admission.finish(attempt, Usage(Ending.CANCELLED))
+        if isinstance(refusal, Problem):
+            return self._fail(refusal)
+        self._recorder.record(Outcome.COMPLETED, 0)
+        headers = [
+            ("Content-Type", refusal.content_type),
+            (REQUEST_ID_HEADER, self._request.request_id),
+            (OUTCOME_HEADER, Outcome.COMPLETED.value),
+            (REPLAYED_HEADER, "true"),
+        ]
+        self._caller.start_response(status_line(refusal.status), headers)
+        return [refusal.body]
+
     def _submission(self, attempt: RequestId) -> Submission:
         request = self._request
         return Submission(
@@ -155,6 +172,7 @@
         if admitted is None or self._admitted is not None:
             return
         self._admitted = admitted
+        self._recorder.service_class = admitted.service_class
         self._state = replace(self._state, repeatable=admitted.repeatable)
         spec = self._services.admission.catalog.classes.get(admitted.service_class)
         if spec is not None:
@@ -299,10 +317,9 @@
         )
 
     def _note_tokens(self, result: StreamResult, relayed_from: float) -> None:
-        if result.tokens and self._first_token is None:
-            first_token = relayed_from + result.first_token - self._arrived
-            self._first_token = first_token
-        self._worst_gap = max(self._worst_gap, result.worst_gap)
+        if result.tokens:
+            self._recorder.note_first_token(relayed_from + result.first_token)
+        self._recorder.note_gap(result.worst_gap)
         produced = self._state.produced + result.tokens
         self._state = replace(self._state, produced=produced)
 
@@ -313,7 +330,7 @@
             self._write(comment.encode())
         except CallerGone:
             pass
-        self._record_completed(self._state.produced)
+        self._recorder.record_completed(self._state.produced)
 
     def _pass_whole(
         self, answer: OpenAnswer, spec: UpstreamSpec, began: float
@@ -334,11 +351,13 @@
             (REQUEST_ID_HEADER, self._request.request_id),
             (OUTCOME_HEADER, outcome.value),
         ]
-        self._caller.start_response(_status_line(whole.status), headers)
+        self._caller.start_response(status_line(whole.status), headers)
         if failed:
-            self._record(outcome, attained=None)
+            self._recorder.record(outcome, 0)
         else:
-            self._record_completed(tokens)
+            self._recorder.record_completed(tokens)
+            if self._keyed is not None:
+                self._keyed.finish(whole)
         return usage, [whole.body]
 
     def _after_failure(self, granted: Granted, error: UpstreamError) -> Problem | None:
@@ -368,7 +387,9 @@
         )
 
     def _fail(self, problem: Problem) -> Iterable[bytes]:
-        self._record(problem.outcome, attained=None)
+        self._recorder.record(problem.outcome, self._state.produced)
+        if self._keyed is not None and problem.outcome is Outcome.NOT_RUN:
+            self._keyed.release()
         if self._write is None:
             headers = problem.headers(self._request.request_id)
             self._caller.start_response(problem.status_line(), headers)
@@ -381,44 +402,6 @@
     def _budget(self, name: ClassName) -> RetryBudget:
         return self._services.budgets.setdefault(name, RetryBudget())
 
-    def _record(self, outcome: Outcome, attained: bool | None) -> None:
-        if self._admitted is None:
-            return
-        name = self._admitted.service_class
-        self._services.metrics.record_answer(name, outcome, attained)
-        if outcome is not Outcome.COMPLETED and self._state.produced:
-            self._services.metrics.record_tokens(name, 0, self._state.produced)
-
-    def _record_completed(self, tokens: int) -> None:
-        if self._admitted is None:
-            return
-        name = self._admitted.service_class
-        metrics = self._services.metrics
-        whole = time.monotonic() - self._arrived
-        metrics.record_latency(Latency.WHOLE_ANSWER, name, whole)
-        if self._first_token is not None:
-            metrics.record_latency(Latency.FIRST_TOKEN, name, self._first_token)
-            metrics.record_latency(Latency.BETWEEN_TOKENS, name, self._worst_gap)
-        metrics.record_tokens(name, tokens, 0)
-        self._record(Outcome.COMPLETED, self._has_attained(name, whole, tokens))
-
-    def _has_attained(self, name: ClassName, whole: float, tokens: int) -> bool | None:
-        spec = self._services.admission.catalog.classes.get(name)
-        if spec is None:
-            return None
-        targets = spec.targets
-        first_token = whole if self._first_token is None else self._first_token
-        if targets.first_token_seconds is not None and self._request.stream:
-            if first_token > targets.first_token_seconds:
-                return False
-        if targets.between_tokens_seconds is not None and tokens > 1:
-            mean_gap = (whole - first_token) / (tokens - 1)
-            if mean_gap > targets.between_tokens_seconds:
-                return False
-        if targets.whole_answer_seconds is not None:
-            return whole <= targets.whole_answer_seconds
-        return True
-
 
 class _StreamBroken(Exception):
     """A broken stream and what had passed of it."""
@@ -429,13 +412,6 @@
         self.usage = usage
 
 
-def _status_line(status: int) -> str:
-    try:
-        return f"{status} {HTTPStatus(status).phrase}"
-    except ValueError:
-        return f"{status} Status"
-
-
 def _count_tokens(answer: WholeAnswer) -> int:
     """Return the tokens that an engine's whole answer reports, 0 if it does not."""
     if not answer.content_type.startswith("application/json"):
--- a/src/rudderpass/node/_node.py
+++ b/src/rudderpass/node/_node.py
@@ -7,6 +7,7 @@
 import time
 
 from rudderpass._ids import AvailabilityZone, ClassName, RequestId
+from rudderpass.claims import Claimer
 from rudderpass.core import NodeCore, Submission
 from rudderpass.declarations import Catalog
 from rudderpass.gateway import CallerWatch, Gateway, HttpServer, Services, Ticket
@@ -68,8 +69,10 @@
         zone = AvailabilityZone(settings.zone)
         self._runtime = NodeRuntime(settings.peer, zone, settings.keys)
         self._relay = Relay()
+        log_service = HttpLogService(settings.log_service)
         self._watch = CallerWatch()
         self._metrics = NodeMetrics(self._gauges)
+        self._claimer = Claimer(log_service, self._complain)
         budgets: dict[ClassName, RetryBudget] = {}
         services = Services(
             RuntimeAdmission(self._runtime),
@@ -78,13 +81,14 @@
             self._metrics,
             budgets,
             settings.upstream_timeout,
+            self._claimer,
         )
         self._gateway = Gateway(services, settings.limits.threads)
         self._server = HttpServer(self._gateway, settings.listen, settings.limits)
         admin = AdminApp(self.status, self._metrics.expose)
         self._admin = make_admin_server(admin, settings.admin)
         self._follower = PlatformFollower(
-            HttpLogService(settings.log_service),
+            log_service,
             HttpHostList(settings.host_list),
             lambda: self._runtime.core.config,
             self._runtime.take_config,
@@ -119,6 +123,7 @@
         self._runtime.start()
         self._admin.start()
         self._follower.start()
+        self._claimer.start()
         self._server.start()
         log("node", f"listening on {self.address}.", node=self._runtime.core.node)
 
@@ -157,6 +162,7 @@
     def kill(self) -> None:
         """Close everything at once, as a crash would."""
         self._follower.close()
+        self._claimer.close()
         self._watch.close()
         self._runtime.close()
         self._server.close()
@@ -169,6 +175,9 @@
         assert isinstance(status, NodeStatus)
         return status
 
+    def _complain(self, text: str) -> None:
+        log("claims", f"{text}.", node=self._runtime.core.node)
+
     def _wait_drained(self, seconds: float, until_empty: bool) -> None:
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline and not self._cut.is_set():
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -10,7 +10,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from rudderpass.membership import HostState
-from rudderpass.standins import booking_of, mark_prompt, plan_answer
+from rudderpass.standins import LogFault, booking_of, mark_prompt, plan_answer
 from tests.gateway.conftest import TIMEOUT, TOKEN, Bench, Reply, chat
 
 
@@ -152,14 +152,15 @@
 
 def test_a_second_signal_says_what_it_cuts(bench: Bench) -> None:
     connection = open_stream(bench, mark_prompt("hello", "endless", 100_000))
-    connection.getresponse().read1(10)
+    response = connection.getresponse()
+    response.read1(10)
     stopping = threading.Thread(target=bench.node.stop)
     stopping.start()
     wait_until(lambda: not bench.node.runtime.core.is_ready)
     assert bench.node.cut_short() == 1
     stopping.join(TIMEOUT)
     assert not stopping.is_alive()
-    connection.close()
+    response.close()
 
 
 def test_a_leaving_engine_gets_no_new_work(bench: Bench) -> None:
@@ -177,3 +178,44 @@
         assert bench.call(chat(f"hello {number}")).status == 200
     assert leaving.counts.starts.total() == 0
     assert staying.counts.starts.total() == 8
+
+
+def book(bench: Bench, body: bytes, key: str) -> Reply:
+    return bench.call(body, path="/bookings/hold", Idempotency_Key=key)
+
+
+def test_the_same_key_runs_once_and_gets_the_same_answer(bench: Bench) -> None:
+    with ThreadPoolExecutor(8) as callers:
+        replies = list(
+            callers.map(lambda _: book(bench, b'{"item": 5}', "key-5"), range(8))
+        )
+    expected = {"booking": booking_of(b'{"item": 5}')}
+    assert all(reply.json == expected for reply in replies)
+    replayed = [reply for reply in replies if "X-Rudderpass-Replayed" in reply.headers]
+    assert len(replayed) == 7
+    assert bench.desk.starts[booking_of(b'{"item": 5}')] == 1
+
+
+def test_a_key_used_with_another_body_is_refused(bench: Bench) -> None:
+    book(bench, b'{"item": 6}', "key-6")
+    reply = book(bench, b'{"item": 7}', "key-6")
+    assert reply.status == 422 and reply.error["code"] == "idempotency_key_reused"
+    assert bench.desk.starts[booking_of(b'{"item": 7}')] == 0
+
+
+def test_a_key_whose_work_was_not_run_can_be_used_again(bench: Bench) -> None:
+    bench.desk.refuse = 99
+    assert book(bench, b'{"item": 8}', "key-8").status == 502
+    bench.desk.refuse = 0
+    assert book(bench, b'{"item": 8}', "key-8").status == 200
+    assert bench.desk.starts[booking_of(b'{"item": 8}')] == 1
+
+
+def test_while_the_log_is_down_keyed_work_is_not_run(bench: Bench) -> None:
+    bench.log.fault = LogFault.DOWN
+    reply = book(bench, b'{"item": 9}', "key-9")
+    assert reply.status == 503
+    assert reply.headers["X-Rudderpass-Outcome"] == "not-run"
+    assert "Retry-After" in reply.headers
+    assert bench.desk.starts[booking_of(b'{"item": 9}')] == 0
+    assert bench.call(b'{"item": 10}', path="/bookings/hold").status == 200
