--- a/src/rudderpass/demo/_run.py
+++ b/src/rudderpass/demo/_run.py
@@ -22,6 +22,9 @@
 _CALLERS = 512
 _NODES = 3
 _SEED = 20
+_COPIES_OF_KEYED = 2
+"""A request with a key is sent twice, as by a caller that lost patience."""
+
 _POLL_SECONDS = 0.1
 _CHANGE_AT = 0.35
 _LEAVE_AT = 0.6
@@ -100,9 +103,10 @@
             pause = started + arrival.at - time.monotonic()
             if pause > 0:
                 time.sleep(pause)
-            node = self._world.choose_node()
-            address = self._world.nodes[node].address
-            futures.append(callers.submit(send, arrival, node, address))
+            for _ in range(_COPIES_OF_KEYED if arrival.key else 1):
+                node = self._world.choose_node()
+                address = self._world.nodes[node].address
+                futures.append(callers.submit(send, arrival, node, address))
             if time.monotonic() >= next_report:
                 next_report += 2.0
                 self._report(futures, arrival.at)
@@ -111,7 +115,9 @@
 
     def _report(self, futures: Sequence[Future[Answer]], at: float) -> None:
         answered = sum(future.done() for future in futures)
-        total = len(self._arrivals)
+        total = sum(
+            _COPIES_OF_KEYED if arrival.key else 1 for arrival in self._arrivals
+        )
         self._progress(f"{at:5.1f} s: {len(futures)}/{total} sent, {answered} answered")
 
     def _watch_versions(self) -> None:
