--- a/src/rudderpass/replay/_result.py
+++ b/src/rudderpass/replay/_result.py
@@ -7,7 +7,8 @@
 
 from rudderpass._ids import ClassName
 from rudderpass.declarations import Catalog, ServiceClassSpec
-from rudderpass.replay._cluster import Caller, Cluster
+from rudderpass.replay._cluster import Cluster
+from rudderpass.replay._virtual import Caller
 from rudderpass.streams import Outcome
 
 
