--- a/src/rudderpass/cli/_demo.py
+++ b/src/rudderpass/cli/_demo.py
@@ -41,6 +41,11 @@
     type=click.Path(dir_okay=False, path_type=Path),
     help="Write the nodes' structured logs there.",
 )
+@click.option(
+    "--faults",
+    is_flag=True,
+    help="Also crash an engine, pause a node, and let the log fail.",
+)
 @click.option(
     "--serve",
     is_flag=True,
@@ -52,6 +57,7 @@
     examples: Path,
     trace: Path | None,
     log_file: Path | None,
+    faults: bool,
     serve: bool,
     as_json: bool,
 ) -> None:
@@ -70,7 +76,7 @@
         _serve(directory)
         return
     lines = read_trace(trace or directory / "trace.jsonl")
-    options = DemoOptions(profile, directory)
+    options = DemoOptions(profile, directory, faults)
     result = run_demo(options, lines, lambda text: click.echo(text, err=True))
     if as_json:
         print_json(result.as_json())
--- a/src/rudderpass/demo/_checks.py
+++ b/src/rudderpass/demo/_checks.py
@@ -47,6 +47,7 @@
     in_force_after: list[float] = field(default_factory=list)
     versions: list[list[int]] = field(default_factory=list)
     stale_refused: bool | None = None
+    faults: int = 0
 
 
 def check_promises(
@@ -82,7 +83,7 @@
         if answer.outcome is not Outcome.NOT_RUN:
             continue
         starts = sum(
-            engine.counts.starts[answer.request_id] for engine in world.engines.values()
+            engine.counts.starts[answer.request_id] for engine in world.all_engines
         )
         starts += sum(desk.starts[answer.booking] for desk in world.desks.values())
         promise.test(starts == 0, f"{answer.arrival.id}: started {starts} times")
--- a/src/rudderpass/demo/_report.py
+++ b/src/rudderpass/demo/_report.py
@@ -43,6 +43,7 @@
     engine_tokens: int
     wasted_tokens: int
     promises: tuple[Promise, ...]
+    faults: int = 0
 
     @property
     def kept(self) -> bool:
@@ -123,6 +124,7 @@
         "",
         f"goodput is in tokens a second; wasted work: {result.wasted_tokens} of "
         f"{result.engine_tokens} tokens ({share:.2%})",
+        f"faults caused: {result.faults}",
         "",
         f"{'promise':<64}{'tested':>8}{'broken':>8}",
     ]
--- a/src/rudderpass/demo/_run.py
+++ b/src/rudderpass/demo/_run.py
@@ -18,6 +18,7 @@
 from rudderpass.errors import DeclarationError
 from rudderpass.membership import HostState
 from rudderpass.replay import Arrival, TraceLine
+from rudderpass.standins import LogFault
 
 _CALLERS = 512
 _NODES = 3
@@ -26,7 +27,13 @@
 """A request with a key is sent twice, as by a caller that lost patience."""
 
 _POLL_SECONDS = 0.1
+_CRASH_AT = 0.15
+_CRASH_SECONDS = 4.0
 _CHANGE_AT = 0.35
+_LOG_DOWN_AT = 0.42
+_LOG_DOWN_SECONDS = 4.0
+_PAUSE_AT = 0.66
+_PAUSE_SECONDS = 2.5
 _LEAVE_AT = 0.6
 _STOP_AT = 0.75
 
@@ -39,10 +46,12 @@
 
     :param profile: the example's name.
     :param directory: its declarations.
+    :param faults: also crash an engine, pause a node, and let the log fail.
     """
 
     profile: str
     directory: Path
+    faults: bool = False
 
 
 def run_demo(
@@ -53,7 +62,7 @@
     progress("starting stand-ins and nodes")
     try:
         world.start()
-        return _Run(world, trace, progress).run(options.profile)
+        return _Run(world, trace, progress, options.faults).run(options.profile)
     finally:
         world.close()
 
@@ -62,9 +71,14 @@
     """One trace on one world."""
 
     def __init__(
-        self, world: World, trace: Sequence[TraceLine], progress: Progress
+        self,
+        world: World,
+        trace: Sequence[TraceLine],
+        progress: Progress,
+        with_faults: bool,
     ) -> None:
         self._world = world
+        self._with_faults = with_faults
         self._arrivals = [line for line in trace if isinstance(line, Arrival)]
         self._progress = progress
         self._incidents = Incidents(versions=[[] for _ in world.nodes])
@@ -89,11 +103,7 @@
         self, callers: ThreadPoolExecutor, started: float
     ) -> list[Future[Answer]]:
         last = self._arrivals[-1].at
-        incidents = [
-            (_CHANGE_AT * last, self._change_configuration),
-            (_LEAVE_AT * last, self._leave_upstream),
-            (_STOP_AT * last, self._stop_node),
-        ]
+        incidents = self._plan_incidents(last)
         futures: list[Future[Answer]] = []
         next_report = started
         for arrival in self._arrivals:
@@ -113,6 +123,22 @@
         self._progress(f"all {len(futures)} requests sent, waiting for answers")
         return futures
 
+    def _plan_incidents(self, last: float) -> list[tuple[float, Callable[[], None]]]:
+        planned = [
+            (_CHANGE_AT, self._change_configuration),
+            (_LEAVE_AT, self._leave_upstream),
+            (_STOP_AT, self._stop_node),
+        ]
+        if self._with_faults:
+            planned += [
+                (_CRASH_AT, self._crash_engine),
+                (_LOG_DOWN_AT, self._take_log_down),
+                (_PAUSE_AT, self._pause_node),
+            ]
+        return sorted(
+            ((share * last, act) for share, act in planned), key=lambda item: item[0]
+        )
+
     def _report(self, futures: Sequence[Future[Answer]], at: float) -> None:
         answered = sum(future.done() for future in futures)
         total = sum(
@@ -132,7 +158,12 @@
         base = self._world.state()
         first = _with_floor(self._world, 0.04)
         second = _with_floor(self._world, 0.06)
+        if self._with_faults:
+            self._progress("the log loses the answer to the append")
+            self._incidents.faults += 1
+            self._world.log.fault = LogFault.APPEND_ANSWER_LOST
         applied = self._world.apply(first, "operator-a", base)
+        self._world.log.fault = LogFault.NONE
         self._incidents.applied_at = time.monotonic()
         try:
             self._world.apply(second, "operator-b", base)
@@ -145,21 +176,41 @@
             after = time.monotonic() - self._incidents.applied_at
             self._incidents.in_force_after.append(after)
 
+    def _crash_engine(self) -> None:
+        name = self._busiest_engines()[0]
+        self._progress(f"engine {name} crashes for {_CRASH_SECONDS:g} s")
+        self._incidents.faults += 1
+        self._world.crash_engine(name)
+        time.sleep(_CRASH_SECONDS)
+        self._world.restart_engine(name)
+
+    def _take_log_down(self) -> None:
+        self._progress(f"the log service is down for {_LOG_DOWN_SECONDS:g} s")
+        self._incidents.faults += 1
+        self._world.log.fault = LogFault.DOWN
+        time.sleep(_LOG_DOWN_SECONDS)
+        self._world.log.fault = LogFault.NONE
+
+    def _pause_node(self) -> None:
+        self._progress(f"node 2 is paused for {_PAUSE_SECONDS:g} s")
+        self._incidents.faults += 1
+        self._world.pause_node(1, _PAUSE_SECONDS)
+
     def _leave_upstream(self) -> None:
-        name = self._last_engine()
+        name = self._busiest_engines()[-1]
         self._progress(f"upstream {name} is leaving")
         engine = self._world.engines[name]
         self._incidents.leaving_upstream = name
         self._incidents.leaving_at = time.monotonic()
         self._world.hosts.set_upstream(engine.address, HostState.LEAVING)
 
-    def _last_engine(self) -> UpstreamId:
-        """Return the last engine of the runner that the burst meets."""
+    def _busiest_engines(self) -> list[UpstreamId]:
+        """Return the engines of the runner that most requests go to."""
         models = [line.model for line in self._arrivals if line.model]
         busiest = max(sorted(set(models)), key=models.count)
         routes = self._world.catalog.routes.values()
         runner = next(route.runner for route in routes if busiest in route.models)
-        return list(self._world.catalog.pools[PoolId(runner)])[-1]
+        return list(self._world.catalog.pools[PoolId(runner)])
 
     def _stop_node(self) -> None:
         number = len(self._world.nodes) - 1
@@ -172,7 +223,7 @@
     def _judge(
         self, profile: str, answers: Sequence[Answer], seconds: float
     ) -> DemoResult:
-        engines = self._world.engines.values()
+        engines = self._world.all_engines
         return DemoResult(
             profile=profile,
             seconds=seconds,
@@ -180,6 +231,7 @@
             engine_tokens=sum(engine.counts.tokens for engine in engines),
             wasted_tokens=sum(engine.counts.wasted for engine in engines),
             promises=tuple(check_promises(self._world, answers, self._incidents)),
+            faults=self._incidents.faults,
         )
 
 
--- a/src/rudderpass/demo/_world.py
+++ b/src/rudderpass/demo/_world.py
@@ -12,6 +12,7 @@
 from returns.result import Failure
 
 from rudderpass._ids import AvailabilityZone, UpstreamId
+from rudderpass.core import NodeCore
 from rudderpass.declarations import (
     Catalog,
     ConfigState,
@@ -75,6 +76,7 @@
         self.hosts = StandInHostList(lag=0.5)
         self.weights = StandInWeightStore()
         self.engines: dict[UpstreamId, StandInEngine] = {}
+        self.crashed: list[StandInEngine] = []
         self.desks: dict[UpstreamId, StandInDesk] = {}
         self.nodes: list[Node] = []
         self.stopped: set[int] = set()
@@ -137,6 +139,30 @@
         ]
         return self.rng.choice(ready)
 
+    @property
+    def all_engines(self) -> list[StandInEngine]:
+        """Engines that run, and those that crashed before."""
+        return [*self.engines.values(), *self.crashed]
+
+    def crash_engine(self, name: UpstreamId) -> None:
+        """Cut all that an engine runs and refuse connections to it."""
+        self.engines[name].close()
+
+    def restart_engine(self, name: UpstreamId) -> None:
+        """Start an engine again where it was, with an empty cache."""
+        old = self.engines[name]
+        self.crashed.append(old)
+        engine = self.engines[name] = StandInEngine(old.speed, old.address)
+        engine.start()
+
+    def pause_node(self, number: int, seconds: float) -> None:
+        """Hold a node's decisions, as a frozen process would."""
+
+        def hold(core: NodeCore) -> None:
+            time.sleep(seconds)
+
+        self.nodes[number].runtime.locked(hold)
+
     def stop_node(self, number: int) -> threading.Thread:
         """Begin a planned stop of one node."""
         node = self.nodes[number]
--- a/tests/declarations/test_history.py
+++ b/tests/declarations/test_history.py
@@ -111,8 +111,13 @@
     def change_against_some_version(self, back: int, floor: float) -> None:
         known = self.states[max(1, len(self.states) - 1 - back)]
         change = build_change(known, with_floor(known.catalog, floor), "racer")
-        if change is not None:
-            self.append(change)
+        if change is None:
+            return
+        before = self.states[-1]
+        stands = known.version_of(URGENT) == before.version_of(URGENT)
+        self.append(change)
+        is_in_force = self.states[-1].version_of(URGENT) == self.states[-1].version
+        assert is_in_force is stands
 
     @rule()
     def write_snapshot(self) -> None:
--- a/tests/pools/test_owner.py
+++ b/tests/pools/test_owner.py
@@ -7,10 +7,17 @@
 
 import hypothesis.strategies as st
 import pytest
-from hypothesis import settings
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis import Phase, settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
 
 from rudderpass._ids import ClassName, NodeId, RequestId, TeamId, UpstreamId
+from rudderpass.admission import Reservation
 from rudderpass.pools import (
     GRACE_SECONDS,
     LEASE_INTERVALS,
@@ -26,6 +33,7 @@
     Send,
     Shed,
 )
+from rudderpass.pools._messages import OwnerAction
 from rudderpass.routing import Ending, Usage
 from tests.builders import POOL, ZONE, make_upstream, make_work
 
@@ -212,10 +220,11 @@
     """Two entry nodes use one owner; messages may be repeated or lost."""
 
     slots = 3
+    owner_type = PoolOwner
 
     def __init__(self) -> None:
         super().__init__()
-        self.owner = PoolOwner(POOL, 1, START)
+        self.owner = self.owner_type(POOL, 1, START)
         self.owner.set_upstreams({U1: make_upstream(slots=self.slots)}, (), 1.0)
         self.now = READY
         self.number = 0
@@ -304,7 +313,33 @@
         assert self.owner.waiting <= len(self.waiting)
 
 
-OwnerMachine.TestCase.settings = settings(
-    max_examples=120, stateful_step_count=60, deadline=None, derandomize=True
+STEPS = settings(
+    max_examples=150, stateful_step_count=60, deadline=None, derandomize=True
 )
+OwnerMachine.TestCase.settings = STEPS
 TestOwnerMachine = OwnerMachine.TestCase
+
+
+class ShedsAnyTier(PoolOwner):
+    """Broken on purpose: sheds although lower-tier work holds a slot."""
+
+    def _is_protected(self, victim: Reservation) -> bool:
+        return False
+
+
+class ForgetsReleases(PoolOwner):
+    """Broken on purpose: a repeated release frees a second slot."""
+
+    def release(self, message: Release, now: float) -> list[OwnerAction]:
+        upstream = self._upstreams[message.upstream]
+        upstream.running = max(0, upstream.running - 1)
+        return super().release(message, now)
+
+
+@pytest.mark.parametrize("broken", [ShedsAnyTier, ForgetsReleases])
+def test_the_check_catches_a_broken_owner(broken: type[PoolOwner]) -> None:
+    machine = type("Broken", (OwnerMachine,), {"owner_type": broken})
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(
+            machine, settings=settings(STEPS, phases=(Phase.generate,))
+        )
