--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,10 @@
 	$(BIN)/isort --quiet src tests
 	$(BIN)/black --quiet src tests
 
+fuzz: setup
+	RUDDERPASS_FUZZ=$(or $(FACTOR),20) $(BIN)/python -m pytest tests/admission \
+	  tests/claims tests/declarations tests/pools tests/streams -k "not broken"
+
 lock:
 	$(BIN)/python -m pip install --quiet pip-tools
 	$(BIN)/pip-compile --quiet --extra dev --generate-hashes --allow-unsafe \
--- a/src/rudderpass/cli/_nodes.py
+++ b/src/rudderpass/cli/_nodes.py
@@ -125,6 +125,16 @@
     metavar="SECONDS",
     help="The longest that a planned stop waits for requests in flight.",
 )
+@click.option(
+    "--snapshot-seconds",
+    envvar="RUDDERPASS_SNAPSHOT_SECONDS",
+    show_envvar=True,
+    type=float,
+    default=3600.0,
+    show_default=True,
+    metavar="SECONDS",
+    help="How old the newest snapshot may be; well below the log's retention.",
+)
 @click.option(
     "--log-file",
     envvar="RUDDERPASS_LOG_FILE",
@@ -145,6 +155,7 @@
     max_body_bytes: int,
     upstream_timeout: float,
     stop_seconds: float,
+    snapshot_seconds: float,
     log_file: Path | None,
 ) -> None:
     """Run one node until it is told to stop.
@@ -163,6 +174,7 @@
         limits=ServerLimits(threads=threads, body_bytes=max_body_bytes),
         upstream_timeout=upstream_timeout,
         stop_seconds=stop_seconds,
+        snapshot_seconds=snapshot_seconds,
     )
     settings.check()
     quiet_libraries()
--- a/src/rudderpass/node/_follower.py
+++ b/src/rudderpass/node/_follower.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable
 
-from rudderpass.declarations import ConfigState, Verdict
+from rudderpass.declarations import ConfigState, Verdict, parse_snapshot
 from rudderpass.errors import PlatformError, RudderpassError
 from rudderpass.observe import log
 from rudderpass.platform import (
@@ -19,10 +20,18 @@
 
 _WAIT_SECONDS = 1.0
 _HOSTS_SECONDS = 1.0
+_NODES_PER_HOSTS_SECOND = 40
+"""The list grows with the hosts; asking less often keeps its traffic level."""
+
 _FIRST_PAUSE = 0.2
 _LONGEST_PAUSE = 5.0
 
 
+def hosts_interval(nodes: int) -> float:
+    """Return how often to read the host list, in seconds."""
+    return max(_HOSTS_SECONDS, nodes / _NODES_PER_HOSTS_SECOND)
+
+
 class PlatformFollower:
     """Keeps a node's configuration and host list up to date.
 
@@ -33,6 +42,9 @@
     :param on_config: called with each newer configuration.
     :param on_hosts: called with each host list.
 
+    ``snapshot_seen_at`` is when the newest snapshot record was read, on the
+    monotonic clock, or when the follower was made.
+
     .. versionadded:: 0.1
     """
 
@@ -50,6 +62,7 @@
         self._on_config = on_config
         self._on_hosts = on_hosts
         self._stopping = threading.Event()
+        self.snapshot_seen_at = time.monotonic()
         self._threads = [
             threading.Thread(target=self._follow_log, name="log", daemon=True),
             threading.Thread(target=self._follow_hosts, name="hosts", daemon=True),
@@ -83,6 +96,8 @@
             state = self._take_page(state, page)
 
     def _take_page(self, state: ConfigState, page: LogPage) -> ConfigState:
+        if any(parse_snapshot(record.data) for record in page.records):
+            self.snapshot_seen_at = time.monotonic()
         newer, verdicts = replay_page(state, page)
         for verdict in verdicts:
             _log_verdict(verdict)
@@ -91,12 +106,15 @@
         return newer
 
     def _follow_hosts(self) -> None:
+        pause = _HOSTS_SECONDS
         while not self._stopping.is_set():
             try:
-                self._on_hosts(self._host_list.read())
+                hosts = self._host_list.read()
+                pause = hosts_interval(len(hosts.nodes))
+                self._on_hosts(hosts)
             except RudderpassError as error:
                 log("hosts", f"{error.show()}.")
-            self._stopping.wait(_HOSTS_SECONDS)
+            self._stopping.wait(pause)
 
     def _note_outage(self, error: PlatformError, pause: float) -> None:
         log("config", f"{error.show()}.", retry_in=pause)
--- a/src/rudderpass/node/_node.py
+++ b/src/rudderpass/node/_node.py
@@ -15,6 +15,7 @@
 from rudderpass.node._follower import PlatformFollower
 from rudderpass.node._runtime import NodeRuntime
 from rudderpass.node._settings import NodeSettings
+from rudderpass.node._snapshots import SNAPSHOT_KEY, SnapshotWriter
 from rudderpass.observe import Gauges, NodeMetrics, log
 from rudderpass.platform import HttpHostList, HttpLogService
 from rudderpass.routing import Usage
@@ -94,6 +95,13 @@
             self._runtime.take_config,
             self._runtime.take_hosts,
         )
+        self._snapshots = SnapshotWriter(
+            log_service,
+            settings.snapshot_seconds,
+            lambda: self._runtime.core.config,
+            lambda: self._follower.snapshot_seen_at,
+            self._writes_snapshots,
+        )
         self._cut = threading.Event()
 
     @property
@@ -124,6 +132,7 @@
         self._admin.start()
         self._follower.start()
         self._claimer.start()
+        self._snapshots.start()
         self._server.start()
         log("node", f"listening on {self.address}.", node=self._runtime.core.node)
 
@@ -163,6 +172,7 @@
         """Close everything at once, as a crash would."""
         self._follower.close()
         self._claimer.close()
+        self._snapshots.close()
         self._watch.close()
         self._runtime.close()
         self._server.close()
@@ -175,6 +185,10 @@
         assert isinstance(status, NodeStatus)
         return status
 
+    def _writes_snapshots(self) -> bool:
+        core = self._runtime.core
+        return core.view.owner_of(SNAPSHOT_KEY) == core.node
+
     def _complain(self, text: str) -> None:
         log("claims", f"{text}.", node=self._runtime.core.node)
 
--- a/src/rudderpass/node/_settings.py
+++ b/src/rudderpass/node/_settings.py
@@ -24,6 +24,7 @@
     :param log_service: ``ip:port`` of the platform's log service.
     :param host_list: ``ip:port`` of the platform's host list.
     :param stop_seconds: the longest that a planned stop waits for streams.
+    :param snapshot_seconds: how old the newest snapshot in the log may be.
 
     .. versionadded:: 0.1
     """
@@ -38,6 +39,7 @@
     limits: ServerLimits = field(default_factory=ServerLimits)
     upstream_timeout: float = 60.0
     stop_seconds: float = 600.0
+    snapshot_seconds: float = 3600.0
 
     def check(self) -> None:
         """Check every value.
@@ -50,7 +52,7 @@
             raise _bad("zone", "is empty")
         if self.limits.threads < MIN_THREADS:
             raise _bad("threads", f"is below {MIN_THREADS}")
-        for name in ("upstream_timeout", "stop_seconds"):
+        for name in ("upstream_timeout", "stop_seconds", "snapshot_seconds"):
             if getattr(self, name) <= 0:
                 raise _bad(name, "is not above 0")
 
--- a/src/rudderpass/peers/_server.py
+++ b/src/rudderpass/peers/_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 import threading
 import time
@@ -26,6 +27,15 @@
 _REMEMBERED_SENDERS = 2048
 _BACKLOG = 512
 _BIND_TRIES = 50
+_JOIN_SECONDS = 2.0
+_ACCEPT_PAUSE_SECONDS = 0.1
+_TRANSIENT_ERRORS = (
+    errno.ECONNABORTED,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+)
 _RECEIVE_BUFFER = 4 * 1024 * 1024
 _LARGEST_DATAGRAM = 65536
 
@@ -97,7 +107,7 @@
         )
         self._server.complain = complain
         self._thread = threading.Thread(
-            target=self._serve, name="peer-server", daemon=True
+            target=self._server.serve, name="peer-server", daemon=True
         )
         self._reader = threading.Thread(
             target=_read_datagrams,
@@ -105,7 +115,6 @@
             name="peer-datagrams",
             daemon=True,
         )
-        self._closing = False
 
     def start(self) -> None:
         """Begin to take messages."""
@@ -113,20 +122,16 @@
         self._reader.start()
 
     def close(self) -> None:
-        """Stop listening."""
-        self._closing = True
-        self._socket.close()
+        """Stop listening, and wait until both threads have ended."""
+        self._socket.wake()
         with contextlib.suppress(OSError):
             self.datagrams.shutdown(socket.SHUT_RDWR)
+        for thread in (self._thread, self._reader):
+            if thread.is_alive():
+                thread.join(_JOIN_SECONDS)
+        self._socket.close()
         self.datagrams.close()
 
-    def _serve(self) -> None:
-        try:
-            self._server.serve()
-        except (OSError, AttributeError):
-            if not self._closing:
-                raise
-
 
 def _bind(host: str, port: int) -> tuple[_BoundSocket, socket.socket]:
     """Bind one port for calls and datagrams; port 0 takes one free for both."""
@@ -169,12 +174,35 @@
     def listen(self) -> None:
         """Do nothing; the server that serves this socket asks for it again."""
 
+    def wake(self) -> None:
+        """End an accept that waits in another thread; twice does no harm."""
+        if self.handle is None:
+            return
+        with contextlib.suppress(OSError):
+            self.handle.shutdown(socket.SHUT_RDWR)
+
 
 class _QuietServer(TThreadedServer):  # type: ignore[misc]
     """A threaded server that reports a broken connection instead of raising."""
 
     complain: Complain
 
+    def serve(self) -> None:
+        """Take connections until the socket is shut down.
+
+        The library's own loop never ends: it logs each failed accept and goes on.
+        """
+        while True:
+            try:
+                client = self.serverTransport.accept()
+            except OSError as error:
+                if error.errno in _TRANSIENT_ERRORS:
+                    self.complain(f"could not take a connection: {error}")
+                    time.sleep(_ACCEPT_PAUSE_SECONDS)
+                    continue
+                return
+            threading.Thread(target=self.handle, args=(client,), daemon=True).start()
+
     def handle(self, client: object) -> None:
         transport = self.inputTransportFactory.getTransport(client)
         protocol = self.inputProtocolFactory.getProtocol(transport)
--- a/tests/admission/test_queue.py
+++ b/tests/admission/test_queue.py
@@ -5,11 +5,12 @@
 from typing import Any
 
 import pytest
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, strategies as st
 
 from rudderpass._ids import ClassName, RequestId, TeamId, UpstreamId
 from rudderpass.admission import AdmissionQueue, Reservation
 from tests.builders import make_work
+from tests.fuzz import make_settings
 
 
 def drain(queue: AdmissionQueue, now: float = 0.0) -> list[str]:
@@ -153,7 +154,7 @@
     ]
 
 
-@settings(max_examples=150, deadline=None, derandomize=True)
+@make_settings(150)
 @given(loads(), st.floats(0, 60))
 def test_everything_is_served_exactly_once(load: list[Reservation], now: float) -> None:
     queue = AdmissionQueue()
@@ -165,7 +166,7 @@
     assert len(queue) == 0 and queue.pick_shed() is None
 
 
-@settings(max_examples=150, deadline=None, derandomize=True)
+@make_settings(150)
 @given(loads())
 def test_only_the_lowest_waiting_tier_is_shed(load: list[Reservation]) -> None:
     queue = AdmissionQueue()
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -33,6 +33,7 @@
 )
 from rudderpass.platform import CLAIM_STREAM, HttpLogService
 from rudderpass.standins import LogFault, StandInLog
+from tests.fuzz import make_settings
 
 KEY = ClaimKey("key-1")
 SECONDS = 10.0
@@ -130,9 +131,7 @@
         assert len(self.runs) <= 1, self.runs
 
 
-STEPS = settings(
-    max_examples=400, stateful_step_count=50, deadline=None, derandomize=True
-)
+STEPS = make_settings(400)
 ClaimMachine.TestCase.settings = STEPS
 TestClaimMachine = ClaimMachine.TestCase
 
--- a/tests/declarations/test_history.py
+++ b/tests/declarations/test_history.py
@@ -5,7 +5,6 @@
 from dataclasses import replace
 
 import hypothesis.strategies as st
-from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from rudderpass.declarations import (
@@ -24,6 +23,7 @@
     take_snapshot,
 )
 from tests.builders import make_catalog, make_state
+from tests.fuzz import make_settings
 
 URGENT = ObjectKey(Kind.SERVICE_CLASS.value, "urgent")
 
@@ -144,7 +144,5 @@
         assert versions == sorted(versions)
 
 
-ReplayMachine.TestCase.settings = settings(
-    max_examples=30, stateful_step_count=20, deadline=None, derandomize=True
-)
+ReplayMachine.TestCase.settings = make_settings(40, 20)
 TestReplay = ReplayMachine.TestCase
--- a/tests/node/test_platform_faults.py
+++ b/tests/node/test_platform_faults.py
@@ -4,11 +4,22 @@
 
 import random
 
+import pytest
+
 from rudderpass._ids import AvailabilityZone, NodeId, RequestId, TeamId
 from rudderpass.core import NodeCore, RefusalKind, Rejected, SendPeer, Submission
-from rudderpass.declarations import ConfigState, apply_record, build_change, dump_record
+from rudderpass.declarations import (
+    ConfigState,
+    apply_record,
+    build_change,
+    dump_record,
+    parse_snapshot,
+    restore_snapshot,
+)
 from rudderpass.membership import HostRecord
-from rudderpass.platform import LogPage, LogRecord
+from rudderpass.node._follower import hosts_interval
+from rudderpass.node._snapshots import SnapshotWriter
+from rudderpass.platform import Appended, AppendResult, LogPage, LogRecord
 from rudderpass.publishing import replay_page
 from tests.builders import ZONE, make_catalog, make_state
 
@@ -69,3 +80,39 @@
     page = LogPage((LogRecord(7, b"x"),), first=7, end=8)
     state, _ = replay_page(ConfigState(), page)
     assert state.version == 0
+
+
+@pytest.mark.parametrize(
+    ("age", "mine", "written"),
+    [(99, True, False), (101, True, True), (101, False, False)],
+)
+def test_a_snapshot_is_written_when_due(age: float, mine: bool, written: bool) -> None:
+    service = MemoryLog()
+    state = make_state(make_catalog())
+    writer = SnapshotWriter(service, 100, lambda: state, lambda: 0.0, lambda: mine)
+    assert writer.write_if_due(age) is written
+    assert len(service.records) == written
+    if written:
+        snapshot = parse_snapshot(service.records[0])
+        assert snapshot is not None and restore_snapshot(snapshot) == state
+
+
+@pytest.mark.parametrize(("nodes", "seconds"), [(8, 1.0), (400, 10.0)])
+def test_the_host_list_is_read_less_often_as_it_grows(
+    nodes: int, seconds: float
+) -> None:
+    assert hosts_interval(nodes) == seconds
+
+
+class MemoryLog:
+    """A log service that keeps what is appended."""
+
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+
+    def append(self, stream: str, data: bytes) -> AppendResult:
+        self.records.append(data)
+        return Appended(len(self.records) - 1)
+
+    def read(self, stream: str, offset: int, wait: float = 0.0) -> LogPage:
+        return LogPage((), 0, len(self.records))
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -6,6 +6,7 @@
 import queue
 import socket
 import struct
+import threading
 from collections.abc import Iterator, Sequence
 from pathlib import Path
 
@@ -246,3 +247,16 @@
     window = ReplayWindow(7)
     assert [window.take(7, number) for number in sequences] == taken
     assert not window.take(6, 100_000)
+
+
+def test_a_closed_server_leaves_no_thread_behind() -> None:
+    before = set(threading.enumerate())
+    peer = Peer(keys(NEW))
+    links = link(peer, keys(NEW))
+    links.send(peer.node, StateRequest(1))
+    assert peer.results.get(timeout=TIMEOUT)
+    peer.server.close()
+    links.close()
+    left = set(threading.enumerate()) - before
+    assert not [thread for thread in left if thread.name.startswith("peer-server")]
+    assert not [thread for thread in left if thread.name.startswith("peer-data")]
--- a/tests/pools/test_owner.py
+++ b/tests/pools/test_owner.py
@@ -36,6 +36,7 @@
 from rudderpass.pools._messages import OwnerAction
 from rudderpass.routing import Ending, Usage
 from tests.builders import POOL, ZONE, make_upstream, make_work
+from tests.fuzz import make_settings
 
 ENTRY = NodeId("10.0.0.1:7000")
 OTHER = NodeId("10.0.0.2:7000")
@@ -313,9 +314,7 @@
         assert self.owner.waiting <= len(self.waiting)
 
 
-STEPS = settings(
-    max_examples=150, stateful_step_count=60, deadline=None, derandomize=True
-)
+STEPS = make_settings(150, 60)
 OwnerMachine.TestCase.settings = STEPS
 TestOwnerMachine = OwnerMachine.TestCase
 
--- a/tests/streams/test_chunks.py
+++ b/tests/streams/test_chunks.py
@@ -4,9 +4,10 @@
 
 import hypothesis.strategies as st
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
 
 from rudderpass.streams import ChunkDecoder, ChunkError
+from tests.fuzz import make_settings
 
 
 def encode(pieces: list[bytes]) -> bytes:
@@ -14,7 +15,7 @@
     return b"".join(chunks) + b"0\r\n\r\n"
 
 
-@settings(max_examples=200, deadline=None, derandomize=True)
+@make_settings(200)
 @given(
     st.lists(st.binary(max_size=40), max_size=8),
     st.lists(st.integers(0, 400), max_size=20),
