--- a/src/rudderpass/admission/_queue.py
+++ b/src/rudderpass/admission/_queue.py
@@ -213,9 +213,13 @@
             key=lambda work: (not work.resumed, work.arrived, work.request_id),
         )
 
-    def work_ahead(self, tier: int) -> float:
-        """Return the waiting work of ``tier`` and higher, in tokens."""
-        return sum(work.cost for work in self._waiting.values() if work.tier <= tier)
+    def work_ahead(self, tier: int | None = None) -> float:
+        """Return the waiting work of ``tier`` and higher, or all, in tokens."""
+        return sum(
+            work.cost
+            for work in self._waiting.values()
+            if tier is None or work.tier <= tier
+        )
 
     def _class_of(self, work: Reservation) -> _ClassQueue:
         queue = self._classes.get(work.service_class)
--- /dev/null
+++ b/src/rudderpass/peers/_encode.py
@@ -0,0 +1,173 @@
+"""Translate the core's peer messages to thrift structs and back.
+
+Hosts share no clock, so a time leaves as an age in seconds and comes back as a time
+on the receiver's clock. The flight time, well below a second, is lost.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from rudderpass.admission import Reservation
+from rudderpass.core import PeerMessage, StateReply, StateRequest
+from rudderpass.membership import Probe
+from rudderpass.peers._gen.wire import ttypes as wire
+from rudderpass.pools import (
+    Cancel,
+    Grant,
+    Queued,
+    Release,
+    Renew,
+    Resend,
+    Reserve,
+    Shed,
+)
+
+MILLI = 1_000
+"""Times below a second travel in milliseconds."""
+
+MICRO = 1_000_000
+"""Shares and gaps travel in millionths."""
+
+_LARGEST = 2**31 - 1
+
+
+def to_wire(message: PeerMessage, now: float) -> wire.Message:
+    """Return the thrift union for ``message``."""
+    return _to_wire(message, now)
+
+
+@singledispatch
+def _to_wire(message: object, now: float) -> wire.Message:
+    raise TypeError(f"no wire form for {type(message).__name__}")
+
+
+@_to_wire.register
+def _(message: Reserve, now: float) -> wire.Message:
+    return wire.Message(reserve=_encode_reservation(message.reservation, now))
+
+
+@_to_wire.register
+def _(message: Cancel, now: float) -> wire.Message:
+    return wire.Message(
+        cancel=wire.Cancel(request_id=message.request_id, pool=message.pool)
+    )
+
+
+@_to_wire.register
+def _(message: Grant, now: float) -> wire.Message:
+    grant = wire.Grant(
+        request_id=message.request_id,
+        pool=message.pool,
+        upstream=message.upstream,
+        token=message.token,
+    )
+    return wire.Message(grant=grant)
+
+
+@_to_wire.register
+def _(message: Queued, now: float) -> wire.Message:
+    queued = wire.Queued(request_id=message.request_id, pool=message.pool)
+    return wire.Message(queued=queued)
+
+
+@_to_wire.register
+def _(message: Shed, now: float) -> wire.Message:
+    shed = wire.Shed(
+        request_id=message.request_id,
+        pool=message.pool,
+        reason=message.reason,
+        retry_after=message.retry_after,
+    )
+    return wire.Message(shed=shed)
+
+
+@_to_wire.register
+def _(message: Release, now: float) -> wire.Message:
+    release = wire.Release(
+        request_id=message.request_id,
+        pool=message.pool,
+        upstream=message.upstream,
+        token=message.token,
+        tokens=message.usage.tokens or None,
+        first_token_ms=_scale(message.usage.first_token, MILLI),
+        duration_ms=_scale(message.usage.duration, MILLI),
+        ending=message.usage.ending.value,
+        zone=message.zone,
+    )
+    return wire.Message(release=release)
+
+
+@_to_wire.register
+def _(message: Renew, now: float) -> wire.Message:
+    running = [
+        wire.Running(
+            request_id=work.request_id,
+            upstream=work.upstream,
+            token=work.token,
+            tier=work.tier,
+            tokens=work.tokens or None,
+        )
+        for work in message.running
+    ]
+    renew = wire.Renew(
+        pool=message.pool, waiting=list(message.waiting), running=running
+    )
+    return wire.Message(renew=renew)
+
+
+@_to_wire.register
+def _(message: Resend, now: float) -> wire.Message:
+    resend = wire.Resend(pool=message.pool, request_ids=list(message.request_ids))
+    return wire.Message(resend=resend)
+
+
+@_to_wire.register
+def _(message: Probe, now: float) -> wire.Message:
+    suspicions = [
+        wire.Suspicion(node=item.node, age=item.age) for item in message.suspicions
+    ]
+    probe = wire.Probe(
+        config_version=message.config_version,
+        suspicions=suspicions,
+        leaving=message.leaving,
+    )
+    return wire.Message(probe=probe)
+
+
+@_to_wire.register
+def _(message: StateRequest, now: float) -> wire.Message:
+    return wire.Message(
+        state_request=wire.StateRequest(config_version=message.config_version)
+    )
+
+
+@_to_wire.register
+def _(message: StateReply, now: float) -> wire.Message:
+    reply = wire.StateReply(config_version=message.config_version, state=message.state)
+    return wire.Message(state_reply=reply)
+
+
+def _scale(value: float, factor: int) -> int | None:
+    """Return a number as a bounded integer, None for zero."""
+    return max(-_LARGEST, min(round(value * factor), _LARGEST)) or None
+
+
+def _encode_reservation(work: Reservation, now: float) -> wire.Reserve:
+    return wire.Reserve(
+        request_id=work.request_id,
+        pool=work.pool,
+        service_class=work.service_class,
+        tier=work.tier,
+        team=work.team,
+        age_ms=_scale(now - work.arrived, MILLI),
+        target_ms=_scale(work.start_target, MILLI),
+        max_wait_ms=_scale(work.max_wait, MILLI),
+        expected_tokens=_scale(work.expected_tokens, 1),
+        prefix_hash=work.prefix_hash or None,
+        upstreams=list(work.upstreams) or None,
+        zone=work.zone,
+        resumed=work.resumed or None,
+        floor_ppm=_scale(work.floor_share, MICRO),
+        gap_us=_scale(work.gap_target, MICRO),
+    )
--- a/src/rudderpass/peers/_link.py
+++ b/src/rudderpass/peers/_link.py
@@ -22,7 +22,8 @@
 
 from rudderpass._ids import NodeId
 from rudderpass.core import PeerMessage
-from rudderpass.peers._codec import encode_batch, encode_signed, to_wire
+from rudderpass.peers._encode import to_wire
+from rudderpass.peers._frames import encode_batch, encode_signed
 from rudderpass.peers._gen.wire import Peer, ttypes as wire
 from rudderpass.peers._keys import MAC_BYTES, KeySource
 
--- a/src/rudderpass/peers/_server.py
+++ b/src/rudderpass/peers/_server.py
@@ -19,7 +19,8 @@
 from rudderpass._ids import NodeId
 from rudderpass.core import PeerMessage
 from rudderpass.errors import PeerError
-from rudderpass.peers._codec import decode_batch, decode_signed, from_wire
+from rudderpass.peers._decode import from_wire
+from rudderpass.peers._frames import decode_batch, decode_signed
 from rudderpass.peers._gen.wire import Peer, ttypes as wire
 from rudderpass.peers._keys import KeySource
 from rudderpass.peers._link import MAX_FRAME_BYTES
--- a/src/rudderpass/pools/__init__.py
+++ b/src/rudderpass/pools/__init__.py
@@ -22,8 +22,10 @@
 )
 from rudderpass.pools._owner import (
     GRACE_SECONDS as GRACE_SECONDS,
+    PoolOwner as PoolOwner,
+)
+from rudderpass.pools._timing import (
     LEASE_INTERVALS as LEASE_INTERVALS,
     RENEW_SECONDS as RENEW_SECONDS,
-    PoolOwner as PoolOwner,
     renew_interval as renew_interval,
 )
--- a/src/rudderpass/pools/_owner.py
+++ b/src/rudderpass/pools/_owner.py
@@ -28,17 +28,9 @@
     Send,
     Shed,
 )
+from rudderpass.pools._timing import LEASE_INTERVALS, RENEW_SECONDS, WorkRate
 from rudderpass.routing import Choice, UpstreamSlots, choose_upstream
 
-RENEW_SECONDS = 1.0
-"""How often entry nodes renew in a small system."""
-
-LEASE_INTERVALS = 3.5
-"""An entry node that does not renew for so many intervals has lost what it held."""
-
-_NODES_PER_SECOND = 80
-_LONGEST_RENEW_SECONDS = 5.0
-
 GRACE_SECONDS = 0.4
 """How long a new owner listens before its first grant."""
 
@@ -49,15 +41,6 @@
 """The service rate is believed once the owner has granted for this long."""
 
 
-def renew_interval(nodes: int) -> float:
-    """Return how often entry nodes renew, in seconds.
-
-    Each renews with every owner that it holds work of, and in a large system those
-    are many; the interval grows so that the traffic a node does not.
-    """
-    return min(_LONGEST_RENEW_SECONDS, max(RENEW_SECONDS, nodes / _NODES_PER_SECOND))
-
-
 @dataclass
 class _Granted:
     """Work that holds a slot."""
@@ -92,7 +75,7 @@
         self._upstreams: dict[UpstreamId, UpstreamSlots] = {}
         self._renewed: dict[NodeId, float] = {}
         self._renew_seconds = RENEW_SECONDS
-        self._served_rate = _Rate(now)
+        self._served_rate = WorkRate(now)
 
     @property
     def waiting(self) -> int:
@@ -282,7 +265,7 @@
         rate = self._served_rate.per_second(now)
         if rate <= 0:
             return 0.0
-        return self._queue.work_ahead(_LOWEST_TIER) / rate
+        return self._queue.work_ahead() / rate
 
     def _refuse(self, work: Reservation, reason: str, now: float) -> list[OwnerAction]:
         entry = self._entries.pop(work.request_id)
@@ -365,30 +348,3 @@
 
     def _count_running(self, upstream: UpstreamId) -> int:
         return sum(item.upstream == upstream for item in self._granted.values())
-
-
-_LOWEST_TIER = 99
-
-
-class _Rate:
-    """Work granted a second, over a sliding window of about ten seconds."""
-
-    _WINDOW = 10.0
-
-    def __init__(self, now: float) -> None:
-        self._started = now
-        self._level = 0.0
-        self._updated = now
-
-    def add(self, amount: float, now: float) -> None:
-        self._decay(now)
-        self._level += amount
-
-    def per_second(self, now: float) -> float:
-        self._decay(now)
-        age = min(self._WINDOW, max(1.0, now - self._started))
-        return self._level / age
-
-    def _decay(self, now: float) -> None:
-        self._level *= math.exp(-(now - self._updated) / self._WINDOW)
-        self._updated = now
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -24,7 +24,8 @@
     PeerLinks,
     PeerServer,
 )
-from rudderpass.peers._codec import from_wire, to_wire
+from rudderpass.peers._decode import from_wire
+from rudderpass.peers._encode import to_wire
 from rudderpass.peers._link import MAX_FRAME_BYTES
 from rudderpass.peers._server import ReplayWindow
 from rudderpass.pools import (
