--- a/bench/streams.sh
+++ b/bench/streams.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 bin=.venv/bin
 engines=4
-gap=0.027
+gap=0.025
 work=$(mktemp -d)
 pids=()
 finish() {
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -95,6 +95,14 @@
         ),
         (Kind.ROUTE, "chat", {"models": ["small"], "runner": POOL}),
         *declared_desk,
+        (
+            Kind.SELECTOR,
+            "no-such-hardware",
+            {
+                "request": {"matchLabels": {"hardware": "none"}},
+                "upstream": {"matchLabels": {"generation": "none"}},
+            },
+        ),
     ]
     for name, changes in (upstreams or {"u1": {}}).items():
         spec = make_upstream(**changes).model_dump(mode="json", by_alias=True)
--- a/tests/gateway/test_bad_input.py
+++ b/tests/gateway/test_bad_input.py
@@ -60,6 +60,13 @@
             "invalid_header",
             id="labels that differ",
         ),
+        pytest.param(
+            GOOD,
+            {"X_Rudderpass_Labels": "hardware=none"},
+            400,
+            "no_upstream_matches",
+            id="label nobody matches",
+        ),
         pytest.param(
             GOOD, {"Idempotency_Key": "k" * 300}, 400, "invalid_header", id="long key"
         ),
