--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 
 fuzz: setup
 	RUDDERPASS_FUZZ=$(or $(FACTOR),20) $(BIN)/python -m pytest tests/admission \
-	  tests/claims tests/declarations tests/pools tests/streams -k "not broken"
+	  tests/claims tests/declarations tests/pools tests/streams -k "not catches_a_broken"
 
 lock:
 	$(BIN)/python -m pip install --quiet pip-tools
