Hold no slot while following another request's key, and free a key that did not run

Cause, found by reading the change again: (1) a request whose key another one held kept its own slot, granted or queued, while it waited up to 10 s for the other's answer; a few followers could fill a desk and keep the winner out. (2) A caller that left the queue after its claim was won left the key taken for good, though nothing had run. (4) A grant that met a caller's leaving could raise in the thread that brought it. (5) An upstream that answers a resumption with a whole answer began the response twice.

--- a/src/rudderpass/claims/_claimer.py
+++ b/src/rudderpass/claims/_claimer.py
@@ -247,6 +247,7 @@
     def _release_given_up(self, claim: Claim, entry: Entry) -> None:
         attempt = AttemptId(claim.attempt)
         if attempt in self._given_up and entry.winner == attempt:
+            self._given_up.discard(attempt)
             self._outgoing.put(Released(key=claim.key, attempt=claim.attempt))
 
     def _resolve(self, claim: Claim) -> None:
--- a/src/rudderpass/cli/_demo.py
+++ b/src/rudderpass/cli/_demo.py
@@ -78,6 +78,8 @@
     lines = read_trace(trace or directory / "trace.jsonl")
     options = DemoOptions(profile, directory, faults)
     result = run_demo(options, lines, lambda text: click.echo(text, err=True))
+    if destination is not None:
+        destination.close()
     if as_json:
         print_json(result.as_json())
     else:
--- a/src/rudderpass/gateway/_keyed.py
+++ b/src/rudderpass/gateway/_keyed.py
@@ -55,25 +55,43 @@
         self._attempt = AttemptId(request.request_id)
         self._key = make_key(request.team, route, request.key)
         self._digest = digest_body(request.body)
+        self._follow_until = time.monotonic() + _OTHER_SECONDS
 
-    def acquire(self) -> Problem | KeptAnswer | None:
-        """Claim the key; None means that this request may run the work."""
-        deadline = time.monotonic() + _OTHER_SECONDS
-        while True:
-            result = self._claimer.claim(
-                self._key, self._attempt, self._digest, _CLAIM_SECONDS
+    def claim(self) -> Problem | Entry | None:
+        """Claim the key; None means that this request may run the work.
+
+        An entry is that of another request which holds the key.
+        """
+        result = self._claimer.claim(
+            self._key, self._attempt, self._digest, _CLAIM_SECONDS
+        )
+        if isinstance(result, Unavailable):
+            return _unavailable(result.reason)
+        if isinstance(result, Lost):
+            return result.entry
+        if time.monotonic() < result.deadline:
+            return None
+        self.release()
+        return _unavailable("this node was paused meanwhile")
+
+    def follow(self, entry: Entry) -> Problem | KeptAnswer | None:
+        """Wait for what the winner does; None means that the key is free again."""
+        if entry.digest != self._digest:
+            return Problem(
+                HTTPStatus.UNPROCESSABLE_ENTITY,
+                ProblemCode.KEY_REUSED,
+                "this key was used with another body",
             )
-            if isinstance(result, Unavailable):
-                return _unavailable(result.reason)
-            if not isinstance(result, Lost):
-                if time.monotonic() < result.deadline:
-                    return None
-                self.release()
-                return _unavailable("this node was paused meanwhile")
-            left = deadline - time.monotonic()
-            answer = self._follow(result.entry, left)
-            if answer is not None:
-                return answer
+        left = self._follow_until - time.monotonic()
+        latest = self._claimer.wait_done(self._key, left)
+        if latest is None or latest.state is ClaimState.RELEASED:
+            return None
+        if latest.done is None:
+            return _in_use()
+        if not latest.done.body:
+            return _answer_not_kept()
+        body = base64.b64decode(latest.done.body)
+        return KeptAnswer(latest.done.status, latest.done.content_type, body)
 
     def release(self) -> None:
         """Say that the work was not run, so that another request may run it."""
@@ -93,24 +111,6 @@
             )
         )
 
-    def _follow(self, entry: Entry, seconds: float) -> Problem | KeptAnswer | None:
-        """Answer by what the winner did; None means that the key is free again."""
-        if entry.digest != self._digest:
-            return Problem(
-                HTTPStatus.UNPROCESSABLE_ENTITY,
-                ProblemCode.KEY_REUSED,
-                "this key was used with another body",
-            )
-        latest = self._claimer.wait_done(self._key, seconds)
-        if latest is None or latest.state is ClaimState.RELEASED:
-            return None
-        if latest.done is None:
-            return _in_use()
-        if not latest.done.body:
-            return _answer_not_kept()
-        body = base64.b64decode(latest.done.body)
-        return KeptAnswer(latest.done.status, latest.done.content_type, body)
-
 
 def _unavailable(reason: str) -> Problem:
     return Problem(
--- a/src/rudderpass/gateway/_serve.py
+++ b/src/rudderpass/gateway/_serve.py
@@ -13,7 +13,7 @@
 from rudderpass.core import Admitted, Rejected, Submission
 from rudderpass.declarations import UpstreamKind, UpstreamSpec
 from rudderpass.errors import CallerGone, UpstreamError
-from rudderpass.gateway._keyed import REPLAYED_HEADER, KeyedWork
+from rudderpass.gateway._keyed import REPLAYED_HEADER, KeptAnswer, KeyedWork
 from rudderpass.gateway._problems import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
@@ -87,13 +87,18 @@
         self._excluded: tuple[UpstreamId, ...] = ()
         self._recorder = AnswerRecorder(services, request, self._arrived)
         self._keyed: KeyedWork | None = None
+        self._holds_key = False
+        self._may_run = False
+        self._submissions = 0
 
     def run(self) -> Iterable[bytes]:
         """Return the answer's body; streamed answers are written meanwhile."""
         try:
             return self._run_attempts()
         except CallerGone:
-            self._recorder.record(Outcome.UNKNOWN, self._state.produced)
+            outcome = Outcome.UNKNOWN if self._may_run else outcome_of(self._state)
+            self._release_key(outcome)
+            self._recorder.record(outcome, self._state.produced)
             log(
                 "answer",
                 f"{self._request.request_id} caller is gone.",
@@ -103,14 +108,16 @@
 
     def _run_attempts(self) -> Iterable[bytes]:
         while True:
-            attempt = RequestId(f"{self._request.request_id}.{self._state.attempts}")
-            attempt_is_first = self._state.attempts == 0
+            attempt = RequestId(f"{self._request.request_id}.{self._submissions}")
+            self._submissions += 1
             ticket = self._services.admission.submit(self._submission(attempt))
             self._note_admitted(ticket)
-            if attempt_is_first and self._needs_claim():
+            if self._needs_claim():
                 answer = self._claim(attempt)
                 if answer is not None:
                     return answer
+                if not self._holds_key:
+                    continue
             if self._services.is_full():
                 self._services.admission.shed_lowest("this node is full")
             granted = self._await_grant(attempt, ticket)
@@ -126,19 +133,33 @@
 
     def _needs_claim(self) -> bool:
         admitted = self._admitted
-        if admitted is None or admitted.repeatable:
+        if admitted is None or admitted.repeatable or self._holds_key:
             return False
         return self._request.key is not None
 
     def _claim(self, attempt: RequestId) -> Iterable[bytes] | None:
-        """Claim the key; return an answer if this request may not run the work."""
+        """Claim the key; return an answer if this request may not run the work.
+
+        While another request runs it, this one waits without a slot: it might hold
+        the very slot that the other one needs. None without the key held means that
+        the key came free, and that a slot is to be asked for again.
+        """
         assert self._admitted is not None
-        keyed = KeyedWork(self._services.claimer, self._request, self._admitted.route)
-        refusal = keyed.acquire()
-        if refusal is None:
-            self._keyed = keyed
+        if self._keyed is None:
+            route = self._admitted.route
+            self._keyed = KeyedWork(self._services.claimer, self._request, route)
+        claimed = self._keyed.claim()
+        if claimed is None:
+            self._holds_key = True
             return None
         self._services.admission.finish(attempt, Usage(Ending.CANCELLED))
+        refusal: Problem | KeptAnswer | None
+        if isinstance(claimed, Problem):
+            refusal = claimed
+        else:
+            refusal = self._keyed.follow(claimed)
+        if refusal is None:
+            return None
         if isinstance(refusal, Problem):
             return self._fail(refusal)
         self._recorder.record(Outcome.COMPLETED, 0)
@@ -151,6 +172,14 @@
         self._caller.start_response(status_line(refusal.status), headers)
         return [refusal.body]
 
+    def _release_key(self, outcome: Outcome) -> None:
+        """Let another request run the work, if this one certainly did not."""
+        if self._keyed is None or not self._holds_key:
+            return
+        if outcome is Outcome.NOT_RUN:
+            self._holds_key = False
+            self._keyed.release()
+
     def _submission(self, attempt: RequestId) -> Submission:
         request = self._request
         return Submission(
@@ -218,6 +247,8 @@
                 with self._services.watch.watching(self._caller.is_gone, answer.close):
                     if answer.is_stream():
                         usage, body = self._pass_stream(attempt, answer, spec, began)
+                    elif self._write is not None:
+                        raise _not_resumed(spec)
                     else:
                         usage, body = self._pass_whole(answer, spec, began)
             finally:
@@ -230,6 +261,8 @@
                 usage = Usage(Ending.UNREACHABLE)
             if error.refused:
                 usage = Usage(Ending.UNUSED)
+            if error.refused or not error.sent:
+                self._may_run = False
             if self._caller.is_gone():
                 usage = Usage(Ending.CANCELLED)
                 raise CallerGone("the caller left", step="answer") from error
@@ -260,6 +293,7 @@
             headers["Idempotency-Key"] = request.key
         if self._state.produced:
             headers[RESUME_HEADER] = str(self._state.produced)
+        self._may_run = True
         sent = UpstreamRequest(request.method, request.target, headers, request.body)
         return open_answer(spec, sent, self._services.upstream_timeout)
 
@@ -388,8 +422,7 @@
 
     def _fail(self, problem: Problem) -> Iterable[bytes]:
         self._recorder.record(problem.outcome, self._state.produced)
-        if self._keyed is not None and problem.outcome is Outcome.NOT_RUN:
-            self._keyed.release()
+        self._release_key(problem.outcome)
         if self._write is None:
             headers = problem.headers(self._request.request_id)
             self._caller.start_response(problem.status_line(), headers)
@@ -403,6 +436,11 @@
         return self._services.budgets.setdefault(name, RetryBudget())
 
 
+def _not_resumed(spec: UpstreamSpec) -> UpstreamError:
+    text = "the upstream did not go on with the stream"
+    return UpstreamError(text, sent=True, step="resume", peer=spec.address)
+
+
 class _StreamBroken(Exception):
     """A broken stream and what had passed of it."""
 
--- a/src/rudderpass/node/_runtime.py
+++ b/src/rudderpass/node/_runtime.py
@@ -3,10 +3,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import threading
 import time
 from collections.abc import Callable, Sequence
+from concurrent.futures import InvalidStateError
 from functools import singledispatchmethod
 
 from rudderpass._ids import AvailabilityZone, NodeId, RequestId, UpstreamId
@@ -173,5 +175,7 @@
     @_do.register(Rejected)
     def _(self, action: Decision) -> None:
         ticket = self._tickets.pop(action.request_id, None)
-        if ticket is not None and not ticket.future.done():
+        if ticket is None:
+            return
+        with contextlib.suppress(InvalidStateError):
             ticket.future.set_result(action)
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -219,3 +219,39 @@
     assert "Retry-After" in reply.headers
     assert bench.desk.starts[booking_of(b'{"item": 9}')] == 0
     assert bench.call(b'{"item": 10}', path="/bookings/hold").status == 200
+
+
+def test_a_caller_that_leaves_the_queue_frees_its_key(bench: Bench) -> None:
+    bench.desk.seconds = 0.5
+    body = b'{"item": 11}'
+    blockers = [
+        threading.Thread(target=book, args=(bench, b"%d" % n, f"b{n}"))
+        for n in range(2)
+    ]
+    for blocker in blockers:
+        blocker.start()
+    wait_until(lambda: bench.desk.starts.total() == 2)
+    connection = http.client.HTTPConnection(bench.node.address, timeout=TIMEOUT)
+    headers = {"Authorization": f"Bearer {TOKEN}", "Idempotency-Key": "key-11"}
+    connection.request("POST", "/bookings/hold", body, headers)
+    wait_until(lambda: bench.node.runtime.core.entry.waiting == 1)
+    connection.close()
+    wait_until(lambda: bench.node.runtime.core.entry.waiting == 0)
+    reply = book(bench, body, "key-11")
+    for blocker in blockers:
+        blocker.join(TIMEOUT)
+    assert reply.status == 200
+    assert bench.desk.starts[booking_of(body)] == 1
+
+
+def test_waiting_for_anothers_answer_holds_no_slot(bench: Bench) -> None:
+    """The desk has two slots; requests that follow a key must not fill them."""
+    bench.desk.seconds = 0.5
+    with ThreadPoolExecutor(12) as callers:
+        same = [callers.submit(book, bench, b"same", "key-12") for _ in range(8)]
+        wait_until(lambda: bench.desk.starts.total() == 1)
+        wait_until(lambda: bench.node.runtime.core.entry.running == 1)
+        other = callers.submit(book, bench, b"other", "key-13")
+        assert other.result(TIMEOUT).status == 200
+        assert all(future.result(TIMEOUT).status == 200 for future in same)
+    assert bench.desk.starts[booking_of(b"same")] == 1
