Play real hosts under random faults

Cause: promises were tested by single faults; the users ask for a soak of our own, with real programs as processes and faults from outside that overlap and repeat.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format unit bench fuzz lock clean
+.PHONY: setup demo test lint format unit bench fuzz soak lock clean
 
 setup: $(VENV)/.ready
 
@@ -34,6 +34,10 @@
 	RUDDERPASS_FUZZ=$(or $(FACTOR),20) $(BIN)/python -m pytest tests/admission \
 	  tests/claims tests/declarations tests/pools tests/streams -k "not catches_a_broken"
 
+soak: setup
+	$(BIN)/python -m tests.soak --first $(or $(FIRST),1) --seeds $(or $(SEEDS),50) \
+	  --jobs $(or $(JOBS),4)
+
 lock:
 	$(BIN)/python -m pip install --quiet pip-tools
 	$(BIN)/pip-compile --quiet --extra dev --generate-hashes --allow-unsafe \
--- a/tests/exchange/world.py
+++ b/tests/exchange/world.py
@@ -88,7 +88,7 @@
     def _serve(self, connection: socket.socket) -> None:
         stream = connection.makefile("rb")
         try:
-            while (asked := _read_request(stream)) is not None:
+            while (asked := read_request(stream)) is not None:
                 self.asked.append(asked)
                 self.behaviour(self, connection, asked)
         except OSError:
@@ -99,7 +99,7 @@
             connection.close()
 
 
-def _read_request(stream: Any) -> Asked | None:
+def read_request(stream: Any) -> Asked | None:
     line = stream.readline().decode().strip()
     if not line:
         return None
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real hosts as processes, and faults from outside them."""
--- /dev/null
+++ b/tests/soak/upstreams.py
@@ -0,0 +1,242 @@
+"""Stand-ins for upstreams that remember all they ran, and can be made to fail."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+import socket
+import threading
+import time
+from dataclasses import dataclass, field
+from enum import Enum
+
+from tests.exchange.world import Asked, read_request
+
+SLOTS = 8
+DESK_SECONDS = 0.03
+EVENT_SECONDS = 0.02
+MAX_EVENTS = 30
+
+
+class UpstreamFault(Enum):
+    """How an upstream misbehaves while it takes work."""
+
+    NONE = "none"
+    FAILS = "answers 500 to some, though it ran them"
+    BREAKS = "breaks answers off"
+    SLOW = "ten times as slow"
+    SILENT = "runs some and never answers"
+    SURPLUS = "sends bytes behind an answer"
+
+
+FAULT_SHARE = 0.4
+"""Part of the requests that a misbehaving upstream treats so."""
+
+
+@dataclass(frozen=True)
+class Run:
+    """A request that an upstream has begun to work on."""
+
+    request_id: str
+    upstream: str
+    line: str
+    digest: str
+    team: str
+    deadline_ms: float
+    has_key: bool
+    at: float
+
+
+@dataclass
+class RunBook:
+    """All runs at all upstreams, as they saw them."""
+
+    runs: dict[str, list[Run]] = field(default_factory=dict)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def add(self, run: Run) -> None:
+        with self.lock:
+            self.runs.setdefault(run.request_id, []).append(run)
+
+    def of(self, request_id: str) -> list[Run]:
+        with self.lock:
+            return list(self.runs.get(request_id, ()))
+
+    def after(self, upstream: str, moment: float) -> list[Run]:
+        """Return what an upstream has begun since ``moment``."""
+        with self.lock:
+            return [
+                run
+                for runs in self.runs.values()
+                for run in runs
+                if run.upstream == upstream and run.at > moment
+            ]
+
+
+def events_of(request_id: str) -> int:
+    """Return how many events the answer to a streamed request has."""
+    return 1 + int(hashlib.sha256(request_id.encode()).hexdigest(), 16) % MAX_EVENTS
+
+
+def answer_of(request_id: str) -> bytes:
+    """Return the whole answer to a request that is not streamed."""
+    return f"{request_id} {'x' * (len(request_id) * 20)}\n".encode()
+
+
+def digest_of(body: bytes) -> str:
+    """Return what tells one body from another."""
+    return hashlib.sha256(body).hexdigest()
+
+
+class SoakUpstream:
+    """One start of an upstream.
+
+    :param name: its id; a restart gets a new one.
+    :param streams: whether it is an engine, whose answers are events.
+    """
+
+    def __init__(self, name: str, streams: bool, book: RunBook, seed: int) -> None:
+        self.name = name
+        self.fault = UpstreamFault.NONE
+        self._streams = streams
+        self._book = book
+        self._rng = random.Random(f"{seed} {name}")
+        self._slots = threading.BoundedSemaphore(SLOTS)
+        self._lock = threading.Lock()
+        self._open: set[socket.socket] = set()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        host, port = self._listener.getsockname()
+        return f"{host}:{port}"
+
+    def crash(self) -> None:
+        """End at once: the port and all connections are gone."""
+        self._listener.close()
+        with self._lock:
+            for sock in self._open:
+                _end(sock)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        with self._lock:
+            self._open.add(sock)
+        stream = sock.makefile("rb")
+        try:
+            while (asked := read_request(stream)) is not None:
+                self._answer(sock, asked)
+        except (OSError, ValueError):
+            pass  # The caller left, or the upstream was told to break off.
+        finally:
+            with self._lock:
+                self._open.discard(sock)
+            stream.close()
+            sock.close()
+
+    def _answer(self, sock: socket.socket, asked: Asked) -> None:
+        if "/-/kv-list" in asked.line:
+            _send(sock, "200 OK", [], b'{"epoch": 1, "held": []}')
+            return
+        if asked.headers.get("x-expect-instance", self.name) != self.name:
+            _send(sock, "421 Misdirected", [f"X-Instance-Id: {self.name}"], b"")
+            return
+        if not self._slots.acquire(blocking=False):
+            _send(sock, "503 Full", ["X-Not-Executed: 1"], b"")
+            return
+        try:
+            self._run(sock, asked)
+        finally:
+            self._slots.release()
+
+    def _run(self, sock: socket.socket, asked: Asked) -> None:
+        self._book.add(
+            Run(
+                asked.request_id,
+                self.name,
+                asked.line,
+                digest_of(asked.body),
+                asked.headers.get("x-tenant", ""),
+                float(asked.headers.get("x-deadline-ms", "inf")),
+                "x-credential" in asked.headers,
+                asked.at,
+            )
+        )
+        with self._lock:
+            is_struck = self._rng.random() < FAULT_SHARE
+            break_at = self._rng.randrange(MAX_EVENTS)
+        fault = self.fault if is_struck else UpstreamFault.NONE
+        factor = 10.0 if self.fault is UpstreamFault.SLOW else 1.0
+        head = [
+            f"X-Request-Id: {asked.request_id}",
+            f"X-Response-Signature: {self.name}.{asked.request_id}",
+        ]
+        if fault is UpstreamFault.SILENT:
+            while sock.recv(1):
+                pass
+            raise OSError("never answered")
+        if fault is UpstreamFault.FAILS:
+            _send(sock, "500 Failed", head, b"failed\n")
+        elif self._streams:
+            at = break_at if fault is UpstreamFault.BREAKS else None
+            self._stream(sock, asked, head, factor, at)
+        else:
+            time.sleep(DESK_SECONDS * factor)
+            body = answer_of(asked.request_id)
+            if fault is UpstreamFault.BREAKS:
+                _send(sock, "200 OK", head, body, cut=len(body) // 2)
+                raise OSError("broken off")
+            _send(sock, "200 OK", head, body)
+        if fault is UpstreamFault.SURPLUS:
+            _send(sock, "200 OK", head, b"surplus")
+
+    def _stream(
+        self,
+        sock: socket.socket,
+        asked: Asked,
+        head: list[str],
+        factor: float,
+        break_at: int | None,
+    ) -> None:
+        last = events_of(asked.request_id)
+        lines = [*head, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        sock.sendall(("HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\n\r\n").encode())
+        first = int(asked.headers.get("last-event-id", "0")) + 1
+        for number in range(first, last + 1):
+            time.sleep(EVENT_SECONDS * factor)
+            event = f"id: {number}\ndata: {asked.request_id} {number}/{last}\n\n"
+            if break_at is not None and number >= break_at:
+                _send_chunk(sock, event[: len(event) // 2].encode())
+                raise OSError("broken off inside an event")
+            _send_chunk(sock, event.encode())
+        sock.sendall(b"0\r\n\r\n")
+
+
+def _send(
+    sock: socket.socket,
+    status: str,
+    head: list[str],
+    body: bytes,
+    cut: int | None = None,
+) -> None:
+    lines = [f"HTTP/1.1 {status}", *head, f"Content-Length: {len(body)}"]
+    sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body[:cut])
+
+
+def _send_chunk(sock: socket.socket, data: bytes) -> None:
+    sock.sendall(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+
+def _end(sock: socket.socket) -> None:
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass  # It has ended already.
