Tell a request's story over all hosts, and count failures by cause

Cause: an on-call engineer has the lines of many hosts; grep shows them unordered, and does not say what ended badly.

--- a/src/rudderpass/cli/_main.py
+++ b/src/rudderpass/cli/_main.py
@@ -13,7 +13,8 @@
 )
 from rudderpass.cli._declarations import apply, check, diff, get, history, snapshot
 from rudderpass.cli._demo import demo
-from rudderpass.cli._nodes import logs, node, status
+from rudderpass.cli._logs import logs
+from rudderpass.cli._nodes import node, status
 from rudderpass.cli._replay import compare, make_trace, replay
 from rudderpass.host._command import host
 
--- a/src/rudderpass/cli/_nodes.py
+++ b/src/rudderpass/cli/_nodes.py
@@ -1,4 +1,4 @@
-"""Commands over running nodes: node, status, logs."""
+"""Commands over running nodes: node, status."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 from types import FrameType
-from typing import Any, TextIO
+from typing import Any
 
 import click
 
@@ -23,7 +23,7 @@
 )
 from rudderpass.errors import PeerError, SettingsError
 from rudderpass.node import Node, NodeSettings, read_keys
-from rudderpass.observe import LogFile, render_lines
+from rudderpass.observe import LogFile
 from rudderpass.webserver import ServerLimits
 
 _STATUS_TIMEOUT = 3.0
@@ -277,12 +277,3 @@
             )
         if row["suspects"]:
             click.echo(f"    cannot reach {', '.join(row['suspects'])}")
-
-
-@click.command()
-@click.argument("file", type=click.File("r", encoding="utf-8"), default="-")
-@click.option("--request", help="Only the lines about this request id.")
-def logs(file: TextIO, request: str | None) -> None:
-    """Render a structured log readably, from FILE or standard input."""
-    for line in render_lines(file, request):
-        click.echo(line)
--- a/src/rudderpass/observe/__init__.py
+++ b/src/rudderpass/observe/__init__.py
@@ -2,9 +2,20 @@
 
 from rudderpass.eventlog import LogFile as LogFile, log as log
 from rudderpass.observe._decisions import log_action as log_action
+from rudderpass.observe._failures import (
+    FailureGroup as FailureGroup,
+    find_failures as find_failures,
+)
 from rudderpass.observe._metrics import (
     Gauges as Gauges,
     Latency as Latency,
     NodeMetrics as NodeMetrics,
 )
-from rudderpass.observe._render import render_lines as render_lines
+from rudderpass.observe._records import (
+    LogRecord as LogRecord,
+    read_records as read_records,
+)
+from rudderpass.observe._render import (
+    render_lines as render_lines,
+    render_story as render_story,
+)
--- a/src/rudderpass/observe/_render.py
+++ b/src/rudderpass/observe/_render.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Iterable, Iterator
 from datetime import datetime, timezone
 
+from rudderpass.observe._records import LogRecord, read_record
+
 _HIDDEN = {"timestamp", "task_uuid", "task_level", "message_type", "text"}
 
 
@@ -15,32 +16,31 @@
     :param request: keep only the lines about this request id.
     """
     for line in lines:
-        try:
-            message = json.loads(line)
-        except ValueError:
+        record = read_record(line)
+        if record is None:
             yield f"? {line.rstrip()}"
-            continue
-        if request is not None and not _is_about(message, request):
-            continue
-        yield _render(message)
+        elif request is None or record.request.startswith(request):
+            yield render_record(record)
 
 
-def _is_about(message: dict[str, object], request: str) -> bool:
-    return str(message.get("request", "")).startswith(request)
+def render_story(records: Iterable[LogRecord], request: str) -> list[str]:
+    """Return the lines about one request over all processes, in time's order."""
+    about = [record for record in records if record.request.startswith(request)]
+    return [render_record(record) for record in sorted(about, key=lambda r: r.at)]
 
 
-def _render(message: dict[str, object]) -> str:
-    seconds = message.get("timestamp", 0.0)
-    moment = datetime.fromtimestamp(
-        float(seconds) if isinstance(seconds, (int, float)) else 0.0, timezone.utc
-    )
+def render_record(record: LogRecord) -> str:
+    """Return a record as a line for people."""
+    moment = datetime.fromtimestamp(record.at, timezone.utc)
     clock = moment.strftime("%H:%M:%S.%f")[:-3]
+    message = record.fields
     fields = " ".join(
         f"{name}={_short(value)}"
         for name, value in message.items()
         if name not in _HIDDEN and value not in (None, {}, [])
     )
-    return f"{clock} {message.get('text', '')} {fields}".rstrip()
+    words = (clock, record.source, str(message.get("text", "")), fields)
+    return " ".join(word for word in words if word)
 
 
 def _short(value: object) -> str:
