--- a/src/rudderpass/exchange/_load.py
+++ b/src/rudderpass/exchange/_load.py
@@ -8,7 +8,7 @@
 from rudderpass._ids import NodeId, UpstreamId
 
 PEER_LOAD_SECONDS = 2.5
-"""How long a peer's figures count; peers tell theirs every half second or second."""
+"""How long a peer's figures count; peers tell theirs every half second."""
 
 
 @dataclass(frozen=True)
--- a/src/rudderpass/gossip/_mesh.py
+++ b/src/rudderpass/gossip/_mesh.py
@@ -10,8 +10,8 @@
 from rudderpass.gossip._codec import Beat
 
 LIVE_SECONDS = 3.0
-"""A peer not heard for so long is taken as gone; beats come every half second or every
-second, and two in a hundred are lost on bad days."""
+"""A peer not heard for so long is taken as gone; beats come every half second, and two
+in a hundred are lost on bad days."""
 
 SOURCE_SECONDS = 1.2
 """A host that follows the store for others is replaced when it was not heard for so
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -15,13 +15,9 @@
 from rudderpass.gossip import NAMING_BEATS, Beat, FollowRule, GossipTransport, Mesh
 
 BEAT_SECONDS = 0.5
-"""Between beats. The shorter, the less two hosts send the same new prompt to different
-upstreams; but a beat of a host with work under way is 150 to 300 bytes, to each peer,
-and bytes between availability zones have a price."""
-
-RELAXED_BEAT_SECONDS = 1.0
-"""The same for hosts of a large deployment that do not follow the store: there beats
-are most of what hosts send one another, and a prompt known later costs little."""
+"""Between beats. The shorter, the less hosts send the same prompt, or a whole burst, to
+an upstream that looked idle; but each beat goes to each peer, and bytes between zones
+have a price. On a day of bursts 78 hosts earned 0.62 so, and 0.52 with a second."""
 
 FETCH_SPREAD_SECONDS = 1.0
 """Within so long the hosts of a large deployment fetch news, each at a time of its own,
@@ -119,7 +115,7 @@
         """Tell peers, choose whether to follow the store, and fetch what is missed."""
         if now >= self._next_beat:
             # A little early, since waits end late.
-            self._next_beat = now + self._beat_interval(now) - BEAT_SECONDS / 4
+            self._next_beat = now + BEAT_SECONDS * 3 / 4
             self.tell_peers(now)
         self._choose_followers(now)
         self._catch_up(now)
@@ -144,11 +140,6 @@
     def _is_following(self) -> bool:
         return self._follower is not None and self._follower.is_active
 
-    def _beat_interval(self, now: float) -> float:
-        with self._guard:
-            is_relaxed = self._rule.is_large(now) and not self._is_following
-        return RELAXED_BEAT_SECONDS if is_relaxed else BEAT_SECONDS
-
     def _choose_followers(self, now: float) -> None:
         """Follow the store, or rest while enough other hosts do."""
         with self._guard:
