Inform hosts that know nothing as soon as one of them does

After a loss of power within an outage of the store, eight hosts got their configuration between 36.55 and 37.33 s, each at the end of its own pause between calls; a host that follows the store waits 0.3 s before it asks a peer, and the first news of a small deployment went out with the next beat only. Ruled out: the store (it answered the first host at 36.55) and the callers' patience.

Change: a host that knows nothing does not count as hearing the store for itself, and the first host that is informed beats at once. Test fails first.

--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -281,9 +281,11 @@
 
     def _note_store_news(self, learned: list[Learned]) -> None:
         """Take news from the store, and tell those who rely on this host at once."""
+        was_informed = self._informed.is_set()
         self._note_learned(learned)
         if learned:
-            self._peers.tell_store_news(time.monotonic())
+            is_first = not was_informed and self._informed.is_set()
+            self._peers.tell_store_news(is_first, time.monotonic())
 
     def _note_learned(self, learned: list[Learned]) -> None:
         for change in learned:
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -129,17 +129,29 @@
             targets = self._mesh.targets(now)
         self._send_beat(beat, targets)
 
-    def tell_store_news(self, now: float) -> None:
-        """Tell those who rely on this host at once what it heard from the store."""
+    def tell_store_news(self, is_first: bool, now: float) -> None:
+        """Tell those who rely on this host at once what it heard from the store.
+
+        :param is_first: whether this host knew nothing before; then others may not
+            know anything either, as after an outage of the store.
+        """
         with self._guard:
             is_shared = self._rule.is_large(now)
-        if is_shared:
+        if is_shared or is_first:
             self.tell_peers(now)
 
     @property
     def _is_following(self) -> bool:
         return self._follower is not None and self._follower.is_active
 
+    @property
+    def _hears_for_itself(self) -> bool:
+        """Whether the store will soon tell this host what its peers know.
+
+        A host that knows nothing may be waiting out a pause after failed calls.
+        """
+        return self._is_following and self._directory.is_complete
+
     def _choose_followers(self, now: float) -> None:
         """Follow the store, or rest while enough other hosts do."""
         with self._guard:
@@ -186,7 +198,7 @@
             return
         with self._guard:
             offsets = self._directory.config_offset, self._directory.upstreams_end
-            peer = self._mesh.ahead(*offsets, self._is_following, now)
+            peer = self._mesh.ahead(*offsets, self._hears_for_itself, now)
         if peer is None:
             return
         self._fetch_at = None
@@ -213,7 +225,7 @@
                 or beat.upstreams_end > self._directory.upstreams_end
             )
             is_urgent = not (self._directory.is_complete and self._rule.is_large(now))
-        if is_behind and not self._is_following:
+        if is_behind and not self._hears_for_itself:
             self._plan_fetch(is_urgent, now)
         if greeting is not None:
             # A starting host waits for this to learn whom it may ask.
--- a/tests/host/test_host.py
+++ b/tests/host/test_host.py
@@ -181,6 +181,22 @@
     dead.close()
 
 
+def test_a_host_that_knows_nothing_does_not_wait_for_its_own_store(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """After an outage the first host that is answered informs the others."""
+    monkeypatch.setattr("rudderpass.gossip._mesh.BEHIND_SECONDS", 1000.0)
+    deployment.publish(1, "k1")
+    deployment.register()
+    dead = StandInStore()
+    dead.status = 503
+    waiting = deployment.start(store=dead.address)
+    wait_for(lambda: "/-/log-newest" in dead.calls)
+    deployment.start(waiting.peer_address)
+    wait_for(lambda: deployment.ask(waiting) == 200)
+    dead.close()
+
+
 def test_a_starting_host_learns_the_caches(deployment: Deployment) -> None:
     def keeps(upstream: Upstream, connection: object, asked: Asked) -> None:
         body = json.dumps({"epoch": 1, "held": [["", "ab", 800, "m"]]}).encode()
