Draw the time of each fetch anew

Cause: read in the diff. A host that had caught up by another way kept the time drawn for its last fetch, so that its next one was not spread. Change: the time is forgotten when it comes.

--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -196,12 +196,12 @@
         """Fetch a peer's state when this host has been behind it for a while."""
         if self._fetch_at is not None and now < self._fetch_at:
             return
+        self._fetch_at = None
         with self._guard:
             offsets = self._directory.config_offset, self._directory.upstreams_end
             peer = self._mesh.ahead(*offsets, self._hears_for_itself, now)
         if peer is None:
             return
-        self._fetch_at = None
         try:
             state = self._transport.fetch(peer, *offsets)
         except PeerError as error:
