--- a/src/rudderpass/host/_warmup.py
+++ b/src/rudderpass/host/_warmup.py
@@ -22,8 +22,8 @@
 from rudderpass.gossip import GossipTransport, Mesh
 
 LISTEN_SECONDS = 0.6
-"""How long a starting host listens for peers before it decides whom to ask; beats come
-four times a second."""
+"""How long a starting host listens for peers before it decides whom to ask; a live peer
+answers a greeting at once, and beats come twice a second."""
 
 POLL_SECONDS = 0.1
 GIVE_UP_SECONDS = 10.0
