Let a test wait for a connection to be idle before it asks for its end

A caller may read a whole answer before the server's thread is done with the request; a call to close idle connections at that moment passes the connection over, rightly, and the test made one call. Shown: with a body whose close() waits, the first call leaves the connection open and the next one closes it, every time. That is a test of its own now.

As strict: the connection must be closed and new ones served.

--- a/tests/webserver/test_server.py
+++ b/tests/webserver/test_server.py
@@ -4,8 +4,10 @@
 
 import errno
 import http.client
+import socket
 import threading
-from collections.abc import Callable, Iterable
+import time
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import pytest
@@ -96,14 +98,61 @@
     server.close()
 
 
+def close_idle_until_closed(server: HttpServer, sock: socket.socket) -> bytes:
+    """Close idle connections, as a stop does, until this one is among them.
+
+    A caller may have a whole answer before the server's thread is done with it.
+    """
+    sock.settimeout(0.05)
+    until = time.monotonic() + TIMEOUT
+    while True:
+        server.close_idle()
+        try:
+            return sock.recv(1)
+        except TimeoutError:
+            assert time.monotonic() < until, "never closed"
+
+
+def test_a_connection_whose_answer_is_being_ended_is_closed_by_a_later_call() -> None:
+    ending, ended = threading.Event(), threading.Event()
+
+    class Body:
+        def __iter__(self) -> Iterator[bytes]:
+            yield b"hello"
+
+        def close(self) -> None:
+            ending.set()
+            ended.wait(TIMEOUT)
+
+    def answer(
+        environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        start_response("200 OK", [("Content-Length", "5")])
+        return Body()
+
+    server = serve(answer)
+    connection = http.client.HTTPConnection(server.address, timeout=TIMEOUT)
+    connection.request("GET", "/")
+    assert connection.getresponse().read() == b"hello"
+    assert ending.wait(TIMEOUT)
+    assert connection.sock is not None
+    connection.sock.settimeout(0.1)
+    server.close_idle()
+    with pytest.raises(TimeoutError):
+        connection.sock.recv(1)
+    ended.set()
+    assert close_idle_until_closed(server, connection.sock) == b""
+    connection.close()
+    server.close()
+
+
 def test_idle_connections_are_closed_and_new_ones_served() -> None:
     server = serve(say_hello)
     connection = http.client.HTTPConnection(server.address, timeout=TIMEOUT)
     connection.request("GET", "/")
     assert connection.getresponse().read() == b"hello"
-    server.close_idle()
     assert connection.sock is not None
-    assert connection.sock.recv(1) == b""
+    assert close_idle_until_closed(server, connection.sock) == b""
     connection.close()
     assert get(server) == b"hello"
     server.close()
