Show how old a host's list is, and what the shared budget said

Sight for the incident: the logs could not tell an end that was learned late from one that was believed too long, nor a host that overspent from one that counted too few hosts.

Added: list_age on each route line, believed_for on the end of an upstream (ends that a whole list shows had no line at all), silent_for when the store is lost or regained, repeats_left and repeats_shared_by on failed sends; gauges list_age_seconds and upstreams_ending, counter rudderpass_repeats_total. No decision changed.

--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -21,6 +21,7 @@
     HistoryLost as HistoryLost,
     KeyedLog as KeyedLog,
     KeyedPage as KeyedPage,
+    Reachability as Reachability,
     StoreFollower as StoreFollower,
 )
 from rudderpass.directory._upstreams import (
--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -71,11 +71,16 @@
 
 @dataclass(frozen=True)
 class Learned:
-    """One change of belief, for the log."""
+    """One change of belief, for the log.
+
+    :param believed_for: seconds for which an upstream whose entry ended is still
+        believed in; None where nothing ended.
+    """
 
     what: str
     source: str
     offset: int
+    believed_for: float | None = None
 
 
 class Directory:
@@ -104,6 +109,7 @@
         self._is_store_failing = False
         self._store_returned_at = float("-inf")
         self._is_listed = False
+        self._confirmed_at = float("-inf")
         self._changes: deque[KeyedRecord] = deque()
         self._changes_from = 0
         self.unreadable = 0
@@ -142,6 +148,23 @@
         """Every upstream that is believed to be there, leaving ones included."""
         return self._upstreams.records
 
+    @property
+    def ending_count(self) -> int:
+        """How many upstreams are believed in although their entries ended."""
+        return self._upstreams.ending_count
+
+    def list_age(self, now: float) -> float:
+        """Return how many seconds ago the list of upstreams was known to be true.
+
+        Infinite before the first list.
+        """
+        return now - self._confirmed_at
+
+    def note_list_confirmed(self, end: int, now: float) -> None:
+        """Take note that one who hears the store knows no change from ``end`` on."""
+        if self._is_listed and end <= self._upstreams.end:
+            self._confirmed_at = now
+
     def note_store_failed(self) -> None:
         """Take note that the store did not answer this host."""
         self._is_store_failing = True
@@ -168,8 +191,9 @@
     ) -> list[Learned]:
         """Take changes to the list of upstreams, in the log's order."""
         until = self._believed_until(now)
-        learned = self._take_changes(records, lambda upstream: until, source)
+        learned = self._take_changes(records, lambda upstream: until, source, now)
         self._upstreams.advance(end)
+        self._confirmed_at = now
         self.expire(now)
         return learned
 
@@ -178,6 +202,7 @@
         records: Iterable[KeyedRecord],
         believed_until: Callable[[UpstreamId], float],
         source: str,
+        now: float,
     ) -> list[Learned]:
         learned: list[Learned] = []
         for record in records:
@@ -186,7 +211,9 @@
                 upstream = UpstreamId(record.key)
                 until = believed_until(upstream)
                 self._upstreams.remove(upstream, record.offset, until)
-                learned.append(Learned(f"{record.key} has left", source, record.offset))
+                learned.append(
+                    _learned_end(upstream, source, record.offset, until - now)
+                )
                 continue
             decoded = self._decode(record)
             if decoded is not None:
@@ -203,7 +230,7 @@
         self, records: Iterable[KeyedRecord], end: int, source: str, now: float
     ) -> list[Learned]:
         """Take the whole list as it stood at offset ``end``."""
-        learned = self._take_list(records, end, source, self._believed_until(now))
+        learned = self._take_list(records, end, source, self._believed_until(now), now)
         self.expire(now)
         return learned
 
@@ -213,6 +240,7 @@
         end: int,
         source: str,
         believed_until: float,
+        now: float,
     ) -> list[Learned]:
         decoded = [
             entry
@@ -221,11 +249,15 @@
         ]
         known = self._upstreams.records
         news = [entry for entry in decoded if entry.entry.upstream not in known]
-        self._upstreams.replace_all(decoded, end, believed_until)
+        ended = self._upstreams.replace_all(decoded, end, believed_until)
         self._is_listed = True
+        self._confirmed_at = now
         self._changes.clear()
         self._changes_from = end
-        return [_learned(entry, source) for entry in news]
+        return [
+            *(_learned(entry, source) for entry in news),
+            *(_learned_end(gone, source, end, believed_until - now) for gone in ended),
+        ]
 
     def take_state(
         self, state: DirectoryState, source: str, now: float
@@ -244,7 +276,9 @@
     ) -> list[Learned]:
         believed = {upstream: now + seconds for upstream, seconds in state.ending}
         if state.changes_from is None:
-            learned = self._take_list(state.upstreams, state.upstreams_end, source, now)
+            learned = self._take_list(
+                state.upstreams, state.upstreams_end, source, now, now
+            )
             for upstream, until in believed.items():
                 self._upstreams.remove(upstream, state.upstreams_end, until)
             return learned
@@ -256,9 +290,10 @@
             record for record in state.upstreams if record.offset >= self._upstreams.end
         ]
         learned = self._take_changes(
-            news, lambda upstream: believed.get(upstream, now), source
+            news, lambda upstream: believed.get(upstream, now), source, now
         )
         self._upstreams.advance(state.upstreams_end)
+        self._confirmed_at = now
         return learned
 
     def state_since(
@@ -330,3 +365,9 @@
     entry = record.entry
     word = "is leaving" if entry.leaving else f"serves {entry.service}"
     return Learned(f"{entry.upstream} {word}", source, record.offset)
+
+
+def _learned_end(
+    upstream: UpstreamId, source: str, offset: int, believed_for: float
+) -> Learned:
+    return Learned(f"{upstream} has left", source, offset, round(believed_for, 3))
--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -61,6 +61,20 @@
         """
 
 
+@dataclass(frozen=True)
+class Reachability:
+    """The store was lost or regained on one topic.
+
+    :param silent_for: seconds since the last answer on the topic; infinite before the
+        first. Behind a call that waits for news this is longer than the outage.
+    """
+
+    is_reachable: bool
+    topic: str
+    reason: str
+    silent_for: float
+
+
 @dataclass(frozen=True)
 class FollowedTopic:
     """How one topic's records reach the directory.
@@ -96,7 +110,7 @@
         topics: tuple[str, str],
         guard: threading.RLock,
         on_learned: Callable[[list[Learned]], None],
-        on_reachable: Callable[[bool, str], None],
+        on_reachable: Callable[[Reachability], None],
     ) -> None:
         self._store = store
         self._directory = directory
@@ -195,8 +209,8 @@
                 pause = min(pause * 2, LONGEST_PAUSE_SECONDS)
                 continue
             pause = FIRST_PAUSE_SECONDS
-            self._answered[topic.topic] = time.monotonic()
             self._note(topic, True, "")
+            self._answered[topic.topic] = time.monotonic()
 
     def _read_newest(self, topic: FollowedTopic) -> None:
         page = self._store.read_newest(topic.topic)
@@ -221,4 +235,6 @@
         if self._reachable.get(topic.topic) is reachable:
             return
         self._reachable[topic.topic] = reachable
-        self._on_reachable(reachable, f"{topic.topic} {reason}".strip())
+        answered = self._answered.get(topic.topic, float("-inf"))
+        silent_for = time.monotonic() - answered
+        self._on_reachable(Reachability(reachable, topic.topic, reason, silent_for))
--- a/src/rudderpass/directory/_upstreams.py
+++ b/src/rudderpass/directory/_upstreams.py
@@ -99,20 +99,32 @@
 
     def replace_all(
         self, records: list[UpstreamRecord], end: int, believed_until: float
-    ) -> None:
-        """Take a whole list that was true at ``end``."""
+    ) -> list[UpstreamId]:
+        """Take a whole list that was true at ``end``; return whom it shows gone."""
         listed = {record.entry.upstream for record in records}
         for record in records:
             self.put(record)
-        for upstream, known in self._records.items():
-            if upstream not in listed and known.offset < end:
-                self._ending.setdefault(upstream, believed_until)
+        ended = [
+            upstream
+            for upstream, known in self._records.items()
+            if upstream not in listed
+            and known.offset < end
+            and upstream not in self._ending
+        ]
+        for upstream in ended:
+            self._ending[upstream] = believed_until
         self.advance(end)
+        return ended
 
     def advance(self, end: int) -> None:
         """Note that all records below ``end`` have been seen."""
         self._end = max(self._end, end)
 
+    @property
+    def ending_count(self) -> int:
+        """How many upstreams are about to be forgotten."""
+        return len(self._ending)
+
     def ending(self, now: float) -> list[tuple[UpstreamId, float]]:
         """Return upstreams about to be forgotten, and in how many seconds."""
         return [(upstream, until - now) for upstream, until in self._ending.items()]
--- a/src/rudderpass/eventlog/_log.py
+++ b/src/rudderpass/eventlog/_log.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import math
 import queue
 import sys
 import threading
@@ -127,3 +128,8 @@
 def log(prefix: str, text: str, **fields: Any) -> None:
     """Log one short sentence with the prefix of its part."""
     eliot.log_message(message_type=prefix, text=f"{prefix}: {text}", **fields)
+
+
+def round_age(seconds: float) -> float | None:
+    """Return an age as a log line shows it: to the millisecond, None before any."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/src/rudderpass/exchange/__init__.py
+++ b/src/rudderpass/exchange/__init__.py
@@ -10,6 +10,7 @@
 )
 from rudderpass.exchange._budget import (
     BudgetRule as BudgetRule,
+    RepeatDecision as RepeatDecision,
     SharedRetryBudget as SharedRetryBudget,
 )
 from rudderpass.exchange._choice import (
--- a/src/rudderpass/exchange/_assignment.py
+++ b/src/rudderpass/exchange/_assignment.py
@@ -53,6 +53,7 @@
 
     :param expected: seconds to the answer's begin.
     :param usual: the same on an upstream of usual speed.
+    :param list_age: seconds since the list of upstreams was last known to be true.
     :param unread_tokens: prompt tokens that the upstream must read for it.
     :param is_answering: whether the answer has begun.
     """
@@ -67,6 +68,7 @@
     sent: float
     tier: int
     list_offset: int
+    list_age: float
     copy_from: str | None = None
     is_answering: bool = False
 
--- a/src/rudderpass/exchange/_budget.py
+++ b/src/rudderpass/exchange/_budget.py
@@ -25,6 +25,19 @@
     window: float
 
 
+@dataclass(frozen=True)
+class RepeatDecision:
+    """Whether a request may be sent again.
+
+    :param left: further sends that this host could still make before this one.
+    :param hosts: how many hosts were taken to share the allowance.
+    """
+
+    is_allowed: bool
+    left: float
+    hosts: int
+
+
 class SharedRetryBudget:
     """This host's share of the system's budget, for each service.
 
@@ -56,12 +69,13 @@
         share = self._rule.slack / max(1, hosts)
         return SAFETY_SHARE * (self._rule.ratio * requests + share) - repeats
 
-    def spend(self, service: PoolId, hosts: int, now: float) -> bool:
+    def spend(self, service: PoolId, hosts: int, now: float) -> RepeatDecision:
         """Take one further send, if there is one."""
-        if self.left(service, hosts, now) < 1.0:
-            return False
-        self._repeats[service].append(now)
-        return True
+        left = self.left(service, hosts, now)
+        is_allowed = left >= 1.0
+        if is_allowed:
+            self._repeats[service].append(now)
+        return RepeatDecision(is_allowed, left, hosts)
 
     def _window(
         self, counts: dict[PoolId, deque[float]], service: PoolId, now: float
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -13,7 +13,7 @@
     Refused,
     SentPrompt,
 )
-from rudderpass.exchange._budget import BudgetRule, SharedRetryBudget
+from rudderpass.exchange._budget import BudgetRule, RepeatDecision, SharedRetryBudget
 from rudderpass.exchange._choice import Knowledge, choose_upstream
 from rudderpass.exchange._forecast import Forecasts
 from rudderpass.exchange._load import Load, LoadBook, Reading
@@ -200,10 +200,11 @@
             now,
             accepted.tier,
             self._directory.upstreams_end,
+            self._directory.list_age(now),
             chosen.copy_from,
         )
 
-    def may_repeat(self, service: PoolId, now: float) -> bool:
+    def take_repeat(self, service: PoolId, now: float) -> RepeatDecision:
         """Take one further send from the shared budget, if there is one."""
         return self._budget.spend(service, self._count_hosts(), now)
 
--- a/src/rudderpass/exchange/_lines.py
+++ b/src/rudderpass/exchange/_lines.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from rudderpass.errors import UpstreamError
-from rudderpass.eventlog import log
+from rudderpass.eventlog import log, round_age
 from rudderpass.exchange._assignment import Accepted, Assignment, Refused
+from rudderpass.exchange._budget import RepeatDecision
 from rudderpass.exchange._progress import ExchangeEnd
 from rudderpass.exchange._request import ExchangeRequest
 from rudderpass.streams import NextStep
@@ -50,6 +51,7 @@
         ruled_out=list(choice.ruled_out[:SHOWN_CANDIDATES]),
         config_version=accepted.config_version,
         list_offset=assigned.list_offset,
+        list_age=round_age(assigned.list_age),
     )
 
 
@@ -59,8 +61,12 @@
     error: UpstreamError,
     sends: int,
     step: NextStep,
+    repeat: RepeatDecision | None,
 ) -> None:
-    """Log a failed send and what follows."""
+    """Log a failed send and what follows.
+
+    :param repeat: what the shared budget said, where it was asked.
+    """
     log(
         "attempt",
         f"{request.request_id} failed at {assigned.upstream}, {step.value}.",
@@ -71,6 +77,8 @@
         refused=error.refused,
         sends=sends,
         next=step.value,
+        repeats_left=None if repeat is None else round(repeat.left, 2),
+        repeats_shared_by=None if repeat is None else repeat.hosts,
     )
 
 
--- a/src/rudderpass/exchange/_progress.py
+++ b/src/rudderpass/exchange/_progress.py
@@ -8,7 +8,9 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+from rudderpass._ids import PoolId
 from rudderpass.exchange._assignment import Assignment
+from rudderpass.exchange._budget import RepeatDecision
 from rudderpass.exchange._connections import UpstreamConnections
 from rudderpass.exchange._core import ExchangeCore
 from rudderpass.exchange._dialect import ExchangeDialect
@@ -56,6 +58,7 @@
 class ExchangeParts:
     """What serving needs of the host.
 
+    :param on_repeat: told of each further send that was asked for.
     :param settled: set once the host knows a configuration and the upstreams, or has
         found that nobody can tell it of them now.
     """
@@ -65,6 +68,7 @@
     connections: UpstreamConnections
     dialect: ExchangeDialect
     on_end: Callable[[ExchangeEnd], None]
+    on_repeat: Callable[[PoolId, RepeatDecision], None]
     settled: threading.Event
 
 
--- a/src/rudderpass/exchange/_serve.py
+++ b/src/rudderpass/exchange/_serve.py
@@ -9,6 +9,7 @@
 from rudderpass._ids import UpstreamId
 from rudderpass.errors import CallerGone, StaleConnection, UpstreamError
 from rudderpass.exchange._assignment import Accepted, Assignment, RefusalReason, Refused
+from rudderpass.exchange._budget import RepeatDecision
 from rudderpass.exchange._lines import log_answer, log_attempt, log_choice
 from rudderpass.exchange._progress import (
     Ending,
@@ -147,9 +148,11 @@
         step = decide_next(
             progress.state, error, is_in_time and progress.sends < MAX_SENDS
         )
+        repeat = None
         if step is not NextStep.GIVE_UP and error.sent:
-            step = self._spend(accepted, step, now)
-        log_attempt(self._request, assigned, error, progress.sends, step)
+            repeat = self._take_repeat(accepted, now)
+            step = step if repeat.is_allowed else NextStep.GIVE_UP
+        log_attempt(self._request, assigned, error, progress.sends, step, repeat)
         if step is not NextStep.GIVE_UP:
             return None
         come_back = accepted.route.target_latency * COME_BACK_TARGET_SHARE
@@ -157,10 +160,11 @@
             RefusalReason.NO_UPSTREAM, min(LONGEST_COME_BACK_SECONDS, come_back)
         )
 
-    def _spend(self, accepted: Accepted, step: NextStep, now: float) -> NextStep:
+    def _take_repeat(self, accepted: Accepted, now: float) -> RepeatDecision:
         with self._parts.guard:
-            allowed = self._parts.core.may_repeat(accepted.service, now)
-        return step if allowed else NextStep.GIVE_UP
+            repeat = self._parts.core.take_repeat(accepted.service, now)
+        self._parts.on_repeat(accepted.service, repeat)
+        return repeat
 
     def _give_up(self, refused: Refused) -> Passed:
         """Answer a request that is not sent again."""
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -11,9 +11,16 @@
 from typing import Protocol
 
 from rudderpass._ids import NodeId
-from rudderpass.directory import Decoders, Directory, KeyedLog, Learned, StoreFollower
+from rudderpass.directory import (
+    Decoders,
+    Directory,
+    KeyedLog,
+    Learned,
+    Reachability,
+    StoreFollower,
+)
 from rudderpass.errors import PlatformError
-from rudderpass.eventlog import log
+from rudderpass.eventlog import log, round_age
 from rudderpass.exchange import (
     ExchangeApp,
     ExchangeCore,
@@ -114,6 +121,7 @@
             self._connections,
             platform.dialect,
             self._metrics.record,
+            self._metrics.record_repeat,
             self._settled,
         )
         self._app = ExchangeApp(parts)
@@ -298,6 +306,7 @@
                 f"{change.what}, from {change.source}.",
                 source=change.source,
                 offset=change.offset,
+                believed_for=change.believed_for,
             )
         if self._directory.is_complete:
             self._informed.set()
@@ -311,10 +320,15 @@
                 int(limits.idle_timeout) + IDLE_MARGIN_SECONDS,
             )
 
-    def _note_store(self, reachable: bool, reason: str) -> None:
-        word = "regained" if reachable else "lost"
-        log("store", f"{word}: {reason}.", reachable=reachable)
-        if not reachable:
+    def _note_store(self, change: Reachability) -> None:
+        word = "regained" if change.is_reachable else "lost"
+        log(
+            "store",
+            f"{word}: {f'{change.topic} {change.reason}'.strip()}.",
+            reachable=change.is_reachable,
+            silent_for=round_age(change.silent_for),
+        )
+        if not change.is_reachable:
             self._note_unanswered()
 
     def _note_unanswered(self) -> None:
@@ -331,6 +345,8 @@
                 config_version=0 if config is None else config.version,
                 config_offset=self._directory.config_offset,
                 upstreams=len(self._directory.listed),
+                upstreams_ending=self._directory.ending_count,
+                list_age_seconds=self._directory.list_age(time.monotonic()),
                 live_peers=len(self._peers.mesh.live(time.monotonic())),
                 store_reachable=self._follower.is_reachable,
                 store_calls=self._platform.store.calls,
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from rudderpass.exchange import Ending, ExchangeEnd
+from rudderpass._ids import PoolId
+from rudderpass.exchange import Ending, ExchangeEnd, RepeatDecision
 
 if TYPE_CHECKING:
     from prometheus_client.core import Metric
@@ -26,6 +27,8 @@
     config_version: int
     config_offset: int
     upstreams: int
+    upstreams_ending: int
+    list_age_seconds: float
     live_peers: int
     store_reachable: bool
     store_calls: int
@@ -71,6 +74,7 @@
         self._lock = threading.Lock()
         self._ends: Counter[tuple[str, str, Ending]] = Counter()
         self._sends: Counter[str] = Counter()
+        self._repeats: Counter[tuple[PoolId, bool]] = Counter()
         self._first: dict[str, _Latencies] = {}
         self._whole: dict[str, _Latencies] = {}
 
@@ -83,6 +87,11 @@
             if end.first_answer is not None:
                 self._first.setdefault(end.route, _Latencies()).add(end.first_answer)
 
+    def record_repeat(self, service: PoolId, repeat: RepeatDecision) -> None:
+        """Count a further send that was asked for."""
+        with self._lock:
+            self._repeats[service, repeat.is_allowed] += 1
+
     def expose(self) -> bytes:
         """Return everything in Prometheus' text format."""
         from prometheus_client import CollectorRegistry, generate_latest
@@ -122,8 +131,16 @@
         )
         for route, count in self._sends.items():
             sends.add_metric((route,), count)
+        repeats = CounterMetricFamily(
+            "rudderpass_repeats",
+            "Further sends asked of the shared budget, allowed or not.",
+            labels=("service", "allowed"),
+        )
+        for (service, is_allowed), count in self._repeats.items():
+            repeats.add_metric((service, str(is_allowed).lower()), count)
         yield ends
         yield sends
+        yield repeats
 
     def _histograms(self) -> Iterator[Metric]:
         from prometheus_client.core import HistogramMetricFamily
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -231,6 +231,8 @@
             greeting = (
                 self._make_beat((), self._mesh.named(now), now) if is_news else None
             )
+            if beat.following:
+                self._directory.note_list_confirmed(beat.upstreams_end, now)
             is_behind = (
                 beat.config_offset > self._directory.config_offset
                 or beat.upstreams_end > self._directory.upstreams_end
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -243,3 +243,31 @@
     assert serving(host) == {"u1"}
     assert host.expire(100.6) == []
     assert host.expire(100.8) == [UpstreamId("u1")]
+
+
+def test_the_age_of_the_list_is_told_from_its_last_confirmation() -> None:
+    directory = make_directory()
+    assert directory.list_age(5.0) == float("inf")
+    directory.note_list_confirmed(0, 5.0)
+    assert directory.list_age(5.0) == float("inf"), "there is no list yet"
+    directory.take_all_upstreams([upstream_record(0, 1)], 1, SOURCE, 10.0)
+    assert directory.list_age(10.5) == 0.5
+    directory.note_list_confirmed(1, 12.0)
+    assert directory.list_age(12.0) == 0.0
+    directory.note_list_confirmed(2, 20.0)
+    assert directory.list_age(20.0) == 8.0, "there are changes that it lacks"
+
+
+def test_an_end_tells_for_how_long_it_is_not_believed() -> None:
+    directory = make_directory()
+    listed = [upstream_record(0, 1), upstream_record(1, 2)]
+    directory.take_all_upstreams(listed, 2, SOURCE, 0.0)
+    left = directory.take_upstreams([upstream_end(2, 1)], 3, SOURCE, 5.0)
+    assert [change.believed_for for change in left] == [0.0]
+    lose_store(directory, 10.0)
+    left = directory.take_all_upstreams([], 4, SOURCE, 10.0)
+    assert [change.what for change in left] == ["u2 has left"]
+    assert left[0].believed_for is not None and left[0].believed_for > 1.0
+    assert directory.ending_count == 1
+    directory.expire(20.0)
+    assert directory.ending_count == 0
--- a/tests/directory/test_follower.py
+++ b/tests/directory/test_follower.py
@@ -13,6 +13,7 @@
     KeyedPage,
     KeyedRecord,
     Learned,
+    Reachability,
     StoreFollower,
 )
 from rudderpass.errors import PlatformError
@@ -66,14 +67,14 @@
         self.store = FakeStore()
         self.directory = make_directory()
         self.learned: list[Learned] = []
-        self.reachable: list[bool] = []
+        self.changes: list[Reachability] = []
         self.follower = StoreFollower(
             self.store,
             self.directory,
             ("config", "upstreams"),
             threading.RLock(),
             self.learned.extend,
-            lambda reachable, reason: self.reachable.append(reachable),
+            self.changes.append,
         )
         self.follower.set_active(True, is_shared=False)
 
@@ -100,7 +101,11 @@
     wait_for(lambda: followed.version == 5)
     wait_for(lambda: followed.follower.is_reachable)
     followed.follower.close()
-    assert False in followed.reachable and followed.reachable[-1]
+    reachable = [change.is_reachable for change in followed.changes]
+    assert False in reachable and reachable[-1]
+    first, *later = (change.silent_for for change in followed.changes)
+    assert first == float("inf"), "never heard before"
+    assert all(0.0 <= silent < TIMEOUT for silent in later if silent != first)
 
 
 def test_lost_history_is_listed_anew(followed: Followed) -> None:
--- a/tests/exchange/test_budget.py
+++ b/tests/exchange/test_budget.py
@@ -29,7 +29,7 @@
         if is_request:
             budget.note_request(SERVICE, now)
             requests.append(now)
-        elif budget.spend(SERVICE, hosts, now):
+        elif budget.spend(SERVICE, hosts, now).is_allowed:
             repeats.append(now)
         recent = [at for at in repeats if now - at <= RULE.window]
         arrived = [at for at in requests if now - at <= RULE.window]
@@ -38,14 +38,14 @@
 
 def test_a_budget_is_spent_and_comes_back() -> None:
     budget = SharedRetryBudget(RULE)
-    spent = [budget.spend(SERVICE, 6, 0.0) for _ in range(10)]
+    spent = [budget.spend(SERVICE, 6, 0.0).is_allowed for _ in range(10)]
     assert spent == [True] * 7 + [False] * 3, "0.8 x 54 / 6 hosts"
-    assert not budget.spend(SERVICE, 6, 9.9)
-    assert budget.spend(SERVICE, 6, 10.1)
+    assert not budget.spend(SERVICE, 6, 9.9).is_allowed
+    assert budget.spend(SERVICE, 6, 10.1).is_allowed
 
 
 def test_services_do_not_spend_one_anothers() -> None:
     budget = SharedRetryBudget(RULE)
-    while budget.spend(SERVICE, 6, 0.0):
+    while budget.spend(SERVICE, 6, 0.0).is_allowed:
         pass
-    assert budget.spend(PoolId("engines"), 6, 0.0)
+    assert budget.spend(PoolId("engines"), 6, 0.0).is_allowed
--- a/tests/exchange/test_core.py
+++ b/tests/exchange/test_core.py
@@ -328,7 +328,7 @@
 def test_further_sends_end_with_the_budget() -> None:
     core = make_core(hosts=4)
     spent = 0
-    while core.may_repeat(SERVICE, 0.0):
+    while core.take_repeat(SERVICE, 0.0).is_allowed:
         spent += 1
     assert spent == 8, "0.8 of 40 over 4 hosts"
 
--- a/tests/exchange/test_serve.py
+++ b/tests/exchange/test_serve.py
@@ -98,6 +98,7 @@
     reply = world.ask()
     assert (reply.status, reply.read()) == (200, b"second")
     assert world.ran == [1, 1]
+    assert [repeat.is_allowed for repeat in world.repeats] == [True], "it was paid for"
 
 
 @pytest.mark.parametrize(
--- a/tests/exchange/world.py
+++ b/tests/exchange/world.py
@@ -18,6 +18,7 @@
     ExchangeCore,
     ExchangeEnd,
     ExchangeParts,
+    RepeatDecision,
     UpstreamConnections,
 )
 from rudderpass.platform import PlatformDialect
@@ -191,6 +192,7 @@
     ) -> None:
         self.upstreams = [Upstream(behaviour) for behaviour in behaviours]
         self.ends: list[ExchangeEnd] = []
+        self.repeats: list[RepeatDecision] = []
         self.settled = threading.Event()
         self.settled.set()
         addresses = [upstream.address for upstream in self.upstreams]
@@ -203,6 +205,7 @@
             UpstreamConnections(),
             PlatformDialect(),
             self.ends.append,
+            lambda service, repeat: self.repeats.append(repeat),
             self.settled,
         )
         self.app = ExchangeApp(parts)
--- a/tests/host/test_host.py
+++ b/tests/host/test_host.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import random
+import re
 import socket
 import threading
 import time
@@ -161,6 +162,9 @@
         exposed
     )
     assert "rudderpass_host_config_version 1.0" in exposed
+    assert "rudderpass_host_upstreams_ending 0.0" in exposed
+    age = re.search(r"^rudderpass_host_list_age_seconds (\S+)$", exposed, re.MULTILINE)
+    assert age is not None and 0.0 <= float(age[1]) < TIMEOUT
 
 
 def test_changes_reach_a_host_that_the_store_turns_away(
