--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -18,6 +18,7 @@
     Learned as Learned,
 )
 from rudderpass.directory._follower import (
+    Clock as Clock,
     HistoryLost as HistoryLost,
     KeyedLog as KeyedLog,
     KeyedPage as KeyedPage,
--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -90,6 +90,18 @@
     end: Callable[[], int]
 
 
+class Clock:
+    """The time that a follower lives in; tests bring one of their own."""
+
+    def now(self) -> float:
+        """Return the time in seconds; it only counts differences."""
+        return time.monotonic()
+
+    def wait(self, event: threading.Event, seconds: float | None = None) -> None:
+        """Wait until an event is set, ``seconds`` at most."""
+        event.wait(seconds)
+
+
 class StoreFollower:
     """Keeps a directory up to date from the store, one thread for each topic.
 
@@ -99,6 +111,7 @@
     :param guard: the lock that guards the directory.
     :param on_learned: told what changed.
     :param on_reachable: told when the store is lost or regained.
+    :param clock: the steady clock by default.
 
     .. versionadded:: 0.2
     """
@@ -111,7 +124,9 @@
         guard: threading.RLock,
         on_learned: Callable[[list[Learned]], None],
         on_reachable: Callable[[Reachability], None],
+        clock: Clock | None = None,
     ) -> None:
+        self._clock = clock or Clock()
         self._store = store
         self._directory = directory
         self._guard = guard
@@ -134,10 +149,10 @@
             FollowedTopic(
                 upstreams_topic,
                 lambda page: directory.take_all_upstreams(
-                    page.records, page.end, "store", time.monotonic()
+                    page.records, page.end, "store", self._clock.now()
                 ),
                 lambda page: directory.take_upstreams(
-                    page.records, page.end, "store", time.monotonic()
+                    page.records, page.end, "store", self._clock.now()
                 ),
                 lambda: directory.upstreams_end,
             ),
@@ -188,7 +203,7 @@
         while not self._stopping.is_set():
             if not self._active.is_set():
                 is_listed = False
-                self._active.wait()
+                self._clock.wait(self._active)
                 continue
             try:
                 if is_listed:
@@ -205,17 +220,17 @@
                     error.show() if isinstance(error, PlatformError) else repr(error)
                 )
                 self._note(topic, False, reason)
-                self._stopping.wait(pause)
+                self._clock.wait(self._stopping, pause)
                 pause = min(pause * 2, LONGEST_PAUSE_SECONDS)
                 continue
             pause = FIRST_PAUSE_SECONDS
             self._note(topic, True, "")
-            self._answered[topic.topic] = time.monotonic()
+            self._answered[topic.topic] = self._clock.now()
 
     def _read_newest(self, topic: FollowedTopic) -> None:
         page = self._store.read_newest(topic.topic)
         with self._guard:
-            self._directory.note_store_answered(time.monotonic())
+            self._directory.note_store_answered(self._clock.now())
             learned = topic.take_newest(page)
         self._on_learned(learned)
 
@@ -224,7 +239,7 @@
             offset = topic.end()
         page = self._store.read_after(topic.topic, offset, self._wait)
         with self._guard:
-            self._directory.note_store_answered(time.monotonic())
+            self._directory.note_store_answered(self._clock.now())
             learned = topic.take_changes(page)
         self._on_learned(learned)
 
@@ -236,5 +251,5 @@
             return
         self._reachable[topic.topic] = reachable
         answered = self._answered.get(topic.topic, float("-inf"))
-        silent_for = time.monotonic() - answered
+        silent_for = self._clock.now() - answered
         self._on_reachable(Reachability(reachable, topic.topic, reason, silent_for))
--- a/src/rudderpass/errors.py
+++ b/src/rudderpass/errors.py
@@ -68,6 +68,13 @@
     """A service of the platform did not answer as it should."""
 
 
+class ConnectionLost(PlatformError):
+    """A connection that had served before brought no answer.
+
+    That says nothing of the service, which may answer on a new connection.
+    """
+
+
 class PeerError(RudderpassError):
     """Another node could not be reached or refused a message."""
 
--- a/src/rudderpass/platform/_store.py
+++ b/src/rudderpass/platform/_store.py
@@ -14,7 +14,7 @@
 
 from rudderpass._sockets import watch_liveness
 from rudderpass.directory import HistoryLost, KeyedPage, KeyedRecord
-from rudderpass.errors import PlatformError
+from rudderpass.errors import ConnectionLost, PlatformError
 
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
@@ -111,6 +111,7 @@
         body: bytes | None = None,
     ) -> bytes:
         self.calls += 1
+        is_kept = self._thread.connection is not None
         target = f"{path}?{urllib.parse.urlencode(query)}"
         try:
             connection = self._connect()
@@ -121,8 +122,11 @@
             answer = response.read()
         except (OSError, http.client.HTTPException) as error:
             self._disconnect()
-            text = f"no answer: {type(error).__name__} {error}"
-            raise self._failed(text, path) from error
+            text = f"store: no answer: {type(error).__name__} {error}"
+            if is_kept:
+                text = f"{text}, on a kept connection"
+                raise ConnectionLost(text, step=path, peer=self._address) from error
+            raise PlatformError(text, step=path, peer=self._address) from error
         if response.status == HTTPStatus.GONE:
             raise HistoryLost("records are gone", step=path, peer=self._address)
         if response.status != HTTPStatus.OK:
--- a/tests/host/test_host.py
+++ b/tests/host/test_host.py
@@ -298,6 +298,6 @@
     before = len(list_calls(deployment.store))
     back = deployment.start(first.peer_address, peer=address)
     wait_for(lambda: deployment.ask(back) == 200)
-    # Peers inform it within milliseconds, so it may serve before it has asked the store.
+    # Peers inform it at once, so it may serve before it has asked the store.
     wait_for(lambda: len(list_calls(deployment.store)) > before)
     assert list_calls(deployment.store)[before:] == ["/-/log-newest"]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,7 +7,7 @@
 import pytest
 
 from rudderpass.directory import HistoryLost, KeyedRecord
-from rudderpass.errors import PlatformError
+from rudderpass.errors import ConnectionLost, PlatformError
 from rudderpass.platform import KeyedStore
 from tests.platform.store import StandInStore
 
@@ -72,3 +72,15 @@
 def test_a_store_that_is_not_there_is_an_error() -> None:
     with pytest.raises(PlatformError):
         KeyedStore("127.0.0.1:1").read_newest(TOPIC)
+
+
+def test_a_kept_connection_that_is_lost_is_told_apart(stand_in: StandInStore) -> None:
+    """It says nothing of the store, which may answer on a new one."""
+    client = KeyedStore(stand_in.address)
+    client.read_newest(TOPIC)
+    stand_in.close()
+    with pytest.raises(ConnectionLost):
+        client.read_newest(TOPIC)
+    with pytest.raises(PlatformError) as caught:
+        client.read_newest(TOPIC)
+    assert not isinstance(caught.value, ConnectionLost), "a new one failed"
