Keep to the shared allowance when hosts start again or fall silent

Cause of BUDGET: what a host has spent of the allowance was forgotten with its process, though it counts for 10 s; and hosts whose peers fell silent divided the allowance among fewer at once, though these had spent, or went on spending behind a cut. The same class as DRAIN: a span that counts from an event was counted from when this process came to know. Ruled out: sends that do not ask the budget. Every further send of which a byte left asks it (exchange/_serve.py), and without kills the same load kept to it.

--- a/src/rudderpass/exchange/_budget.py
+++ b/src/rudderpass/exchange/_budget.py
@@ -10,6 +10,13 @@
 SAFETY_SHARE = 0.8
 """Part of the allowance that is used: hosts know their number unevenly and late."""
 
+RESTARTED_SHARE = (1 - SAFETY_SHARE) / SAFETY_SHARE
+"""Part of what its requests earn that a host uses in the first window after it started
+again. Its last process may just have spent all that its own requests had earned, and
+both together make up the allowance. With the whole, a kill of all hosts at the onset of
+failures and 60 requests a second took their further sends within 10 s past it, to 181
+of 179."""
+
 
 @dataclass(frozen=True)
 class BudgetRule:
@@ -42,12 +49,18 @@
     """This host's share of the system's budget, for each service.
 
     :param rule: the system's allowance.
+    :param restarted_at: when this host started again, on the clock of the other calls.
+        Its last process may have spent the host's share, and nobody can tell; so it has
+        none until that has left the window. Hosts that took their share anew at each
+        start sent 161 requests again within 10 s, of 148 allowed, when all were killed
+        three times. None where the whole deployment started for the first time.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, rule: BudgetRule) -> None:
+    def __init__(self, rule: BudgetRule, restarted_at: float | None = None) -> None:
         self._rule = rule
+        self._restarted_at = restarted_at
         self._requests: dict[PoolId, deque[float]] = {}
         self._repeats: dict[PoolId, deque[float]] = {}
 
@@ -66,8 +79,11 @@
         """
         requests = len(self._window(self._requests, service, now))
         repeats = len(self._window(self._repeats, service, now))
+        earned = self._rule.ratio * requests
+        if self._has_forgotten_sends(now):
+            return SAFETY_SHARE * RESTARTED_SHARE * earned - repeats
         share = self._rule.slack / max(1, hosts)
-        return SAFETY_SHARE * (self._rule.ratio * requests + share) - repeats
+        return SAFETY_SHARE * (earned + share) - repeats
 
     def spend(self, service: PoolId, hosts: int, now: float) -> RepeatDecision:
         """Take one further send, if there is one."""
@@ -77,6 +93,11 @@
             self._repeats[service].append(now)
         return RepeatDecision(is_allowed, left, hosts)
 
+    def _has_forgotten_sends(self, now: float) -> bool:
+        """Tell whether sends of this host's last process may still count."""
+        started = self._restarted_at
+        return started is not None and now - started <= self._rule.window
+
     def _window(
         self, counts: dict[PoolId, deque[float]], service: PoolId, now: float
     ) -> deque[float]:
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -53,7 +53,9 @@
     :param directory: what the host believes of configuration and upstreams.
     :param rule: the system's allowance for further sends.
     :param reread_window: seconds within which reading a part again has a price.
-    :param count_hosts: returns how many hosts share the system's load.
+    :param count_hosts: returns how many hosts share that allowance.
+    :param restarted_at: when this host started again; None at the first start of the
+        whole deployment.
     :ivar is_warm: whether it knows what the upstreams keep in their caches.
 
     Not thread-safe: the host's lock guards it.
@@ -68,13 +70,14 @@
         rule: BudgetRule,
         reread_window: float,
         count_hosts: Callable[[], int],
+        restarted_at: float | None = None,
     ) -> None:
         self._directory = directory
         self._knowledge = Knowledge(zone, PrefixMemory(), {}, reread_window)
         self._loads = LoadBook()
         self._forecasts = Forecasts(directory, self._loads)
         self._news = PromptNews()
-        self._budget = SharedRetryBudget(rule)
+        self._budget = SharedRetryBudget(rule, restarted_at)
         self._count_hosts = count_hosts
         self._begun: dict[UpstreamId, dict[int, float]] = {}
         self._stopping = False
--- a/src/rudderpass/gossip/_mesh.py
+++ b/src/rudderpass/gossip/_mesh.py
@@ -35,6 +35,12 @@
 MAX_PEERS = 2000
 """Addresses remembered; far above the 400 hosts of the two-year size."""
 
+SPENDING_SECONDS = 60.0
+"""A peer heard so lately still counts as one that shares the system's budgets: it may
+be cut off and go on spending, and what a dead one spent counts for a window of 10 s.
+Without it, four hosts of seven whose peers were killed at the onset of failures took
+the further sends of all within 10 s to 77, of 76 allowed."""
+
 MIN_HOSTS = 8
 """Hosts assumed to share the system's budgets when none is heard: more assumed hosts
 mean a smaller share, so a host that is cut off stays within the budget."""
@@ -97,11 +103,16 @@
 
     def count_hosts(self, now: float) -> int:
         """Return how many hosts share the system's budgets, this one included."""
-        known = [peer for peer in self._peers.values() if peer.heard > float("-inf")]
-        live = len(self.live(now))
-        if live * 2 < len(known) or not live:
-            return max(MIN_HOSTS, len(known) + 1)
-        return live + 1
+        spending = sum(
+            now - peer.heard <= SPENDING_SECONDS for peer in self._peers.values()
+        )
+        if spending * 2 < self._heard_count or not self.live(now):
+            return max(MIN_HOSTS, self._heard_count + 1)
+        return spending + 1
+
+    @property
+    def _heard_count(self) -> int:
+        return sum(peer.heard > float("-inf") for peer in self._peers.values())
 
     def targets(self, now: float) -> list[NodeId]:
         """Return whom to tell in the next beat."""
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -107,6 +107,7 @@
             settings.retries,
             settings.reread_window,
             lambda: self._peers.mesh.count_hosts(time.monotonic()),
+            None if settings.is_first_start else time.monotonic(),
         )
         self._peers = PeerTalk(
             settings.peer, settings.seeds, self._core, self._guard, self._note_learned
--- a/tests/exchange/test_budget_over_losses.py
+++ b/tests/exchange/test_budget_over_losses.py
@@ -41,7 +41,7 @@
     def __init__(self, name: NodeId, now: float, is_first_start: bool) -> None:
         self.name = name
         self.mesh = Mesh(name, random.Random(name))
-        self.budget = SharedRetryBudget(RULE)
+        self.budget = SharedRetryBudget(RULE, None if is_first_start else now)
 
 
 @dataclass
@@ -129,11 +129,11 @@
                 self.repeats.append(self.now)
 
 
-def make_deployment(seed: int = 1, hosts: int = 7) -> Deployment:
+def make_deployment(seed: int = 1, hosts: int = 7, rate: float = 12.0) -> Deployment:
     """Return hosts that have been calm for longer than a window."""
     deployment = Deployment(hosts, random.Random(seed))
     deployment.is_failing = False
-    deployment.run(15.0, rate=12.0)
+    deployment.run(15.0, rate)
     deployment.is_failing = True
     return deployment
 
@@ -146,6 +146,14 @@
     deployment.run(20.0, rate=12.0)
 
 
+def test_a_kill_at_the_onset_of_failures_leaves_what_requests_earn() -> None:
+    """With many requests most of the allowance is earned by them."""
+    deployment = make_deployment(rate=60.0)
+    deployment.run(0.2, rate=60.0)
+    deployment.kill(deployment.names, for_seconds=0.1)
+    deployment.run(20.0, rate=60.0)
+
+
 def test_hosts_that_fall_silent_leave_no_share_that_they_have_spent() -> None:
     deployment = make_deployment()
     deployment.run(0.2, rate=12.0)
