--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -18,6 +18,7 @@
     Learned as Learned,
 )
 from rudderpass.directory._follower import (
+    CURRENT_SECONDS as CURRENT_SECONDS,
     Clock as Clock,
     HistoryLost as HistoryLost,
     KeyedLog as KeyedLog,
--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -164,10 +164,13 @@
         """
         return now - self._confirmed_at
 
-    def note_list_confirmed(self, end: int, now: float) -> None:
-        """Take note that one who hears the store knows no change from ``end`` on."""
+    def note_list_confirmed(self, end: int, heard: float) -> None:
+        """Take note that the store's list ended at ``end``.
+
+        :param heard: when the store said so at the earliest, to whomever.
+        """
         if self._is_listed and end <= self._upstreams.end:
-            self._confirmed_at = now
+            self._confirmed_at = max(self._confirmed_at, heard)
 
     def note_store_away(self, began: float) -> None:
         """Take note that the store did not answer a call for the list of upstreams.
@@ -232,6 +235,7 @@
     ) -> list[Learned]:
         """Take the whole list as it stood at offset ``end``."""
         learned = self._take_list(records, end, source, self._believed_until(now), now)
+        self._confirmed_at = now
         self.expire(now)
         return learned
 
@@ -252,7 +256,6 @@
         news = [entry for entry in decoded if entry.entry.upstream not in known]
         ended = self._upstreams.replace_all(decoded, end, believed_until)
         self._is_listed = True
-        self._confirmed_at = now
         self._changes.clear()
         self._changes_from = end
         return [
@@ -294,7 +297,6 @@
             news, lambda upstream: believed.get(upstream, now), source, now
         )
         self._upstreams.advance(state.upstreams_end)
-        self._confirmed_at = now
         return learned
 
     def state_since(
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 
 from rudderpass._ids import NodeId
-from rudderpass.directory import DirectoryState, Learned, StoreFollower
+from rudderpass.directory import CURRENT_SECONDS, DirectoryState, Learned, StoreFollower
 from rudderpass.errors import PeerError
 from rudderpass.eventlog import log
 from rudderpass.exchange import ExchangeCore, SentPrompt
@@ -232,7 +232,8 @@
                 self._make_beat((), self._mesh.named(now), now) if is_news else None
             )
             if beat.following:
-                self._directory.note_list_confirmed(beat.upstreams_end, now)
+                heard = now - CURRENT_SECONDS
+                self._directory.note_list_confirmed(beat.upstreams_end, heard)
             is_behind = (
                 beat.config_offset > self._directory.config_offset
                 or beat.upstreams_end > self._directory.upstreams_end
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -255,6 +255,18 @@
     assert directory.list_age(12.0) == 0.0
     directory.note_list_confirmed(2, 20.0)
     assert directory.list_age(20.0) == 8.0, "there are changes that it lacks"
+    directory.note_list_confirmed(1, 11.0)
+    assert directory.list_age(20.0) == 8.0, "older news do not make it older"
+
+
+def test_what_a_peer_knows_is_as_old_as_when_the_store_told_it() -> None:
+    """A peer may be ahead, and itself have heard nothing for long."""
+    source, directory = make_directory(), make_directory()
+    source.take_all_upstreams([upstream_record(0, 1)], 1, SOURCE, 1.0)
+    directory.take_all_upstreams([], 0, SOURCE, 0.0)
+    directory.take_state(source.state(9.0), "peer", 9.0)
+    assert serving(directory) == {"u1"}
+    assert directory.list_age(9.0) == 9.0
 
 
 def test_an_end_tells_for_how_long_it_is_not_believed() -> None:
