--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from rudderpass.exchange import BudgetRule
 from rudderpass.platform import CONFIG_TOPIC, SETTINGS_VARIABLE, UPSTREAMS_TOPIC
 from tests.platform.store import StandInStore
 from tests.soak.proxy import LinkFault, Proxy
@@ -27,6 +28,10 @@
 SITE = "soak.example"
 MAX_ATTEMPTS = 2
 GRACE_SECONDS = 4.0
+RETRIES = BudgetRule(ratio=0.2, slack=20, window=10.0)
+"""The allowance for further sends of a service: the users' ratio, and a fixed part in
+proportion to the number of hosts (they have 54 for seven)."""
+
 START_SECONDS = 10.0
 """Until hosts must be ready; loading takes 0.3 s each when the machine is idle."""
 
@@ -45,9 +50,9 @@
 [bounds]
 drainMs = 2000
 graceS = {grace}
-retryBudgetRatio = 0.2
-retryWindowS = 10
-retrySlack = 100
+retryBudgetRatio = {retry_ratio}
+retryWindowS = {retry_window}
+retrySlack = {retry_slack}
 retryAfterS = 10
 [platform]
 address = "{store}"
@@ -90,6 +95,9 @@
             front=_FRONT_PORT,
             ready=_READY_PORT,
             grace=GRACE_SECONDS,
+            retry_ratio=RETRIES.ratio,
+            retry_window=RETRIES.window,
+            retry_slack=RETRIES.slack,
             store=self.store_link.address,
         )
         (self.folder / "settings.toml").write_text(text)
@@ -268,6 +276,11 @@
     }
 
 
+def service_of(route: str) -> str:
+    """Return the service that a route leads to."""
+    return "llm" if route in ("plan", "quote") else "desk"
+
+
 def _route(name: str, kind: str, service: str, **changes: object) -> dict[str, object]:
     route: dict[str, object] = {
         "name": name,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -7,9 +7,10 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from tests.soak.callers import Callers
-from tests.soak.deployment import HOSTS, SoakDeployment
+from tests.soak.callers import Attempt, Callers
+from tests.soak.deployment import HOSTS, RETRIES, SoakDeployment, service_of
 from tests.soak.faults import DRAIN_SECONDS, Faults
+from tests.soak.upstreams import RunBook
 
 FAULT_SECONDS = 10.0
 RECOVERY_SECONDS = 6.0
@@ -54,6 +55,7 @@
         *_judge(callers, faults),
         *faults.breaches,
         *find_late_work(deployment, faults),
+        *find_overspending(deployment.book, callers.attempts),
     ]
     statuses = Counter(attempt.status for attempt in callers.attempts)
     return Verdict(seed, dict(statuses), tuple(breaches), tuple(faults.history))
@@ -103,3 +105,32 @@
                 f"DRAIN: {name} got {run.request_id} {run.at - left:.2f} s late"
             )
     return late
+
+
+def find_overspending(book: RunBook, attempts: list[Attempt]) -> list[str]:
+    """Return services to which more was sent again than all hosts together may.
+
+    Whatever was killed meanwhile. The allowance goes by the requests of the window, of
+    the one before it, or of the one that began half a window before it.
+    """
+    found = []
+    for service, repeats in book.repeats.items():
+        asked = [at.began for at in attempts if service_of(at.route) == service]
+        worst = max(_overspent(repeats, asked, end) for end in repeats)
+        if worst > 0:
+            found.append(f"BUDGET: {service} got {worst:.1f} too many further sends")
+    return found
+
+
+def _overspent(repeats: list[float], asked: list[float], end: float) -> float:
+    window = RETRIES.window
+    spent = _count(repeats, end - window, end)
+    requests = max(
+        _count(asked, end - back - window, end - back)
+        for back in (0.0, window / 2, window)
+    )
+    return spent - (RETRIES.ratio * requests + RETRIES.slack)
+
+
+def _count(moments: list[float], first: float, last: float) -> int:
+    return sum(first <= moment <= last for moment in moments)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,11 +15,11 @@
 
 from tests.listener import Listener
 from tests.soak.callers import Attempt, Callers
-from tests.soak.deployment import SoakDeployment
+from tests.soak.deployment import RETRIES, SoakDeployment
 from tests.soak.faults import DRAIN_SECONDS, Faults, Span
 from tests.soak.proxy import LinkFault, Proxy
-from tests.soak.soak import find_late_work, play
-from tests.soak.upstreams import Run, answer_of, digest_of, events_of
+from tests.soak.soak import find_late_work, find_overspending, play
+from tests.soak.upstreams import Run, RunBook, answer_of, digest_of, events_of
 
 CI_SEED = 12
 CI_SECONDS = 3.0
@@ -169,3 +169,16 @@
     assert len(find_late_work(deployment, faults)) == 1
     faults.spans.append(Span("store", 1.0, 1.5))
     assert find_late_work(deployment, faults) == [], "nobody could know"
+
+
+def test_more_further_sends_than_allowed_are_found() -> None:
+    book, slack = RunBook(), int(RETRIES.slack)
+    for number in range(slack):
+        for at in (0.0, 1.0):
+            book.note_arrival("llm", f"r{number}", at)
+    assert find_overspending(book, []) == []
+    book.note_arrival("llm", "r0", RETRIES.window + 0.9)
+    (found,) = find_overspending(book, [])
+    assert "llm" in found
+    asked = [attempt("plan", began=RETRIES.window)] * 5
+    assert find_overspending(book, asked) == [], "five requests pay for one more"
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -50,15 +50,28 @@
 
 @dataclass
 class RunBook:
-    """All runs at all upstreams, as they saw them."""
+    """All runs at all upstreams, as they saw them.
+
+    :ivar repeats: by service, when requests arrived that had arrived before, also those
+        that were refused.
+    """
 
     runs: dict[str, list[Run]] = field(default_factory=dict)
+    repeats: dict[str, list[float]] = field(default_factory=dict)
+    arrived: set[str] = field(default_factory=set)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def add(self, run: Run) -> None:
         with self.lock:
             self.runs.setdefault(run.request_id, []).append(run)
 
+    def note_arrival(self, service: str, request_id: str, at: float) -> None:
+        """Take note of a request that has reached an upstream."""
+        with self.lock:
+            if request_id in self.arrived:
+                self.repeats.setdefault(service, []).append(at)
+            self.arrived.add(request_id)
+
     def of(self, request_id: str) -> list[Run]:
         with self.lock:
             return list(self.runs.get(request_id, ()))
@@ -137,6 +150,7 @@
         if "/-/kv-list" in asked.line:
             _send(sock, "200 OK", [], b'{"epoch": 1, "held": []}')
             return
+        self._book.note_arrival(self.name.split("-")[1], asked.request_id, asked.at)
         if asked.headers.get("x-expect-instance", self.name) != self.name:
             _send(sock, "421 Misdirected", [f"X-Instance-Id: {self.name}"], b"")
             return
