Split the follower's loop; tell every upstream that is gone

Two of five hosts of the incident had no line for the upstream that was gone, and kept what they knew of it: only the tick told, and whoever looked before it forgot without a word. Own test, failed before. The follower's loop of 40 lines is three short methods now.

--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -109,6 +109,7 @@
         self._store_away_at = float("-inf")
         self._is_listed = False
         self._confirmed_at = float("-inf")
+        self._gone: list[UpstreamId] = []
         self._changes: deque[KeyedRecord] = deque()
         self._changes_from = 0
         self.unreadable = 0
@@ -326,7 +327,14 @@
 
     def expire(self, now: float) -> list[UpstreamId]:
         """Forget upstreams whose time has come; return them."""
-        return self._upstreams.expire(now)
+        gone = self._upstreams.expire(now)
+        self._gone += gone
+        return gone
+
+    def drain_gone(self) -> list[UpstreamId]:
+        """Return all upstreams forgotten since the last call, whoever looked."""
+        gone, self._gone = self._gone, []
+        return gone
 
     def _believed_until(self, now: float) -> float:
         """Return until when an upstream whose entry ended is believed in.
--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -96,6 +96,20 @@
     note_away: Callable[[float], None]
 
 
+@dataclass
+class _Following:
+    """How far one topic's thread has come.
+
+    :ivar is_listed: whether the whole list was read, so that changes will do.
+    :ivar is_answering: whether the last call was answered.
+    :ivar pause: from the begin of the next call that fails to the one after it.
+    """
+
+    is_listed: bool = False
+    is_answering: bool = False
+    pause: float = FIRST_PAUSE_SECONDS
+
+
 class Clock:
     """The time that a follower lives in; tests bring one of their own."""
 
@@ -206,44 +220,47 @@
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _follow(self, topic: FollowedTopic) -> None:
-        pause = FIRST_PAUSE_SECONDS
-        is_listed = is_answering = False
+        state = _Following()
         while not self._stopping.is_set():
-            if not self._active.is_set():
-                is_listed = False
-                self._clock.wait(self._active)
+            if self._active.is_set():
+                self._follow_once(topic, state)
                 continue
-            began = self._clock.now()
-            try:
-                if is_listed:
-                    # A call that may wait is not lost on a store that may be silent.
-                    self._read_changes(topic, self._wait if is_answering else 0.0)
-                else:
-                    self._read_newest(topic)
-                    is_listed = True
-            except HistoryLost:
-                is_listed = False
-                continue
-            except Exception as error:
-                # Not only what the store does: nothing may end the following.
-                is_answering = False
-                if isinstance(error, ConnectionLost):
-                    # It may have been dead for long, and the store never away.
-                    self._note(topic, False, error.show())
-                    self._clock.wait(self._stopping, FIRST_PAUSE_SECONDS)
-                    continue
-                self._note_away(topic, began, error)
-                spent = self._clock.now() - began
-                self._clock.wait(
-                    self._stopping, max(FIRST_PAUSE_SECONDS, pause - spent)
-                )
-                pause = min(pause * 2, LONGEST_PAUSE_SECONDS)
-                continue
-            pause = FIRST_PAUSE_SECONDS
-            is_answering = True
+            state.is_listed = False
+            self._clock.wait(self._active)
+
+    def _follow_once(self, topic: FollowedTopic, state: _Following) -> None:
+        began = self._clock.now()
+        try:
+            self._read(topic, state)
+        except HistoryLost:
+            state.is_listed = False
+        except ConnectionLost as error:
+            # It may have been dead for long, and the store never away.
+            state.is_answering = False
+            self._note(topic, False, error.show())
+            self._clock.wait(self._stopping, FIRST_PAUSE_SECONDS)
+        except Exception as error:
+            # Not only what the store does: nothing may end the following.
+            state.is_answering = False
+            self._note_away(topic, began, error)
+            spent = self._clock.now() - began
+            rest = max(FIRST_PAUSE_SECONDS, state.pause - spent)
+            self._clock.wait(self._stopping, rest)
+            state.pause = min(state.pause * 2, LONGEST_PAUSE_SECONDS)
+        else:
+            state.is_answering = True
+            state.pause = FIRST_PAUSE_SECONDS
             self._note(topic, True, "")
             self._answered[topic.topic] = self._clock.now()
 
+    def _read(self, topic: FollowedTopic, state: _Following) -> None:
+        if not state.is_listed:
+            self._read_newest(topic)
+            state.is_listed = True
+            return
+        # Into a store that may be silent only short calls are sent.
+        self._read_changes(topic, self._wait if state.is_answering else 0.0)
+
     def _read_newest(self, topic: FollowedTopic) -> None:
         page = self._store.read_newest(topic.topic)
         with self._guard:
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -342,7 +342,8 @@
 
     def tick(self, now: float) -> list[UpstreamId]:
         """Forget what is out of date; return upstreams that have gone."""
-        gone = self._directory.expire(now)
+        self._directory.expire(now)
+        gone = self._directory.drain_gone()
         for upstream in gone:
             self._knowledge.prefixes.forget_upstream(upstream)
             self._knowledge.evidence.pop(upstream, None)
--- a/tests/exchange/test_core.py
+++ b/tests/exchange/test_core.py
@@ -382,3 +382,12 @@
     assert isinstance(refused, Refused)
     assert refused.reason is RefusalReason.STOPPING
     assert refused.retry_after is not None
+
+
+def test_an_upstream_that_a_choice_finds_gone_is_told_and_forgotten() -> None:
+    """Not only the tick looks at the time; whoever does, no line may be missing."""
+    core = make_core(make_route())
+    core.directory.take_upstreams([upstream_end(9, 1)], 10, "store", 50.0)
+    assign(core, make_request(), 50.1)
+    assert core.tick(50.2) == [UpstreamId("u1")]
+    assert core.tick(50.3) == []
