Let the threads of a virtual clock end with their test

Threads that waited for a virtual moment were never woken once a play was over, and the interpreter joins them at its exit. Closing the clock lets all of them go on.

--- a/tests/directory/test_leaving.py
+++ b/tests/directory/test_leaving.py
@@ -70,7 +70,7 @@
     def close(self) -> None:
         """End the follower's threads."""
         self._follower.close()
-        self.clock.run(self.clock.now())
+        self.clock.close()
 
     def serving_at(self, now: float) -> set[str]:
         """Return the upstreams that a request of that moment can go to."""
--- a/tests/directory/virtual.py
+++ b/tests/directory/virtual.py
@@ -31,6 +31,7 @@
         self._threads = threads
         self._changed = threading.Condition()
         self._now = 0.0
+        self._is_closed = False
         self._waiting: dict[int, tuple[float, Callable[[], bool]]] = {}
 
     def now(self) -> float:
@@ -50,10 +51,16 @@
         with self._changed:
             self._waiting[name] = (until, is_over)
             self._changed.notify_all()
-            while self._now < until and not is_over():
+            while self._now < until and not is_over() and not self._is_closed:
                 self._changed.wait(REAL_TIMEOUT)
             del self._waiting[name]
 
+    def close(self) -> None:
+        """Let all threads go on, so that they can end."""
+        with self._changed:
+            self._is_closed = True
+            self._changed.notify_all()
+
     def run(self, until: float) -> None:
         """Let time pass up to a moment, as far as the threads have done their work."""
         with self._changed:
