--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -11,7 +11,6 @@
   2: i32 running
   3: i32 unread_tokens
   4: i32 tight_percent
-  5: optional i32 held_tokens /* memory of running requests, model engines only */
 }
 
 struct PromptPart {
--- a/src/rudderpass/exchange/_assignment.py
+++ b/src/rudderpass/exchange/_assignment.py
@@ -8,7 +8,7 @@
 from rudderpass._ids import PoolId, TeamId, UpstreamId, UpstreamName
 from rudderpass.directory import ExchangeRoute
 from rudderpass.exchange._choice import Choice
-from rudderpass.exchange._request import ExchangeRequest, PromptPart
+from rudderpass.exchange._request import PromptPart
 
 
 class RefusalReason(Enum):
@@ -51,7 +51,6 @@
 class Assignment:
     """One send that was decided.
 
-    :param request: what is sent.
     :param name: by which the upstream knows itself.
     :param expected: seconds to the answer's begin.
     :param usual: the same on an upstream of usual speed.
@@ -60,7 +59,6 @@
     :param is_answering: whether the answer has begun.
     """
 
-    request: ExchangeRequest
     upstream: UpstreamId
     name: UpstreamName
     address: str
--- a/src/rudderpass/exchange/_choice.py
+++ b/src/rudderpass/exchange/_choice.py
@@ -31,12 +31,10 @@
     HOLD_UP_SECONDS,
     IDLE_TIME_WEIGHT,
     MAX_HELD_STREAMS,
-    MEMORY_SHARE,
     MIN_COPY_TOKENS,
     MIN_TARGET_SECONDS,
     OTHER_ZONE_SECONDS,
     OTHER_ZONE_SECONDS_PER_KB,
-    PREEMPTION_SECONDS,
     READ_TOKENS_PER_SECOND,
     REREAD_SECONDS_PER_TOKEN,
     RUNNING_SECONDS,
@@ -136,7 +134,6 @@
                 loads.get(entry.upstream, Load()),
                 placement,
                 knowledge,
-                engine,
                 source,
                 now,
             )
@@ -191,7 +188,6 @@
     load: Load,
     placement: Placement,
     knowledge: Knowledge,
-    engine: EngineTraits | None,
     source: _CopySource | None,
     now: float,
 ) -> Candidate:
@@ -222,7 +218,6 @@
     hindrance = placement.cost(entry.upstream, unread)
     hindrance += HOLD_UP_SECONDS * _held_up(harms, entry.upstream, unread, load)
     cost += hindrance
-    cost += PREEMPTION_SECONDS * _overflow(request, load, unread, engine)
     cost += REREAD_SECONDS_PER_TOKEN * reread
     return Candidate(entry, cost, expected, usual, unread, hindrance, copy_from, reread)
 
@@ -272,20 +267,6 @@
     return own + MAX_HELD_STREAMS * others
 
 
-def _overflow(
-    request: ExchangeRequest, load: Load, unread: int, engine: EngineTraits | None
-) -> float:
-    """Return which share of a request's memory an engine lacks, from 0 to 1.
-
-    Parts that the engine keeps already take no more of it.
-    """
-    if engine is None or not request.parts:
-        return 0.0
-    needed = unread + request.output_tokens
-    room = MEMORY_SHARE * engine.cache_tokens - load.held_tokens
-    return min(1.0, max(0.0, (needed - room) / max(1, needed)))
-
-
 def _reread_tokens(
     request: ExchangeRequest, cached: int, knowledge: Knowledge, now: float
 ) -> int:
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -17,7 +17,6 @@
 from rudderpass.exchange._choice import Knowledge, choose_upstream
 from rudderpass.exchange._forecast import Forecasts
 from rudderpass.exchange._load import Load, LoadBook, Reading, ToldWork
-from rudderpass.exchange._memory import MemoryBook
 from rudderpass.exchange._news import PromptNews
 from rudderpass.exchange._overload import find_return
 from rudderpass.exchange._prefixes import PrefixMemory
@@ -78,7 +77,6 @@
         self._loads = LoadBook()
         self._forecasts = Forecasts(directory, self._loads)
         self._news = PromptNews()
-        self._memory = MemoryBook()
         self._budget = SharedRetryBudget(rule, restarted_at)
         self._count_hosts = count_hosts
         self._begun: dict[UpstreamId, dict[int, float]] = {}
@@ -187,8 +185,7 @@
             if come_back is not None:
                 return Refused(RefusalReason.OVERLOAD, come_back)
         upstream = chosen.upstream.upstream
-        held = self._memory.hold(upstream, request) if request.parts else 0
-        self._loads.begin(upstream, chosen.unread_tokens, harms.tightness, held)
+        self._loads.begin(upstream, chosen.unread_tokens, harms.tightness)
         if request.parts:
             self._loads.note_reading(
                 accepted.service, chosen.unread_tokens, harms.tightness, now
@@ -196,7 +193,6 @@
             self._note_prompt(upstream, request.parts, now)
             self._news.note_sent(upstream, request.parts, now)
         return Assignment(
-            request,
             upstream,
             chosen.upstream.name,
             chosen.upstream.address,
@@ -273,7 +269,7 @@
         :param succeeded: None where the end says nothing about the upstream.
         """
         unread = 0 if assignment.is_answering else assignment.unread_tokens
-        self._end_load(assignment, unread)
+        self._loads.end(assignment.upstream, unread, assignment.tight)
         evidence = self._knowledge.evidence_of(assignment.upstream)
         if succeeded is True:
             evidence.note_success(now)
@@ -295,7 +291,7 @@
 
     def note_unreachable(self, assignment: Assignment, now: float) -> None:
         """Take note that no connection to an upstream could be made."""
-        self._end_load(assignment, assignment.unread_tokens)
+        self._loads.end(assignment.upstream, assignment.unread_tokens, assignment.tight)
         self._knowledge.evidence_of(assignment.upstream).note_unreachable(now)
         self._knowledge.prefixes.forget_upstream(assignment.upstream)
 
@@ -362,11 +358,6 @@
         self._news.forget_old(now)
         return gone
 
-    def _end_load(self, assignment: Assignment, unread_tokens: int) -> None:
-        upstream, request = assignment.upstream, assignment.request
-        held = self._memory.release(upstream, request) if request.parts else 0
-        self._loads.end(upstream, unread_tokens, assignment.tight, held)
-
     def _forget_unlisted(self) -> None:
         """Drop what is known of gone upstreams; their answers may end after them."""
         listed = self._directory.listed
--- a/src/rudderpass/exchange/_load.py
+++ b/src/rudderpass/exchange/_load.py
@@ -33,21 +33,17 @@
         those that the upstream should have in its cache.
     :param tight: sum over the requests of how surely reading harms their streams at the
         slowest upstream; a stream that bears no pause counts 1.
-    :param held_tokens: memory of a model engine that the requests hold or will hold.
-        Parts of prompts that requests of several hosts share count for each host.
     """
 
     running: int = 0
     unread_tokens: int = 0
     tight: float = 0.0
-    held_tokens: int = 0
 
     def __add__(self, other: Load) -> Load:
         return Load(
             self.running + other.running,
             self.unread_tokens + other.unread_tokens,
             self.tight + other.tight,
-            self.held_tokens + other.held_tokens,
         )
 
     def __sub__(self, other: Load) -> Load:
@@ -56,7 +52,6 @@
             max(0, self.running - other.running),
             max(0, self.unread_tokens - other.unread_tokens),
             max(0.0, self.tight - other.tight),
-            max(0, self.held_tokens - other.held_tokens),
         )
 
 
@@ -134,15 +129,9 @@
         """This host's own work."""
         return dict(self._own)
 
-    def begin(
-        self,
-        upstream: UpstreamId,
-        unread_tokens: int,
-        tight: float,
-        held_tokens: int = 0,
-    ) -> None:
+    def begin(self, upstream: UpstreamId, unread_tokens: int, tight: float) -> None:
         """Count a request that is sent."""
-        self._add(upstream, Load(1, unread_tokens, tight, held_tokens))
+        self._add(upstream, Load(1, unread_tokens, tight))
 
     def note_reading(
         self, service: PoolId, unread_tokens: int, tight: float, now: float
@@ -175,15 +164,9 @@
         """Take note that a request's answer has begun."""
         self._add(upstream, Load(0, -unread_tokens))
 
-    def end(
-        self,
-        upstream: UpstreamId,
-        unread_tokens: int,
-        tight: float,
-        held_tokens: int = 0,
-    ) -> None:
+    def end(self, upstream: UpstreamId, unread_tokens: int, tight: float) -> None:
         """Take a request off; its tokens too if its answer never began."""
-        self._add(upstream, Load(-1, -unread_tokens, -tight, -held_tokens))
+        self._add(upstream, Load(-1, -unread_tokens, -tight))
 
     def take_peer(
         self,
--- a/src/rudderpass/exchange/_weights.py
+++ b/src/rudderpass/exchange/_weights.py
@@ -32,16 +32,6 @@
 FAILURE_SECONDS = 1.5
 """What a failed exchange costs: about the latency target of a model's request."""
 
-MEMORY_SHARE = 0.9
-"""Share of an engine's memory that running requests are let take: hosts know of one
-another's requests a quarter to half of a second late."""
-
-PREEMPTION_SECONDS = 1.5
-"""What it costs to send a request to an engine without memory left for it. The engine
-then puts a request back that is less urgent or newer, which waits and is read again: as
-dear as a failed exchange. On one day of 40 an engine that ran out of memory put back 11
-to 26 short requests while long ones ran on."""
-
 OTHER_ZONE_SECONDS = 0.01
 OTHER_ZONE_SECONDS_PER_KB = 0.004
 """What sending to another availability zone costs, besides its delay: a tie is decided
--- a/src/rudderpass/gossip/_codec.py
+++ b/src/rudderpass/gossip/_codec.py
@@ -239,7 +239,6 @@
             load.running,
             min(_MAX_I32, load.unread_tokens),
             round(load.tight * _PERCENT),
-            min(_MAX_I32, load.held_tokens) or None,
         )
         for upstream, load in loads.items()
     ]
@@ -251,7 +250,6 @@
             _given(item.running),
             _given(item.unread_tokens),
             (item.tight_percent or 0) / _PERCENT,
-            item.held_tokens or 0,
         )
         for item in raw or ()
     }
--- a/src/rudderpass/gossip/_gen/wire/ttypes.py
+++ b/src/rudderpass/gossip/_gen/wire/ttypes.py
@@ -23,7 +23,6 @@
      - running
      - unread_tokens
      - tight_percent
-     - held_tokens
 
     """
 
@@ -32,16 +31,14 @@
         'running',
         'unread_tokens',
         'tight_percent',
-        'held_tokens',
     )
 
 
-    def __init__(self, upstream=None, running=None, unread_tokens=None, tight_percent=None, held_tokens=None,):
+    def __init__(self, upstream=None, running=None, unread_tokens=None, tight_percent=None,):
         self.upstream = upstream
         self.running = running
         self.unread_tokens = unread_tokens
         self.tight_percent = tight_percent
-        self.held_tokens = held_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -72,11 +69,6 @@
                     self.tight_percent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.I32:
-                    self.held_tokens = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -103,10 +95,6 @@
             oprot.writeFieldBegin('tight_percent', TType.I32, 4)
             oprot.writeI32(self.tight_percent)
             oprot.writeFieldEnd()
-        if self.held_tokens is not None:
-            oprot.writeFieldBegin('held_tokens', TType.I32, 5)
-            oprot.writeI32(self.held_tokens)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1448,7 +1436,6 @@
     (2, TType.I32, 'running', None, None, ),  # 2
     (3, TType.I32, 'unread_tokens', None, None, ),  # 3
     (4, TType.I32, 'tight_percent', None, None, ),  # 4
-    (5, TType.I32, 'held_tokens', None, None, ),  # 5
 )
 all_structs.append(PromptPart)
 PromptPart.thrift_spec = (
