--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection
 
 from rudderpass._ids import AvailabilityZone, NodeId, PoolId, UpstreamId
 from rudderpass.directory import Directory, EngineTraits, RegisteredUpstream
@@ -16,7 +16,7 @@
 from rudderpass.exchange._budget import BudgetRule, RepeatDecision, SharedRetryBudget
 from rudderpass.exchange._choice import Knowledge, choose_upstream
 from rudderpass.exchange._forecast import Forecasts
-from rudderpass.exchange._load import Load, LoadBook, Reading, ToldWork
+from rudderpass.exchange._load import LoadBook, ToldWork
 from rudderpass.exchange._news import PromptNews
 from rudderpass.exchange._overload import find_return
 from rudderpass.exchange._prefixes import PrefixMemory
@@ -295,25 +295,25 @@
         self._knowledge.evidence_of(assignment.upstream).note_unreachable(now)
         self._knowledge.prefixes.forget_upstream(assignment.upstream)
 
-    def take_peer(
+    def take_work(
+        self, peer: NodeId, work: ToldWork, zone: AvailabilityZone | None, now: float
+    ) -> None:
+        """Take a peer's work under way.
+
+        :param zone: the peer's availability zone.
+        """
+        self._loads.take_peer(peer, work, zone, now)
+
+    def take_news(
         self,
-        peer: NodeId,
-        loads: Mapping[UpstreamId, Load],
         prompts: Collection[SentPrompt],
+        streams: Collection[StreamSample],
         now: float,
-        streams: Collection[StreamSample] = (),
-        reading: Mapping[PoolId, Reading] | None = None,
-        zone: AvailabilityZone | None = None,
     ) -> None:
-        """Take what a peer told of its own work."""
-        self._loads.take_peer(peer, ToldWork(loads, reading or {}), zone, now)
+        """Take the prompts that upstreams were sent, and what streams showed."""
         self.take_prompts(prompts, now)
         self._forecasts.take_streams(streams, now)
 
-    def take_streams(self, streams: Collection[StreamSample], now: float) -> None:
-        """Take what streams showed, as a peer tells it."""
-        self._forecasts.take_streams(streams, now)
-
     def take_prompts(self, prompts: Collection[SentPrompt], now: float) -> None:
         """Take what upstreams keep, as a peer knows it."""
         for prompt in prompts:
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -356,6 +356,7 @@
                 upstreams_ending=self._directory.ending_count,
                 list_age_seconds=self._directory.list_age(time.monotonic()),
                 live_peers=len(self._peers.mesh.live(time.monotonic())),
+                is_relay=self._peers.is_relay,
                 store_reachable=self._follower.is_reachable,
                 store_calls=self._platform.store.calls,
                 gossip_bytes=self._peers.transport.sent_bytes,
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -31,6 +31,7 @@
     upstreams_ending: int
     list_age_seconds: float
     live_peers: int
+    is_relay: bool
     store_reachable: bool
     store_calls: int
     gossip_bytes: int
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -93,6 +93,11 @@
         """This host's view of its peers; to be read under the guard."""
         return self._mesh
 
+    @property
+    def is_relay(self) -> bool:
+        """Whether this host tells others what all hosts do."""
+        return self._telling.is_relay
+
     @property
     def transport(self) -> GossipTransport:
         """The sockets towards peers."""
@@ -144,7 +149,11 @@
     def tell_peers(self, now: float) -> None:
         """Send the beats that are due."""
         with self._guard:
+            was_relay = self.is_relay
             messages = self._telling.compose(now, self._is_large)
+        if self.is_relay is not was_relay:
+            word = "relays" if self.is_relay else "no longer relays"
+            log("peer", f"{word} for its zone.", relay=self.is_relay)
         for message in messages:
             self._send_beat(message.beat, message.targets)
 
--- a/src/rudderpass/host/_telling.py
+++ b/src/rudderpass/host/_telling.py
@@ -113,10 +113,10 @@
         is_news = self._mesh.take_beat(beat, now)
         if beat.loads is not None:
             self._numbers[beat.sender] = beat.number
-            work = ToldWork(beat.loads, beat.reading)
-            self._core.loads.take_peer(beat.sender, work, beat.zone, now)
-        self._core.take_prompts(beat.prompts, now)
-        self._core.take_streams(beat.streams, now)
+            self._core.take_work(
+                beat.sender, ToldWork(beat.loads, beat.reading), beat.zone, now
+            )
+        self._core.take_news(beat.prompts, beat.streams, now)
         if beat.digest is not None:
             self._take_digest(beat.digest, beat.zone, now)
         if self._relaying.is_relay:
--- a/tests/exchange/builders.py
+++ b/tests/exchange/builders.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Mapping
 from typing import Any
 
-from rudderpass._ids import RequestId
+from rudderpass._ids import NodeId, PoolId, RequestId, UpstreamId
 from rudderpass.directory import Directory, ExchangeConfig, ExchangeRoute
 from rudderpass.exchange import (
     Accepted,
@@ -12,10 +13,15 @@
     BudgetRule,
     ExchangeCore,
     ExchangeRequest,
+    Load,
     PartId,
     PromptPart,
+    Reading,
     Refused,
+    SentPrompt,
+    ToldWork,
 )
+from rudderpass.learning import StreamSample
 from tests.directory.builders import (
     HOST,
     ZONE,
@@ -82,3 +88,17 @@
     assigned = core.assign(request, accept(core, request, now), (), now)
     assert not isinstance(assigned, Refused)
     return assigned
+
+
+def take_peer(
+    core: ExchangeCore,
+    peer: NodeId,
+    loads: Mapping[UpstreamId, Load],
+    prompts: Collection[SentPrompt],
+    now: float,
+    streams: Collection[StreamSample] = (),
+    reading: Mapping[PoolId, Reading] | None = None,
+) -> None:
+    """Let a host hear all that a peer tells of itself."""
+    core.take_work(peer, ToldWork(loads, reading or {}), None, now)
+    core.take_news(prompts, streams, now)
--- a/tests/exchange/load.py
+++ b/tests/exchange/load.py
@@ -19,7 +19,7 @@
 from rudderpass.exchange import Assignment, ExchangeCore, PartId, Refused
 from rudderpass.learning import StreamSample
 from tests.directory.builders import make_route
-from tests.exchange.builders import accept, make_core, make_request, parts
+from tests.exchange.builders import accept, make_core, make_request, parts, take_peer
 
 BEAT_SECONDS = 0.5
 BEAT_DELAY_SECONDS = 0.005
@@ -215,8 +215,8 @@
             for other in self._cores:
                 if other is not core:
                     name = NodeId(f"h{index}")
-                    other.take_peer(
-                        name, loads, prompts, self._clock.now, streams, reading
+                    take_peer(
+                        other, name, loads, prompts, self._clock.now, streams, reading
                     )
 
         self._clock.after(BEAT_DELAY_SECONDS, deliver)
--- a/tests/exchange/test_core.py
+++ b/tests/exchange/test_core.py
@@ -34,6 +34,7 @@
     make_core,
     make_request,
     parts,
+    take_peer,
 )
 
 LONG = parts(("shared", 13_000), ("own", 2000))
@@ -111,7 +112,7 @@
 
 def test_work_of_peers_counts_until_it_is_old() -> None:
     core = make_core(upstreams=2)
-    core.take_peer(NodeId("peer"), {UpstreamId("u1"): Load(running=8)}, (), 0.0)
+    take_peer(core, NodeId("peer"), {UpstreamId("u1"): Load(running=8)}, (), 0.0)
     assert assign(core, make_request(), 0.1).upstream == "u2"
     assert assign(core, make_request(), 0.1).upstream == "u2"
     assert assign(core, make_request(), 5.0).upstream == "u1"
@@ -150,7 +151,7 @@
 def test_what_a_peer_sent_is_known() -> None:
     core = make_core()
     held = UpstreamId("u2")
-    core.take_peer(NodeId("peer"), {}, [SentPrompt(held, LONG)], 0.0)
+    take_peer(core, NodeId("peer"), {}, [SentPrompt(held, LONG)], 0.0)
     assert assign(core, make_request(parts=LONG), 0.3).upstream == held
 
 
@@ -167,8 +168,8 @@
         lambda: 1,
     )
     holder = UpstreamId("u1")
-    core.take_peer(NodeId("peer"), {}, [SentPrompt(holder, LONG)], 0.0)
-    core.take_peer(NodeId("peer"), {holder: Load(4, 90_000)}, (), 2.0)
+    take_peer(core, NodeId("peer"), {}, [SentPrompt(holder, LONG)], 0.0)
+    take_peer(core, NodeId("peer"), {holder: Load(4, 90_000)}, (), 2.0)
     sent = assign(core, make_request(parts=LONG), 2.1)
     assert sent.upstream == "u2"
     assert sent.copy_from == make_upstream(1).address
@@ -178,9 +179,9 @@
 def test_without_copies_the_prompt_is_read_again_only_under_load() -> None:
     core = make_core(upstreams=2)
     holder = UpstreamId("u1")
-    core.take_peer(NodeId("peer"), {}, [SentPrompt(holder, LONG)], 0.0)
+    take_peer(core, NodeId("peer"), {}, [SentPrompt(holder, LONG)], 0.0)
     assert assign(core, make_request(parts=LONG), 0.1).copy_from is None
-    core.take_peer(NodeId("peer"), {holder: Load(4, 90_000)}, (), 0.2)
+    take_peer(core, NodeId("peer"), {holder: Load(4, 90_000)}, (), 0.2)
     assert assign(core, make_request(parts=LONG), 0.2).upstream == "u2"
 
 
@@ -190,7 +191,8 @@
     short = parts(("short", 300))
     for route, expected in ((tight, "u2"), (patient, "u1")):
         core = make_core(route, upstreams=2)
-        core.take_peer(
+        take_peer(
+            core,
             NodeId("peer"),
             {UpstreamId("u1"): Load(1, 14_000), UpstreamId("u2"): Load(120, 0)},
             (),
@@ -207,7 +209,7 @@
     core = make_core(*routes, upstreams=2)
     free = assign(core, make_request(parts=LONG), 0.0).upstream
     core = make_core(*routes, upstreams=2)
-    core.take_peer(NodeId("peer"), {free: Load(2, 0, tight=2.0)}, (), 0.0)
+    take_peer(core, NodeId("peer"), {free: Load(2, 0, tight=2.0)}, (), 0.0)
     assert assign(core, make_request(parts=LONG), 0.1).upstream != free
 
 
@@ -228,7 +230,7 @@
         UpstreamId(f"u{number}"): Load((tight + others) // 20, 0, tight / 20)
         for number in range(1, 21)
     }
-    core.take_peer(NodeId("peer"), loads, (), 0.0)
+    take_peer(core, NodeId("peer"), loads, (), 0.0)
     short = {assign_answered(core, f"p{n}") for n in range(80)}
     assert fewest <= len(short) <= most
     long = make_request(path="/plans/1", parts=LONG)
@@ -250,7 +252,7 @@
     )
     reading = {SERVICE: Reading(tight_reading, other_reading)}
     tight = {UpstreamId(f"u{n}"): Load(1, 0, 0.7) for n in range(1, 6)}
-    core.take_peer(NodeId("peer"), tight, (), 0.0, (), reading)
+    take_peer(core, NodeId("peer"), tight, (), 0.0, (), reading)
     short = {assign_answered(core, f"p{n}", 20) for n in range(40)}
     assert len(short) == reserved
     long = make_request(path="/plans/1", parts=LONG)
@@ -266,7 +268,7 @@
     )
     reading = {SERVICE: Reading(4_000, 30_000)}
     loads = {UpstreamId(f"u{n}"): Load(8, 0, 4.0) for n in (1, 2)}
-    core.take_peer(NodeId("peer"), loads, (), 0.0, (), reading)
+    take_peer(core, NodeId("peer"), loads, (), 0.0, (), reading)
     plans = [
         make_request(path="/plans/1", parts=parts((f"p{n}", 3000))) for n in range(12)
     ]
@@ -286,7 +288,7 @@
 def test_absurd_streams_of_a_peer_are_counted_and_shut_nobody_out() -> None:
     core = make_core(make_route(kind=RouteKind.STREAM, gap_target=0.3), upstreams=2)
     absurd = [StreamSample(UpstreamId("u1"), pace, 1e6) for pace in (-1.0, 0.0, 5e5)]
-    core.take_peer(NodeId("peer"), {}, (), 0.0, absurd * 100)
+    take_peer(core, NodeId("peer"), {}, (), 0.0, absurd * 100)
     assert core.streams_passed_over == 300
     assert not core.drain_streams(), "what a peer told is not told on"
     used = {assign_answered(core, f"p{n}", 20) for n in range(40)}
--- a/tests/exchange/test_overload.py
+++ b/tests/exchange/test_overload.py
@@ -7,7 +7,7 @@
 from rudderpass._ids import NodeId, RequestId, UpstreamId
 from rudderpass.exchange import Assignment, ExchangeCore, Load, RefusalReason, Refused
 from tests.directory.builders import make_route
-from tests.exchange.builders import accept, make_core, make_request, parts
+from tests.exchange.builders import accept, make_core, make_request, parts, take_peer
 
 PROMPT = parts(("own", 2000))
 
@@ -17,7 +17,7 @@
         UpstreamId(f"u{number}"): Load(10, unread)
         for number, unread in enumerate(tokens, start=1)
     }
-    core.take_peer(NodeId("peer"), loads, (), 0.0)
+    take_peer(core, NodeId("peer"), loads, (), 0.0)
 
 
 def ask(core: ExchangeCore, request_id: str, limit: float) -> Assignment | Refused:
--- a/tests/exchange/test_restarts.py
+++ b/tests/exchange/test_restarts.py
@@ -21,6 +21,7 @@
     assign,
     make_request,
     parts,
+    take_peer,
 )
 
 PEER = NodeId("10.0.0.2:1")
@@ -134,7 +135,8 @@
     restart(core, 1.0)
     clean = make_core()
     restart(clean, 1.0)
-    core.take_peer(
+    take_peer(
+        core,
         PEER,
         {OLD[0]: Load(40, 90_000, 9.0)},
         [SentPrompt(OLD[0], PROMPT[:1])],
@@ -147,5 +149,5 @@
 def test_peers_news_of_the_new_start_is_taken() -> None:
     core = make_core()
     restart(core, 1.0)
-    core.take_peer(PEER, {}, [SentPrompt(NEW[0], PROMPT[:1])], 1.1)
+    take_peer(core, PEER, {}, [SentPrompt(NEW[0], PROMPT[:1])], 1.1)
     assert send_prompt(core, 1.2).unread_tokens == 500
