Relay from 40 hosts on; fewer tell each other

Change: relays from 40 hosts on, where telling each other takes 78 datagrams a second and host, 0.7 % of a core by the 85 us of one.

--- a/src/rudderpass/gossip/__init__.py
+++ b/src/rudderpass/gossip/__init__.py
@@ -13,6 +13,7 @@
 from rudderpass.gossip._following import FollowRule as FollowRule
 from rudderpass.gossip._mesh import NAMING_BEATS as NAMING_BEATS, Mesh as Mesh
 from rudderpass.gossip._relaying import (
+    RELAY_FROM as RELAY_FROM,
     Relaying as Relaying,
     choose_server as choose_server,
 )
--- a/src/rudderpass/gossip/_following.py
+++ b/src/rudderpass/gossip/_following.py
@@ -52,12 +52,16 @@
         """Tell whether the host is too young to be heard by all of its peers."""
         return now - self._started < START_SECONDS
 
-    def is_large(self, now: float) -> bool:
-        """Tell whether only some hosts follow the store."""
+    def count_hosts(self, now: float) -> int:
+        """Return how many hosts there are; while it starts, how many there may be."""
         hosts = len(self._mesh.live(now)) + 1
         if self.is_starting(now):
             hosts = max(hosts, len(self._mesh.known) + 1)
-        return hosts >= FOLLOW_ALL_BELOW
+        return hosts
+
+    def is_large(self, now: float) -> bool:
+        """Tell whether only some hosts follow the store."""
+        return self.count_hosts(now) >= FOLLOW_ALL_BELOW
 
     def should_follow(self, now: float) -> bool:
         """Tell whether this host is to follow the store."""
--- a/src/rudderpass/gossip/_relaying.py
+++ b/src/rudderpass/gossip/_relaying.py
@@ -21,6 +21,11 @@
 from rudderpass.gossip._mesh import Mesh
 from rudderpass.learning import StreamSample
 
+RELAY_FROM = 40
+"""From so many hosts on relays tell of all. Fewer tell each other: 78 datagrams a
+second and host, 0.7 % of a core, and what they bring is a tenth of a second younger.
+With relays 24 hosts earned 0.027, 0.044 and 0.017 less on three days, one play each."""
+
 RELAYS = 2
 """Relays of each availability zone: one may be lost, freeze or be slow, and datagrams
 get lost."""
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -12,7 +12,7 @@
 from rudderpass.errors import PeerError
 from rudderpass.eventlog import log
 from rudderpass.exchange import ExchangeCore, SentPrompt
-from rudderpass.gossip import Beat, FollowRule, GossipTransport, Mesh
+from rudderpass.gossip import RELAY_FROM, Beat, FollowRule, GossipTransport, Mesh
 from rudderpass.host._telling import Telling
 
 BEAT_SECONDS = 0.5
@@ -59,6 +59,7 @@
         self._on_learned = on_learned
         self._follower: StoreFollower | None = None
         self._is_large = False
+        self._is_relayed = False
         self._next_beat = 0.0
         self._fetch_at: float | None = None
         self._wake = threading.Event()
@@ -138,7 +139,7 @@
         """Tell peers, choose whether to follow the store, and fetch what is missed."""
         if now >= self._next_beat:
             # A little early, since waits end late.
-            pause = RELAYED_BEAT_SECONDS if self._is_large else BEAT_SECONDS
+            pause = RELAYED_BEAT_SECONDS if self._is_relayed else BEAT_SECONDS
             self._next_beat = now + pause * 3 / 4
             self.tell_peers(now)
             with self._guard:
@@ -150,7 +151,7 @@
         """Send the beats that are due."""
         with self._guard:
             was_relay = self.is_relay
-            messages = self._telling.compose(now, self._is_large)
+            messages = self._telling.compose(now, self._is_relayed)
         if self.is_relay is not was_relay:
             word = "relays" if self.is_relay else "no longer relays"
             log("peer", f"{word} for its zone.", relay=self.is_relay)
@@ -183,6 +184,7 @@
         with self._guard:
             follows = self._rule.should_follow(now)
             self._is_large = self._rule.is_large(now)
+            self._is_relayed = self._rule.count_hosts(now) >= RELAY_FROM
         if self._follower is None:
             return
         if follows is not self._follower.is_active:
@@ -193,7 +195,7 @@
     def _greet_silent(self, now: float) -> None:
         """Tell peers that have not been heard; a live one answers at once."""
         with self._guard:
-            beat = self._telling.greet(now, self._is_large)
+            beat = self._telling.greet(now, self._is_relayed)
             targets = self._mesh.silent(now)
         self._send_beat(beat, targets)
 
@@ -227,7 +229,7 @@
         now = time.monotonic()
         with self._guard:
             is_news = self._telling.take(beat, now)
-            greeting = self._telling.greet(now, self._is_large) if is_news else None
+            greeting = self._telling.greet(now, self._is_relayed) if is_news else None
             if beat.following:
                 heard = now - CURRENT_SECONDS
                 self._directory.note_list_confirmed(beat.upstreams_end, heard)
