Tell all hosts of the store's news at once, also where relays tell

A leaving upstream has 3 or 4 s there, and news of it must not spend half of one waiting.

Change: news from the store are told to all live hosts at once, as before the relays. The test fails without it.

--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -147,11 +147,14 @@
         self._choose_followers(now)
         self._catch_up(now)
 
-    def tell_peers(self, now: float) -> None:
-        """Send the beats that are due."""
+    def tell_peers(self, now: float, has_store_news: bool = False) -> None:
+        """Send the beats that are due.
+
+        :param has_store_news: whether all peers are to be told, not only relays.
+        """
         with self._guard:
             was_relay = self.is_relay
-            messages = self._telling.compose(now, self._is_relayed)
+            messages = self._telling.compose(now, self._is_relayed, has_store_news)
         if self.is_relay is not was_relay:
             word = "relays" if self.is_relay else "no longer relays"
             log("peer", f"{word} for its zone.", relay=self.is_relay)
@@ -165,7 +168,7 @@
             know anything either, as after an outage of the store.
         """
         if self._is_large or is_first:
-            self.tell_peers(now)
+            self.tell_peers(now, has_store_news=True)
 
     @property
     def _is_following(self) -> bool:
--- a/src/rudderpass/host/_telling.py
+++ b/src/rudderpass/host/_telling.py
@@ -81,10 +81,14 @@
         """Return a beat for a peer that may not know this host."""
         return self._make_beat(now, has_work=not is_relayed)
 
-    def compose(self, now: float, is_relayed: bool) -> list[Message]:
+    def compose(
+        self, now: float, is_relayed: bool, has_store_news: bool = False
+    ) -> list[Message]:
         """Return the beats that are due.
 
         :param is_relayed: whether relays tell of all; otherwise each host tells each.
+        :param has_store_news: whether the store has just told this host something; then
+            it tells all others at once that it is ahead of them.
         """
         self._number += 1
         self._core.loads.note_told(self._number, now)
@@ -101,7 +105,10 @@
         self._core.loads.is_relay = self._relaying.is_relay
         messages = [
             Message(beat, [relay for relay in relays if relay != self._own]),
-            Message(self.greet(now, True), self._presence_targets(relays, now)),
+            Message(
+                self.greet(now, True),
+                self._presence_targets(relays, has_store_news, now),
+            ),
         ]
         if self._relaying.is_relay:
             self._relaying.take(True, beat.prompts, beat.streams, now)
@@ -139,12 +146,14 @@
         elif not digest.is_whole and zone is not None and zone != self._zone:
             self._core.loads.take_zone(zone, work, now)
 
-    def _presence_targets(self, relays: list[NodeId], now: float) -> list[NodeId]:
+    def _presence_targets(
+        self, relays: list[NodeId], has_store_news: bool, now: float
+    ) -> list[NodeId]:
         """Return whom to tell that this host is there, besides the relays."""
         targets = self._mesh.draw_silent(now)
-        if self._number % PRESENCE_BEATS:
+        if self._number % PRESENCE_BEATS and not has_store_news:
             return targets
-        if self._is_current(now):
+        if has_store_news or self._is_current(now):
             hosts = self._mesh.live(now)
         elif self._relaying.is_relay:
             hosts = [
--- a/tests/host/test_telling.py
+++ b/tests/host/test_telling.py
@@ -173,3 +173,12 @@
     for host in fleet.up():
         if not host.telling.is_relay:
             assert fleet.received[host.name] <= 4 * (4 + 2) + 2
+
+
+def test_news_from_the_store_go_to_all_at_once(fleet: Fleet) -> None:
+    """Hosts fetch them within a second then; on a later beat they would be later."""
+    follower = next(host for host in fleet.up() if not host.telling.is_relay)
+    others = {host.name for host in fleet.up()} - {follower.name}
+    for _ in range(2):
+        messages = follower.telling.compose(fleet.now, True, has_store_news=True)
+        assert {name for message in messages for name in message.targets} == others
