Tell what engines keep in digests that fit into a datagram

Cause: read, then shown in virtual time: when all hosts start again, each tells what some engine keeps, hundreds of parts at once. A relay gathers that of its whole zone and of the others; 60 hosts with 300 parts each make a digest beyond 60,000 bytes, which the transport refuses, so nobody hears any of it, nor the loads in it. The test fails without the change.

Change: a digest holds 1,500 parts at most, 21 kB; the rest waits for the next one a quarter of a second later, oldest first.

--- a/src/rudderpass/gossip/_relaying.py
+++ b/src/rudderpass/gossip/_relaying.py
@@ -38,6 +38,11 @@
 """Prompts that wait to be told in one digest, 18 KB of the 60 KB of a datagram; at 175
 prompts a second they wait for a quarter of one."""
 
+MAX_TOLD_PARTS = 1500
+"""Parts of prompts told in one digest, 21 kB; the rest waits for the next one. When all
+hosts start again, each tells what whole engines keep, and all of it together does not
+fit into a datagram: then nobody heard any of it."""
+
 MAX_WAITING_STREAMS = 16
 """Streams told in one digest. Five zones with two relays each then tell of 640 a
 second, more than is needed to know 80 engines."""
@@ -63,11 +68,16 @@
         self.streams.extend(streams)
 
     def drain(self) -> tuple[tuple[SentPrompt, ...], tuple[StreamSample, ...]]:
-        """Return all that waits, and forget it."""
-        drained = tuple(self.prompts), tuple(self.streams)
-        self.prompts.clear()
+        """Return what one digest may hold of all that waits, oldest first."""
+        prompts: list[SentPrompt] = []
+        room = MAX_TOLD_PARTS
+        while self.prompts and (not prompts or len(self.prompts[0].parts) <= room):
+            prompt = self.prompts.popleft()
+            room -= len(prompt.parts)
+            prompts.append(prompt)
+        streams = tuple(self.streams)
         self.streams.clear()
-        return drained
+        return tuple(prompts), streams
 
 
 class Relaying:
--- a/tests/host/fleet.py
+++ b/tests/host/fleet.py
@@ -13,6 +13,7 @@
 from rudderpass.exchange import Assignment, ExchangeCore, Load
 from rudderpass.gossip import RELAY_FROM, Beat, FollowRule, Mesh
 from rudderpass.gossip._codec import decode_beat, encode_beat
+from rudderpass.gossip._transport import MAX_DATAGRAM
 from rudderpass.host._telling import Telling
 from tests.directory.builders import make_route
 from tests.exchange.builders import assign, make_core, make_request, parts
@@ -127,6 +128,7 @@
         messages = host.telling.compose(self.now, host.is_relayed(self.now))
         for message in messages:
             data = encode_beat(message.beat)
+            assert len(data) <= MAX_DATAGRAM
             for target in message.targets:
                 self._deliver(host.name, target, data)
 
--- a/tests/host/test_telling.py
+++ b/tests/host/test_telling.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
-from rudderpass.exchange import Load
+from rudderpass._ids import UpstreamId
+from rudderpass.exchange import Load, SentPrompt
+from tests.exchange.builders import parts
 from tests.host.fleet import Fleet, FleetHost
 
 HOSTS, ZONES = 60, 4
@@ -182,3 +186,16 @@
     for _ in range(2):
         messages = follower.telling.compose(fleet.now, True, has_store_news=True)
         assert {name for message in messages for name in message.targets} == others
+
+
+def test_what_engines_keep_is_told_in_digests_that_fit(fleet: Fleet) -> None:
+    """When all hosts start again, each tells what some engine keeps."""
+    rng = random.Random(5)
+    engine = UpstreamId("u1")
+    for host in fleet.up():
+        kept = parts(*((f"{rng.getrandbits(32):08x}", 3) for _ in range(300)))
+        host.core.share_prompt(SentPrompt(engine, kept), fleet.now)
+    fleet.run(8.0)
+    for host in fleet.up():
+        (known,) = host.core.known_prompts()
+        assert len(known.parts) == HOSTS * 300
