--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,8 @@
 
 fuzz: setup
 	RUDDERPASS_FUZZ=$(or $(FACTOR),20) $(BIN)/python -m pytest tests/admission \
-	  tests/claims tests/declarations tests/pools tests/streams -k "not catches_a_broken"
+	  tests/claims tests/declarations tests/gossip tests/platform tests/pools \
+	  tests/streams -k "not catches_a_broken"
 
 soak: setup
 	$(BIN)/python -m tests.soak --first $(or $(FIRST),1) --seeds $(or $(SEEDS),50) \
