--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,7 +18,7 @@
 from tests.soak.deployment import RETRIES, SoakDeployment
 from tests.soak.faults import DRAIN_SECONDS, Faults, Span
 from tests.soak.proxy import LinkFault, Proxy
-from tests.soak.soak import find_late_work, find_overspending, play
+from tests.soak.soak import FAULT_SECONDS, find_late_work, find_overspending, play
 from tests.soak.upstreams import Run, RunBook, answer_of, digest_of, events_of
 
 CI_SEED = 12
