Log what tells a request that crashes upstreams: fingerprint, age, cut or refused

The logs could not tell whether two requests are the same work, nor an upstream's crash from a cut connection. No decision changes.

--- a/src/rudderpass/_ids.py
+++ b/src/rudderpass/_ids.py
@@ -1,4 +1,4 @@
-"""Identifiers used across the slices, as distinct types over ``str``."""
+"""Identifiers used across the slices, as distinct types."""
 
 from typing import NewType
 
@@ -13,6 +13,9 @@
 RouteName = NewType("RouteName", str)
 AvailabilityZone = NewType("AvailabilityZone", str)
 
+Fingerprint = NewType("Fingerprint", bytes)
+"""What all repetitions of one request share; their ids differ."""
+
 UpstreamId = NewType("UpstreamId", str)
 """One start of an upstream: what it holds and what is known of it end with it."""
 
--- a/src/rudderpass/cli/_logs.py
+++ b/src/rudderpass/cli/_logs.py
@@ -13,6 +13,8 @@
 from rudderpass.observe import (
     LogRecord,
     OccupantState,
+    count_crashes,
+    find_crashes,
     find_failures,
     find_occupancy,
     read_records,
@@ -32,6 +34,11 @@
 @click.option(
     "--failed", is_flag=True, help="Count the requests that ended badly, by cause."
 )
+@click.option(
+    "--crashes",
+    is_flag=True,
+    help="Tell which upstreams crashed, and under which requests.",
+)
 @click.option(
     "--upstream",
     help="Tell what this upstream ran, what waited there and what stood still.",
@@ -43,23 +50,27 @@
     files: tuple[TextIO, ...],
     request: str | None,
     failed: bool,
+    crashes: bool,
     upstream: str | None,
     at: float | None,
 ) -> None:
     """Render structured logs readably, from FILES or standard input.
 
-    The lines of several processes are put in time's order where --request, --failed or
-    --upstream is given. Words before a line's object, as a collector may write them,
-    are allowed.
+    The lines of several processes are put in time's order where --request, --failed,
+    --crashes or --upstream is given. Words before a line's object, as a collector may
+    write them, are allowed.
     """
-    if sum((request is not None, failed, upstream is not None)) > 1:
+    if sum((request is not None, failed, crashes, upstream is not None)) > 1:
         raise SettingsError(
-            "--request, --failed and --upstream exclude each other", step="logs"
+            "--request, --failed, --crashes and --upstream exclude each other",
+            step="logs",
         )
     if (upstream is None) is not (at is None):
         raise SettingsError("--upstream and --at go together", step="logs")
     if failed:
         _show_failures(files)
+    elif crashes:
+        _show_crashes(files)
     elif upstream is not None and at is not None:
         _show_occupancy(files, upstream, at)
     elif request is not None and len(files) > 1:
@@ -88,6 +99,24 @@
     click.echo(f"{total} requests ended badly, for {len(groups)} causes")
 
 
+def _show_crashes(files: tuple[TextIO, ...]) -> None:
+    crashes = find_crashes(_read_all(files))
+    for crash in crashes:
+        click.echo(
+            f"{crash.at:.3f} {crash.upstream} crashed,"
+            f" {len(crash.sends)} sends were cut"
+        )
+        for send in crash.sends:
+            state = "answered" if send.had_answered else "silent"
+            click.echo(
+                f"      {send.fingerprint or '?'} {send.request} from {send.host}"
+                f" after {send.under_way_for:.3f} s, {state}"
+            )
+    for fingerprint, count in count_crashes(crashes):
+        click.echo(f"{count:5} upstreams crashed under {fingerprint}")
+    click.echo(f"{len(crashes)} upstreams crashed")
+
+
 def _show_occupancy(files: tuple[TextIO, ...], upstream: str, at: float) -> None:
     occupancy = find_occupancy(_read_all(files), upstream, at)
     counts: Counter[tuple[int, int, int | None, OccupantState]] = Counter()
--- a/src/rudderpass/errors.py
+++ b/src/rudderpass/errors.py
@@ -126,10 +126,18 @@
     """Another upstream has the address of the one that was meant."""
 
 
-class StaleConnection(UpstreamError):
+class ConnectionCut(UpstreamError):
+    """A connection ended before the answer did; its upstream may have ended too."""
+
+
+class StaleConnection(ConnectionCut):
     """A kept connection had been closed by the time it was used again."""
 
 
+class NobodyListens(UpstreamError):
+    """An upstream's machine refuses connections to the upstream's port."""
+
+
 class CallerGone(RudderpassError):
     """The caller closed its connection."""
 
--- a/src/rudderpass/exchange/_connections.py
+++ b/src/rudderpass/exchange/_connections.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from rudderpass._sockets import watch_liveness
-from rudderpass.errors import UpstreamError
+from rudderpass.errors import NobodyListens, UpstreamError
 from rudderpass.exchange._request import ExchangeRequest, Headers
 
 CONNECT_SECONDS = 0.4
@@ -152,7 +152,9 @@
         try:
             connection.connect()
         except OSError as error:
-            raise UpstreamError(
+            is_refused = isinstance(error, ConnectionRefusedError)
+            error_type = NobodyListens if is_refused else UpstreamError
+            raise error_type(
                 f"could not connect: {error}", sent=False, step="connect", peer=address
             ) from error
         watch_liveness(connection.sock)
--- a/src/rudderpass/exchange/_lines.py
+++ b/src/rudderpass/exchange/_lines.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from rudderpass.errors import UpstreamError
+import time
+
+from rudderpass._ids import Fingerprint
+from rudderpass.errors import ConnectionCut, NobodyListens, UpstreamError
 from rudderpass.eventlog import log, round_age
 from rudderpass.exchange._assignment import Accepted, Assignment, Refused
 from rudderpass.exchange._budget import RepeatDecision
@@ -72,10 +75,13 @@
     sends: int,
     step: NextStep,
     repeat: RepeatDecision | None,
+    fingerprint: Fingerprint | None = None,
 ) -> None:
     """Log a failed send and what follows.
 
     :param repeat: what the shared budget said, where it was asked.
+    :param fingerprint: given where the connection was cut, so that it shows whether
+        one request was under way at several upstreams when they ended.
     """
     log(
         "attempt",
@@ -89,6 +95,11 @@
         next=step.value,
         repeats_left=None if repeat is None else round(repeat.left, 2),
         repeats_shared_by=None if repeat is None else repeat.hosts,
+        cut=isinstance(error, ConnectionCut),
+        nobody_listens=isinstance(error, NobodyListens),
+        had_answered=assigned.is_answering,
+        under_way_for=round(time.monotonic() - assigned.sent, 4),
+        fingerprint=None if fingerprint is None else fingerprint.hex(),
     )
 
 
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -11,6 +11,7 @@
 
 from rudderpass.errors import (
     CallerGone,
+    ConnectionCut,
     StaleConnection,
     UpstreamError,
     UpstreamReplaced,
@@ -184,7 +185,7 @@
             reason = connection.write_error or error
             if connection.is_reused and _is_closed(reason):
                 raise _stale(connection) from error
-            raise self._failed(f"no answer: {_describe(reason)}") from error
+            raise self._failed(f"no answer: {_describe(reason)}", reason) from error
 
     def _await_answer(self, connection: UpstreamConnection) -> None:
         """Wait for an answer that may be given up for another upstream.
@@ -271,9 +272,9 @@
                 break
             self._pass_events(data)
         if response.length:
-            raise self._failed("the stream ended before its length")
+            raise self._cut("the stream ended before its length")
         if not self._progress.splitter.is_between_events:
-            raise self._failed("the stream ended inside an event")
+            raise self._cut("the stream ended inside an event")
         self._progress.begin_stream()
         self._note_stream()
         self._keep(connection, response, head)
@@ -293,7 +294,8 @@
         try:
             return response.read1(_READ_BYTES)
         except (OSError, http.client.HTTPException, ValueError) as error:
-            raise self._failed(f"the stream broke: {_describe(error)}") from error
+            text = f"the stream broke: {_describe(error)}"
+            raise self._failed(text, error) from error
 
     def _pass_events(self, data: bytes) -> None:
         try:
@@ -334,10 +336,16 @@
         with self._parts.guard:
             self._parts.core.note_end(self._assigned, succeeded, time.monotonic())
 
-    def _failed(self, text: str) -> UpstreamError:
+    def _failed(self, text: str, cause: BaseException | None = None) -> UpstreamError:
+        if cause is not None and _is_cut(cause):
+            return self._cut(text)
         peer = self._assigned.address
         return UpstreamError(text, sent=True, step="answer", peer=peer)
 
+    def _cut(self, text: str) -> ConnectionCut:
+        peer = self._assigned.address
+        return ConnectionCut(text, sent=True, step="answer", peer=peer)
+
 
 def pass_answer(
     begin_answer: Callable[[str, list[tuple[str, str]]], object],
@@ -369,6 +377,11 @@
     )
 
 
+def _is_cut(error: BaseException) -> bool:
+    """Tell whether a connection ended, before an answer or within one."""
+    return _is_closed(error) or isinstance(error, http.client.IncompleteRead)
+
+
 def _describe(error: BaseException) -> str:
     return f"{type(error).__name__} {error}".strip()
 
@@ -382,4 +395,5 @@
         return response.read()
     except (OSError, http.client.HTTPException, ValueError) as error:
         text = f"the answer was cut: {_describe(error)}"
-        raise UpstreamError(text, sent=True, step="read", peer=peer) from error
+        error_type = ConnectionCut if _is_cut(error) else UpstreamError
+        raise error_type(text, sent=True, step="read", peer=peer) from error
--- a/src/rudderpass/exchange/_serve.py
+++ b/src/rudderpass/exchange/_serve.py
@@ -7,9 +7,10 @@
 from http import HTTPStatus
 
 from rudderpass._ids import UpstreamId
-from rudderpass.errors import CallerGone, StaleConnection, UpstreamError
+from rudderpass.errors import CallerGone, ConnectionCut, StaleConnection, UpstreamError
 from rudderpass.exchange._assignment import Accepted, Assignment, RefusalReason, Refused
 from rudderpass.exchange._budget import RepeatDecision
+from rudderpass.exchange._fingerprint import compute_fingerprint
 from rudderpass.exchange._lines import log_answer, log_attempt, log_choice
 from rudderpass.exchange._progress import (
     Ending,
@@ -152,7 +153,18 @@
         if step is not NextStep.GIVE_UP and error.sent:
             repeat = self._take_repeat(accepted, now)
             step = step if repeat.is_allowed else NextStep.GIVE_UP
-        log_attempt(self._request, assigned, error, progress.sends, step, repeat)
+        fingerprint = None
+        if isinstance(error, ConnectionCut):
+            fingerprint = compute_fingerprint(self._request, accepted.team)
+        log_attempt(
+            self._request,
+            assigned,
+            error,
+            progress.sends,
+            step,
+            repeat,
+            fingerprint,
+        )
         if step is not NextStep.GIVE_UP:
             return None
         come_back = accepted.route.target_latency * COME_BACK_TARGET_SHARE
--- a/src/rudderpass/observe/__init__.py
+++ b/src/rudderpass/observe/__init__.py
@@ -1,6 +1,12 @@
 """Observation: structured logs, metrics, and rendering of logs."""
 
 from rudderpass.eventlog import LogFile as LogFile, log as log
+from rudderpass.observe._crashes import (
+    CrashedUpstream as CrashedUpstream,
+    CutSend as CutSend,
+    count_crashes as count_crashes,
+    find_crashes as find_crashes,
+)
 from rudderpass.observe._decisions import log_action as log_action
 from rudderpass.observe._failures import (
     FailureGroup as FailureGroup,
--- a/tests/cli/test_logs.py
+++ b/tests/cli/test_logs.py
@@ -162,3 +162,54 @@
     result = run(*arguments, text="")
     assert result.exit_code == 2
     assert "--at" in result.output or "exclude each other" in result.output
+
+
+def cut(at: float, request: str, upstream: str, fingerprint: str) -> str:
+    return line(
+        at,
+        "attempt",
+        request,
+        upstream=upstream,
+        cut=True,
+        fingerprint=fingerprint,
+        under_way_for=0.08,
+        had_answered=request != "r-bad",
+    )
+
+
+def refusal(at: float, upstream: str) -> str:
+    return line(at, "attempt", "r-later", upstream=upstream, nobody_listens=True)
+
+
+def test_crashed_upstreams_are_told_with_the_requests_under_way() -> None:
+    text = (
+        cut(1.0, "r-bad", "u1", "aa")
+        + cut(1.0, "r-2", "u1", "bb")
+        + refusal(1.1, "u1")
+        + cut(2.0, "r-bad", "u2", "aa")
+        + refusal(2.5, "u2")
+    )
+    told = run("--crashes", text=text).output.splitlines()
+    assert told == [
+        "1.000 u1 crashed, 2 sends were cut",
+        "      aa r-bad from <stdin> after 0.080 s, silent",
+        "      bb r-2 from <stdin> after 0.080 s, answered",
+        "2.000 u2 crashed, 1 sends were cut",
+        "      aa r-bad from <stdin> after 0.080 s, silent",
+        "    2 upstreams crashed under aa",
+        "2 upstreams crashed",
+    ]
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        cut(1.0, "r-1", "u1", "aa"),
+        refusal(0.5, "u1") + cut(1.0, "r-1", "u1", "aa"),
+        cut(1.0, "r-1", "u1", "aa") + refusal(7.0, "u1"),
+        refusal(1.0, "u1"),
+    ],
+    ids=["nobody was refused", "refused before", "refused much later", "no cut"],
+)
+def test_a_cut_connection_alone_is_no_crash(text: str) -> None:
+    assert run("--crashes", text=text).output == "0 upstreams crashed\n"
