--- a/tests/exchange/test_serve.py
+++ b/tests/exchange/test_serve.py
@@ -369,7 +369,7 @@
     make_world: MakeWorld, headers: dict[str, str], status: int
 ) -> None:
     world = make_world(make_route(public=False), answer())
-    assert world.ask(**headers).status == status
+    assert world.ask("r1", b"ask", **headers).status == status
     assert world.ran == [0]
 
 
--- a/tests/exchange/world.py
+++ b/tests/exchange/world.py
@@ -65,6 +65,7 @@
     connections: int = 0
 
     def __post_init__(self) -> None:
+        self._open: set[socket.socket] = set()
         self._listener = Listener(self._serve)
 
     @property
@@ -74,8 +75,18 @@
     def close(self) -> None:
         self._listener.close()
 
+    def crash(self) -> None:
+        """End at once: the port and all connections are gone."""
+        self._listener.close()
+        for connection in list(self._open):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # It has ended already.
+
     def _serve(self, connection: socket.socket) -> None:
         self.connections += 1
+        self._open.add(connection)
         stream = connection.makefile("rb")
         try:
             while (asked := read_request(stream)) is not None:
@@ -85,6 +96,7 @@
             pass
         finally:
             self.closed.set()
+            self._open.discard(connection)
             stream.close()
             connection.close()
 
@@ -151,6 +163,20 @@
     raise OSError("reset")
 
 
+def crash(upstream: Upstream, connection: socket.socket, asked: Asked) -> None:
+    upstream.crash()
+    raise OSError("crashed")
+
+
+def crash_on(body: bytes, otherwise: Behaviour) -> Behaviour:
+    """Crash on reading one body."""
+
+    def behave(upstream: Upstream, connection: socket.socket, asked: Asked) -> None:
+        (crash if asked.body == body else otherwise)(upstream, connection, asked)
+
+    return behave
+
+
 def stay_silent(upstream: Upstream, connection: socket.socket, asked: Asked) -> None:
     connection.settimeout(TIMEOUT)
     while connection.recv(4096):
@@ -251,10 +277,12 @@
             fields[name.replace("_", "-")] = value
         connection.request("POST", "/quotes/a%2Fb?q=%20", body, fields)
 
-    def ask(self, request_id: str = "r1", **headers: str) -> http.client.HTTPResponse:
+    def ask(
+        self, request_id: str = "r1", body: bytes = b"ask", **headers: str
+    ) -> http.client.HTTPResponse:
         """Send a request on a connection of its own and return the answer's head."""
         connection = self.connect()
-        self.send(connection, request_id, b"ask", **headers)
+        self.send(connection, request_id, body, **headers)
         return connection.getresponse()
 
     @property
--- a/tests/listener.py
+++ b/tests/listener.py
@@ -16,16 +16,21 @@
     def __init__(self, serve: Callable[[socket.socket], None]) -> None:
         self._serve = serve
         self._socket = socket.create_server(("127.0.0.1", 0))
+        self._address = "{}:{}".format(*self._socket.getsockname())
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
     def address(self) -> str:
         """Where it listens."""
-        host, port = self._socket.getsockname()
-        return f"{host}:{port}"
+        return self._address
 
     def close(self) -> None:
         """Accept no more; connections that are open go on."""
+        try:
+            # A close alone would let a waiting accept take one more connection.
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass  # It was closed before.
         self._socket.close()
 
     def _accept(self) -> None:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -77,11 +77,17 @@
             if thread.is_alive():
                 self.breaches.append("HANG: a request got neither answer nor end")
 
-    def ask(self, host: int, route: str, name: str) -> Attempt:
-        """Send one request on a connection of its own."""
+    def ask(
+        self, host: int, route: str, name: str, body: bytes | None = None
+    ) -> Attempt:
+        """Send one request on a connection of its own.
+
+        :param body: one that is asked for again and again, always with the same path;
+            by default each request has a path and a body of its own.
+        """
         connection = self._connect(host)
         try:
-            return self._ask(connection, host, route, name)
+            return self._ask(connection, host, route, name, body)
         finally:
             connection.close()
 
@@ -111,10 +117,12 @@
         host: int,
         route: str,
         name: str,
+        shared_body: bytes | None = None,
     ) -> Attempt:
         process = self.deployment.hosts[host]
-        body = f"body of {name}".encode()
-        target = f"/{route}/{name}?q=%2F"
+        subject = name if shared_body is None else digest_of(shared_body)[:8]
+        body = shared_body or f"body of {name}".encode()
+        target = f"/{route}/{subject}?q=%2F"
         attempt = Attempt(
             name,
             route,
@@ -131,7 +139,7 @@
             "X-Deadline-Ms": str(DEADLINE_MS),
         }
         if route in ("plan", "quote"):
-            own = digest_of(name.encode())[:8]
+            own = digest_of(subject.encode())[:8]
             headers["X-Prompt-Prefix"] = _TOKENS.format(own=own)
             headers["X-Token-Count"] = "1200,80"
         try:
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -12,6 +12,7 @@
 import threading
 import time
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 from rudderpass.exchange import BudgetRule
@@ -35,6 +36,10 @@
 START_SECONDS = 10.0
 """Until hosts must be ready; loading takes 0.3 s each when the machine is idle."""
 
+RESTART_SECONDS = 1.5
+LAPSE_SECONDS = 3.0
+"""After a crash: until the engine is back under a new id, and its entry lapses."""
+
 _FRONT_PORT, _READY_PORT, _PEER_PORT = 7801, 7802, 7803
 
 SETTINGS = """
@@ -148,14 +153,31 @@
             return False
 
 
+@dataclass(frozen=True)
+class EngineCrash:
+    """An engine that crashed.
+
+    :param is_by_body: whether a fatal body did it.
+    """
+
+    upstream: str
+    at: float
+    is_by_body: bool
+
+
 class SoakDeployment:
     """Everything that one seed plays with.
 
     :param folder: settings and logs of the hosts.
+    :ivar crashes: the engines that a fatal body or :meth:`crash_engine` ended.
     """
 
-    def __init__(self, seed: int, folder: Path) -> None:
+    def __init__(self, seed: int, folder: Path, engines: int = ENGINES) -> None:
         self._seed = seed
+        self._engines = engines
+        self._lock = threading.Lock()
+        self._timers: list[threading.Timer] = []
+        self.crashes: list[EngineCrash] = []
         self._started = 0
         self.store = StandInStore()
         self.book = RunBook()
@@ -182,7 +204,7 @@
     def start(self) -> None:
         """Start all; return once every host is ready."""
         self.publish()
-        for _ in range(ENGINES):
+        for _ in range(self._engines):
             self.add_upstream("llm")
         for _ in range(DESKS):
             self.add_upstream("desk")
@@ -207,14 +229,40 @@
 
     def add_upstream(self, service: str) -> SoakUpstream:
         """Start an upstream behind a link, and register it."""
-        self._started += 1
-        name = f"i-{service}-{self._started}"
-        upstream = SoakUpstream(name, service == "llm", self.book, self._seed)
+        with self._lock:
+            self._started += 1
+            name = f"i-{service}-{self._started}"
+        is_engine = service == "llm"
+        upstream = SoakUpstream(
+            name,
+            is_engine,
+            self.book,
+            self._seed,
+            lambda name: self.crash_engine(name, is_by_body=True),
+        )
         self.upstreams[name] = upstream
         self.links[name] = Proxy(upstream.address)
         self.register(name)
         return upstream
 
+    def crash_engine(self, name: str, is_by_body: bool = False) -> None:
+        """End an engine without a word; another start of it comes a little later."""
+        with self._lock:
+            if any(crash.upstream == name for crash in self.crashes):
+                return
+            self.crashes.append(EngineCrash(name, time.monotonic(), is_by_body))
+        self.left[name] = float("inf")
+        self.links[name].close()
+        self.upstreams[name].crash()
+        for seconds, action in (
+            (RESTART_SECONDS, partial(self.add_upstream, "llm")),
+            (LAPSE_SECONDS, partial(self.unregister, name)),
+        ):
+            timer = threading.Timer(seconds, action)
+            timer.daemon = True
+            timer.start()
+            self._timers.append(timer)
+
     def register(self, name: str, state: str = "ready") -> None:
         """Write an upstream's entry."""
         value = {
@@ -241,6 +289,8 @@
 
     def close(self) -> None:
         """End what was started, by its process id."""
+        for timer in self._timers:
+            timer.cancel()
         for host in self.hosts:
             host.send(signal.SIGCONT)
             host.send(signal.SIGKILL)
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -7,6 +7,7 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -30,6 +31,11 @@
     SURPLUS = "sends bytes behind an answer"
 
 
+FATAL_BODY = b"a body that crashes the engine that reads it"
+LATE_FATAL_BODY = b"a body that crashes the engine after some events"
+CRASH_AFTER_SECONDS = 0.08
+"""From reading such a body to the end. The second kind has its first events by then."""
+
 FAULT_SHARE = 0.4
 """Part of the requests that a misbehaving upstream treats so."""
 
@@ -107,10 +113,19 @@
 
     :param name: its id; a restart gets a new one.
     :param streams: whether it is an engine, whose answers are events.
+    :param on_fatal: told of the engine that has read a fatal body; it is to crash it.
     """
 
-    def __init__(self, name: str, streams: bool, book: RunBook, seed: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        streams: bool,
+        book: RunBook,
+        seed: int,
+        on_fatal: Callable[[str], None] = lambda name: None,
+    ) -> None:
         self.name = name
+        self._on_fatal = on_fatal
         self.fault = UpstreamFault.NONE
         self._streams = streams
         self._book = book
@@ -118,12 +133,18 @@
         self._slots = threading.BoundedSemaphore(SLOTS)
         self._lock = threading.Lock()
         self._open: set[socket.socket] = set()
+        self._under_way: list[str] = []
         self._listener = Listener(self._serve)
 
     @property
     def address(self) -> str:
         return self._listener.address
 
+    def is_running(self, digest: str) -> bool:
+        """Tell whether a request with such a body is under way."""
+        with self._lock:
+            return digest in self._under_way
+
     def crash(self) -> None:
         """End at once: the port and all connections are gone."""
         self._listener.close()
@@ -157,9 +178,14 @@
         if not self._slots.acquire(blocking=False):
             _send(sock, "503 Full", ["X-Not-Executed: 1"], b"")
             return
+        digest = digest_of(asked.body)
         try:
+            with self._lock:
+                self._under_way.append(digest)
             self._run(sock, asked)
         finally:
+            with self._lock:
+                self._under_way.remove(digest)
             self._slots.release()
 
     def _run(self, sock: socket.socket, asked: Asked) -> None:
@@ -175,6 +201,14 @@
                 asked.at,
             )
         )
+        if asked.body in (FATAL_BODY, LATE_FATAL_BODY):
+            threading.Timer(
+                CRASH_AFTER_SECONDS, self._on_fatal, args=(self.name,)
+            ).start()
+        if asked.body == FATAL_BODY:
+            while sock.recv(1):
+                pass  # Up to the crash.
+            raise OSError("crashed")
         with self._lock:
             is_struck = self._rng.random() < FAULT_SHARE
             break_at = self._rng.randrange(MAX_EVENTS)
