--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -67,6 +67,30 @@
   4: list<ServiceReading> reading
 }
 
+/* An upstream that crashed while a request was under way there. */
+struct Crash {
+  1: string upstream
+  2: i32 sent_ms /* ago */
+  3: i32 age_ms
+  4: optional bool silent /* the request had not been answered a byte */
+}
+
+/* A request under which upstreams crashed. */
+struct Suspect {
+  1: binary fingerprint
+  2: optional string team
+  3: list<Crash> crashes
+  4: optional i32 served_ms /* since it was last answered whole */
+  5: optional i32 trial_ms /* since a copy was sent on trial */
+}
+
+/* What a host keeps of itself in the platform's log, under its address. */
+struct HostRecord {
+  1: string zone
+  2: list<Suspect> quarantined /* as of the time of writing */
+  3: i64 written_ms /* Unix time */
+}
+
 /* Offsets are those of the platform's log: the greater one is newer. The sender is the
  * datagram's source address. Field 1 was the sender's name. */
 struct Beat {
@@ -84,6 +108,7 @@
   13: optional i32 number /* of the sender's beats */
   14: optional Digest digest
   15: optional i32 link_mbps /* of the sender's link, Mbit/s */
+  16: optional list<Suspect> suspects
 }
 
 /* All that the sender believes to be kept in caches. */
--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -108,6 +108,11 @@
         self.expire(now)
         return self._upstreams.takes_work(upstream)
 
+    def is_ending(self, upstream: UpstreamId, now: float) -> bool:
+        """Tell whether an upstream is known to leave, or is not known at all."""
+        self.expire(now)
+        return self._upstreams.is_ending(upstream)
+
     def list_age(self, now: float) -> float:
         """Return how many seconds ago the list of upstreams was known to be true.
 
--- a/src/rudderpass/directory/_upstreams.py
+++ b/src/rudderpass/directory/_upstreams.py
@@ -160,6 +160,10 @@
         record = self._records.get(upstream)
         return record is not None and not record.entry.leaving
 
+    def is_ending(self, upstream: UpstreamId) -> bool:
+        """Tell whether an upstream leaves, has left, or is about to be forgotten."""
+        return upstream in self._ending or not self.takes_work(upstream)
+
     def ending(self, now: float) -> list[tuple[UpstreamName, float]]:
         """Return upstreams about to be forgotten, and in how many seconds."""
         return [
--- a/src/rudderpass/exchange/_assignment.py
+++ b/src/rudderpass/exchange/_assignment.py
@@ -20,6 +20,8 @@
     UNKNOWN_KEY = "unknown key"
     NO_SERVICE = "the route leads to no service"
     NO_UPSTREAM = "no upstream to send it to"
+    QUARANTINED = "upstreams crashed under this request"
+    ON_TRIAL = "another copy of this request is on trial"
     OVERLOAD = "no upstream can answer in time"
     STOPPING = "this host is stopping"
 
--- a/src/rudderpass/exchange/_choice.py
+++ b/src/rudderpass/exchange/_choice.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from rudderpass._ids import AvailabilityZone, UpstreamId
+import xxhash
+
+from rudderpass._ids import AvailabilityZone, Fingerprint, UpstreamId
 from rudderpass.directory import EngineTraits, RegisteredUpstream
 from rudderpass.exchange._evidence import UpstreamEvidence
 from rudderpass.exchange._load import Load
@@ -43,6 +45,9 @@
     SERVICE_SECONDS,
 )
 
+QUIET_REQUESTS = 1
+"""Requests more than the idlest upstream has, with which one still counts as quiet."""
+
 
 @dataclass(frozen=True)
 class Candidate:
@@ -158,6 +163,29 @@
     return Choice(chosen, tuple(candidates), ruled_out, bool(request.parts))
 
 
+def isolate_choice(choice: Choice, fingerprint: Fingerprint) -> Choice:
+    """Choose instead where a request that may crash the upstream harms fewest others.
+
+    Of the upstreams with about as little work, each request has its own order, so that
+    several suspects do not meet at one.
+    """
+    if not choice.candidates:
+        return choice
+    least = min(candidate.load.running for candidate in choice.candidates)
+    quiet = [
+        candidate
+        for candidate in choice.candidates
+        if candidate.load.running <= least + QUIET_REQUESTS
+    ]
+    chosen = max(
+        quiet,
+        key=lambda candidate: xxhash.xxh64_intdigest(
+            fingerprint + candidate.upstream.upstream.encode()
+        ),
+    )
+    return replace(choice, chosen=chosen)
+
+
 @dataclass(frozen=True)
 class _CopySource:
     """The upstream that keeps most of a prompt, from which others may copy it."""
--- a/src/rudderpass/exchange/_connections.py
+++ b/src/rudderpass/exchange/_connections.py
@@ -8,6 +8,7 @@
 import threading
 import time
 from collections import deque
+from concurrent.futures import Future
 from dataclasses import dataclass
 
 from rudderpass._sockets import watch_liveness
@@ -27,6 +28,13 @@
 KEPT_EACH = 4
 """Connections kept to one upstream by one host. Upstreams take 100 to 790 from all."""
 
+CRASH_CHECK_SECONDS = 0.2
+"""How long to wait for a connection that shows whether an upstream has crashed. A
+refusal comes within a round trip; the caller waits meanwhile."""
+
+CHECKED_REST_SECONDS = 1.0
+"""How long such a connection is kept where it came up."""
+
 _PIECE_BYTES = 16384
 
 
@@ -135,6 +143,7 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._kept: dict[str, deque[_Kept]] = {}
+        self._checks: dict[str, Future[bool]] = {}
 
     def open(self, address: str, may_reuse: bool, timeout: float) -> UpstreamConnection:
         """Return a connection to ``address``.
@@ -160,6 +169,36 @@
         watch_liveness(connection.sock)
         return UpstreamConnection(connection, address, is_reused=False)
 
+    def has_crashed(self, address: str) -> bool:
+        """Tell whether nobody listens at an address whose connections were cut.
+
+        Threads that ask at the same time share one answer. A connection that comes up
+        is kept, since an exchange may use it.
+        """
+        with self._lock:
+            check = self._checks.get(address)
+            is_mine = check is None
+            if check is None:
+                check = self._checks[address] = Future()
+        if not is_mine:
+            return check.result()
+        try:
+            check.set_result(self._refuses(address))
+        finally:
+            with self._lock:
+                del self._checks[address]
+        return check.result()
+
+    def _refuses(self, address: str) -> bool:
+        try:
+            connection = self.open(address, False, CRASH_CHECK_SECONDS)
+        except NobodyListens:
+            return True
+        except UpstreamError:
+            return False  # Silence: the link may be cut.
+        self.keep(connection, CHECKED_REST_SECONDS)
+        return False
+
     def keep(self, connection: UpstreamConnection, rest_seconds: float) -> None:
         """Keep a connection whose exchange ended well."""
         rest = min(rest_seconds, LONGEST_REST_SECONDS)
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Collection
 
-from rudderpass._ids import AvailabilityZone, NodeId, PoolId, UpstreamId
+from rudderpass._ids import AvailabilityZone, Fingerprint, NodeId, PoolId, UpstreamId
 from rudderpass.directory import (
     Directory,
     EngineTraits,
@@ -19,7 +19,7 @@
     SentPrompt,
 )
 from rudderpass.exchange._budget import BudgetRule, RepeatDecision, SharedRetryBudget
-from rudderpass.exchange._choice import Knowledge, choose_upstream
+from rudderpass.exchange._choice import Knowledge, choose_upstream, isolate_choice
 from rudderpass.exchange._forecast import Forecasts
 from rudderpass.exchange._load import LoadBook, ToldWork, request_load
 from rudderpass.exchange._news import PromptNews
@@ -29,6 +29,7 @@
 from rudderpass.exchange._slots import HoldTimes, SlotTerms
 from rudderpass.exchange._weights import SERVICE_SECONDS
 from rudderpass.learning import StreamSample
+from rudderpass.quarantine import CutSend, QuarantineBook
 
 NO_CONFIG_RETRY_SECONDS = 2.0
 NO_UPSTREAM_RETRY_SECONDS = 1.0
@@ -48,6 +49,12 @@
 PATIENCE_EXPECTED_FACTOR = 4.0
 """An upstream that is expected to be slow is waited for so many times longer."""
 
+DISPROOF_SECONDS = 10.0
+CURRENT_LIST_SECONDS = 5.0
+"""An upstream that is still listed so long after its port refused connections has not
+crashed, unless the list is old: an entry lapses after three heartbeats. The link to it
+was cut, and the requests under way there are innocent."""
+
 MIN_EXPECTED_SECONDS = 0.05
 """Below this an expected time says too little to learn a speed from."""
 
@@ -85,6 +92,7 @@
         self._holds = HoldTimes()
         self._news = PromptNews()
         self._budget = SharedRetryBudget(rule, restarted_at)
+        self._quarantine = QuarantineBook()
         self._count_hosts = count_hosts
         self._begun: dict[UpstreamId, dict[int, float]] = {}
         self._stopping = False
@@ -101,6 +109,11 @@
         """The work under way."""
         return self._loads
 
+    @property
+    def quarantine(self) -> QuarantineBook:
+        """The requests that may crash upstreams."""
+        return self._quarantine
+
     @property
     def streams_passed_over(self) -> int:
         """Streams told or seen whose times cannot be true."""
@@ -163,8 +176,12 @@
         accepted: Accepted,
         excluded: Collection[UpstreamId],
         now: float,
+        isolate: Fingerprint | None = None,
     ) -> Assignment | Refused:
-        """Choose an upstream for a request and count the work there."""
+        """Choose an upstream for a request and count the work there.
+
+        :param isolate: the request's fingerprint, where it may crash the upstream.
+        """
         self._directory.expire(now)
         upstreams = self._directory.serving(accepted.service)
         harms = self._forecasts.harms(accepted, upstreams, now)
@@ -181,6 +198,8 @@
             SlotTerms(accepted.tier, self._holds.read(accepted.service, now)),
             now,
         )
+        if isolate is not None:
+            choice = isolate_choice(choice, isolate)
         chosen = choice.chosen
         if chosen is None:
             return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_SECONDS)
@@ -316,6 +335,17 @@
         self._knowledge.evidence_of(assignment.upstream).note_unreachable(now)
         self._knowledge.prefixes.forget_upstream(assignment.upstream)
 
+    def note_cut(self, cut: CutSend, now: float) -> bool:
+        """Take note of a cut send; tell whether its upstream may have crashed.
+
+        One that was about to leave ends its connections as planned.
+        """
+        upstream = cut.crash.upstream
+        if self._directory.is_ending(upstream, now):
+            return False
+        self._quarantine.note_cut(cut, now)
+        return True
+
     def take_work(
         self, peer: NodeId, work: ToldWork, zone: AvailabilityZone | None, now: float
     ) -> None:
@@ -374,11 +404,21 @@
         for entry in gone:
             self._knowledge.prefixes.forget_upstream(entry.upstream)
             self._forecasts.forget_upstream(entry.upstream)
+            self._quarantine.note_crashed(entry.upstream, now)
+        self._disprove_crashes(now)
         self._forget_unlisted()
         self._knowledge.prefixes.forget_unused(now)
         self._news.forget_old(now)
         return gone
 
+    def _disprove_crashes(self, now: float) -> None:
+        """Take back crashes of upstreams that go on to write their entries."""
+        if self._directory.list_age(now) > CURRENT_LIST_SECONDS:
+            return
+        for upstream in self._quarantine.crashed_before(now - DISPROOF_SECONDS):
+            if self._directory.takes_work(upstream, now):
+                self._quarantine.disprove(upstream, now)
+
     def _forget_unlisted(self) -> None:
         """Drop what is known of gone upstreams; their answers may end after them."""
         listed = self._directory.listed
--- a/src/rudderpass/exchange/_progress.py
+++ b/src/rudderpass/exchange/_progress.py
@@ -65,6 +65,8 @@
     :param on_repeat: told of each further send that was asked for.
     :param settled: set once the host knows a configuration and the upstreams, or has
         found that nobody can tell it of them now.
+    :param on_suspects: told when peers must hear at once of a request that may crash
+        upstreams.
     """
 
     core: ExchangeCore
@@ -74,6 +76,7 @@
     on_end: Callable[[ExchangeEnd], None]
     on_repeat: Callable[[PoolId, RepeatDecision], None]
     settled: threading.Event
+    on_suspects: Callable[[], None] = lambda: None
 
 
 class Progress:
--- a/src/rudderpass/exchange/_serve.py
+++ b/src/rudderpass/exchange/_serve.py
@@ -10,7 +10,6 @@
 from rudderpass.errors import CallerGone, ConnectionCut, StaleConnection, UpstreamError
 from rudderpass.exchange._assignment import Accepted, Assignment, RefusalReason, Refused
 from rudderpass.exchange._budget import RepeatDecision
-from rudderpass.exchange._fingerprint import compute_fingerprint
 from rudderpass.exchange._lines import log_answer, log_attempt, log_choice
 from rudderpass.exchange._progress import (
     Ending,
@@ -21,6 +20,7 @@
 )
 from rudderpass.exchange._request import ExchangeRequest
 from rudderpass.exchange._send import Passed, Send, UpstreamFailed, pass_answer
+from rudderpass.exchange._vetting import Vetting
 from rudderpass.streams import AttemptState, NextStep, decide_next, note_failure
 from rudderpass.webserver import CallerConnection
 
@@ -46,6 +46,8 @@
     RefusalReason.NO_SERVICE: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.NO_UPSTREAM: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.OVERLOAD: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.QUARANTINED: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.ON_TRIAL: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.STOPPING: HTTPStatus.SERVICE_UNAVAILABLE,
 }
 
@@ -75,6 +77,7 @@
         self._caller = caller
         self._progress = Progress(parts, request, caller, start_response)
         self._accepted: Accepted | None = None
+        self._vetting: Vetting | None = None
         self._excluded: set[UpstreamId] = set()
         self._send: Send | None = None
         self._last_failure: UpstreamFailed | None = None
@@ -96,6 +99,8 @@
             raise
         finally:
             self._caller.watch(None)
+            if self._vetting is not None:
+                self._vetting.close()
         self._finish(passed.ending, passed.status)
         return passed.body
 
@@ -107,34 +112,50 @@
         if isinstance(accepted, Refused):
             return self._refuse(accepted)
         self._accepted = accepted
+        vetting = Vetting(self._parts, self._request, accepted, self._caller)
+        self._vetting = vetting
         route = accepted.route
         self._progress.state = AttemptState(
             route.is_repeatable, max_attempts=max(1, route.max_attempts)
         )
         while True:
-            assigned = self._assign(accepted)
+            assigned = self._assign(accepted, vetting)
             if isinstance(assigned, Refused):
                 return self._give_up(assigned)
             self._send = Send(self._progress, accepted, assigned)
             try:
-                return self._send.run()
+                passed = self._send.run()
             except UpstreamError as error:
                 if self._caller.is_gone:
                     raise CallerGone("the caller left", step="answer") from error
-                refused = self._after_failure(accepted, assigned, error)
+                refused = self._after_failure(accepted, assigned, error, vetting)
+            else:
+                vetting.note_whole_answer()
+                return passed
             if refused is not None:
                 return self._give_up(refused)
 
-    def _assign(self, accepted: Accepted) -> Assignment | Refused:
+    def _assign(self, accepted: Accepted, vetting: Vetting) -> Assignment | Refused:
+        permit = vetting.admit()
+        if isinstance(permit, Refused):
+            return permit
         with self._parts.guard:
             assigned = self._parts.core.assign(
-                self._request, accepted, self._excluded, time.monotonic()
+                self._request,
+                accepted,
+                self._excluded,
+                time.monotonic(),
+                permit.isolate,
             )
         log_choice(self._request, accepted, assigned)
         return assigned
 
     def _after_failure(
-        self, accepted: Accepted, assigned: Assignment, error: UpstreamError
+        self,
+        accepted: Accepted,
+        assigned: Assignment,
+        error: UpstreamError,
+        vetting: Vetting,
     ) -> Refused | None:
         """Decide what follows a failed send; None sends once more."""
         self._last_error = error.show()
@@ -146,8 +167,11 @@
         progress.state = note_failure(progress.state, error)
         now = time.monotonic()
         is_in_time = now < accepted.deadline - LATE_SECONDS
+        may_go_on = vetting.note_failure(assigned, error)
         step = decide_next(
-            progress.state, error, is_in_time and progress.sends < MAX_SENDS
+            progress.state,
+            error,
+            may_go_on and is_in_time and progress.sends < MAX_SENDS,
         )
         repeat = None
         if step is not NextStep.GIVE_UP and error.sent:
@@ -155,7 +179,7 @@
             step = step if repeat.is_allowed else NextStep.GIVE_UP
         fingerprint = None
         if isinstance(error, ConnectionCut):
-            fingerprint = compute_fingerprint(self._request, accepted.team)
+            fingerprint = vetting.fingerprint
         log_attempt(
             self._request,
             assigned,
--- a/src/rudderpass/gossip/__init__.py
+++ b/src/rudderpass/gossip/__init__.py
@@ -17,4 +17,8 @@
     Relaying as Relaying,
     choose_server as choose_server,
 )
+from rudderpass.gossip._suspects import (
+    decode_quarantined as decode_quarantined,
+    encode_host_record as encode_host_record,
+)
 from rudderpass.gossip._transport import GossipTransport as GossipTransport
--- a/src/rudderpass/gossip/_codec.py
+++ b/src/rudderpass/gossip/_codec.py
@@ -6,7 +6,6 @@
 import zlib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import TypeVar
 
 from rudderpass._ids import AvailabilityZone, NodeId, PoolId, UpstreamId, UpstreamName
 from rudderpass._thrift import decode_struct, encode_struct
@@ -15,9 +14,10 @@
 from rudderpass.exchange import Load, PartId, PromptPart, Reading, SentPrompt
 from rudderpass.gossip._digest import Digest, Member
 from rudderpass.gossip._gen.wire import ttypes as wire
+from rudderpass.gossip._suspects import suspect_from_wire, suspect_to_wire
+from rudderpass.gossip._wire import MAX_I32, given
 from rudderpass.learning import StreamSample
-
-_V = TypeVar("_V")
+from rudderpass.quarantine import SuspectNews
 
 _MS = 1000.0
 _US = 1_000_000.0
@@ -26,10 +26,6 @@
 _MAX_PORT = 2**_PORT_BITS - 1
 _ADDRESS_BITS = 32 + _PORT_BITS
 
-_MAX_I32 = 2**31 - 1
-"""Callers say how long their prompts are; a sum beyond this is told as this, so that an
-absurd one does not end the beats."""
-
 _BLOCK_TOKENS = 256
 """Unread tokens are told by rank in blocks of so many, which take 6 ms to read. So a
 digest of 78 engines has 2.0 kB; 2.5 kB to the token, and 1.0 kB without ranks."""
@@ -66,6 +62,7 @@
     :param number: counts its beats.
     :param digest: what it sums up of other hosts, if it is a relay.
     :param link_mbps: what its link carries, Mbit/s; 0 where it does not say.
+    :param suspects: requests that may crash upstreams.
     """
 
     sender: NodeId
@@ -83,6 +80,7 @@
     number: int = 0
     digest: Digest | None = None
     link_mbps: int = 0
+    suspects: tuple[SuspectNews, ...] = ()
 
 
 def encode_beat(beat: Beat) -> bytes:
@@ -104,6 +102,7 @@
             beat.number,
             None if beat.digest is None else _digest_to_wire(beat.digest),
             beat.link_mbps or None,
+            [suspect_to_wire(suspect) for suspect in beat.suspects] or None,
         )
     )
     return data if len(data) < MIN_DEFLATED_BYTES else _deflate(data)
@@ -120,8 +119,8 @@
     try:
         return Beat(
             sender,
-            _given(raw.config_offset),
-            _given(raw.upstreams_end),
+            given(raw.config_offset),
+            given(raw.upstreams_end),
             bool(raw.stopping),
             None if raw.loads is None else _loads_from_wire(raw.loads),
             tuple(_prompt_from_wire(item) for item in raw.prompts or ()),
@@ -134,6 +133,7 @@
             raw.number or 0,
             None if raw.digest is None else _digest_from_wire(raw.digest),
             raw.link_mbps or 0,
+            tuple(suspect_from_wire(item) for item in raw.suspects or ()),
         )
     except TypeError as error:
         raise PeerError(f"incomplete beat: {error}", step="decode") from error
@@ -165,7 +165,7 @@
         return DirectoryState(
             None if raw.config is None else _from_wire(raw.config),
             tuple(_from_wire(record) for record in raw.upstreams or ()),
-            _given(raw.upstreams_end),
+            given(raw.upstreams_end),
             tuple(
                 (UpstreamName(name), ms / _MS)
                 for name, ms in (raw.ending_ms or {}).items()
@@ -209,13 +209,6 @@
     return inflated
 
 
-def _given(value: _V | None) -> _V:
-    """Return a field's value; thrift leaves out what the sender left out."""
-    if value is None:
-        raise TypeError("a field is missing")
-    return value
-
-
 def _prompt_to_wire(prompt: SentPrompt) -> wire.SentPrompt:
     parts = [wire.PromptPart(part.part, part.tokens) for part in prompt.parts]
     return wire.SentPrompt(prompt.upstream, parts)
@@ -223,9 +216,9 @@
 
 def _prompt_from_wire(raw: wire.SentPrompt) -> SentPrompt:
     parts = tuple(
-        PromptPart(PartId(_given(part.part)), _given(part.tokens)) for part in raw.parts
+        PromptPart(PartId(given(part.part)), given(part.tokens)) for part in raw.parts
     )
-    return SentPrompt(UpstreamId(_given(raw.upstream)), parts)
+    return SentPrompt(UpstreamId(given(raw.upstream)), parts)
 
 
 def _stream_to_wire(sample: StreamSample) -> wire.StreamSample:
@@ -241,7 +234,7 @@
         wire.UpstreamLoad(
             upstream,
             load.running,
-            min(_MAX_I32, load.unread_tokens),
+            min(MAX_I32, load.unread_tokens),
             round(load.tight * _PERCENT),
             list(load.ranks) or None,
             [_to_blocks(tokens) for tokens in load.unread_ranks] or None,
@@ -252,9 +245,9 @@
 
 def _loads_from_wire(raw: list[wire.UpstreamLoad] | None) -> dict[UpstreamId, Load]:
     return {
-        UpstreamId(_given(item.upstream)): Load(
-            _given(item.running),
-            _given(item.unread_tokens),
+        UpstreamId(given(item.upstream)): Load(
+            given(item.running),
+            given(item.unread_tokens),
             (item.tight_percent or 0) / _PERCENT,
             _ranks_from_wire(item.ranks),
             tuple(
@@ -267,7 +260,7 @@
 
 
 def _to_blocks(tokens: int) -> int:
-    return min(_MAX_I32, round(tokens / _BLOCK_TOKENS))
+    return min(MAX_I32, round(tokens / _BLOCK_TOKENS))
 
 
 def _ranks_from_wire(raw: list[int] | None) -> tuple[int, ...]:
@@ -290,7 +283,7 @@
     return Digest(
         bool(raw.whole),
         {
-            AvailabilityZone(_given(item.zone)): tuple(
+            AvailabilityZone(given(item.zone)): tuple(
                 _member_from_wire(member) for member in item.members or ()
             )
             for item in raw.zones or ()
@@ -304,7 +297,7 @@
     return wire.Member(
         _pack_address(member.host),
         member.number,
-        max(0, min(_MAX_I32, round(member.age * _MS))),
+        max(0, min(MAX_I32, round(member.age * _MS))),
         member.config_offset,
         member.upstreams_end,
         member.stopping or None,
@@ -316,11 +309,11 @@
 
 def _member_from_wire(raw: wire.Member) -> Member:
     return Member(
-        _unpack_address(_given(raw.address)),
-        _given(raw.number),
-        max(0, _given(raw.age_ms)) / _MS,
-        _given(raw.config_offset),
-        _given(raw.upstreams_end),
+        _unpack_address(given(raw.address)),
+        given(raw.number),
+        max(0, given(raw.age_ms)) / _MS,
+        given(raw.config_offset),
+        given(raw.upstreams_end),
         bool(raw.stopping),
         bool(raw.warm),
         bool(raw.following),
@@ -345,8 +338,8 @@
     raw: list[wire.ServiceReading] | None,
 ) -> dict[PoolId, Reading]:
     return {
-        PoolId(_given(item.pool)): Reading(
-            float(max(0, _given(item.tight))), float(max(0, _given(item.other)))
+        PoolId(given(item.pool)): Reading(
+            float(max(0, given(item.tight))), float(max(0, given(item.other)))
         )
         for item in raw or ()
     }
@@ -356,8 +349,8 @@
     rounded = [
         wire.ServiceReading(
             service,
-            min(_MAX_I32, round(rates.tight)),
-            min(_MAX_I32, round(rates.other)),
+            min(MAX_I32, round(rates.tight)),
+            min(MAX_I32, round(rates.other)),
         )
         for service, rates in reading.items()
     ]
@@ -366,9 +359,9 @@
 
 def _stream_from_wire(raw: wire.StreamSample) -> StreamSample:
     return StreamSample(
-        UpstreamId(_given(raw.upstream)),
-        _given(raw.pace_us) / _US,
-        _given(raw.longest_pause_us) / _US,
+        UpstreamId(given(raw.upstream)),
+        given(raw.pace_us) / _US,
+        given(raw.longest_pause_us) / _US,
     )
 
 
@@ -377,4 +370,4 @@
 
 
 def _from_wire(raw: wire.KeyedRecord) -> KeyedRecord:
-    return KeyedRecord(_given(raw.offset), _given(raw.key), raw.value or None)
+    return KeyedRecord(given(raw.offset), given(raw.key), raw.value or None)
--- a/src/rudderpass/gossip/_gen/wire/ttypes.py
+++ b/src/rudderpass/gossip/_gen/wire/ttypes.py
@@ -897,6 +897,336 @@
         return not (self == other)
 
 
+class Crash(object):
+    """
+    Attributes:
+     - upstream
+     - sent_ms
+     - age_ms
+     - silent
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'sent_ms',
+        'age_ms',
+        'silent',
+    )
+
+
+    def __init__(self, upstream=None, sent_ms=None, age_ms=None, silent=None,):
+        self.upstream = upstream
+        self.sent_ms = sent_ms
+        self.age_ms = age_ms
+        self.silent = silent
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.sent_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.silent = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Crash')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I32, 2)
+            oprot.writeI32(self.sent_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.silent is not None:
+            oprot.writeFieldBegin('silent', TType.BOOL, 4)
+            oprot.writeBool(self.silent)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Suspect(object):
+    """
+    Attributes:
+     - fingerprint
+     - team
+     - crashes
+     - served_ms
+     - trial_ms
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'team',
+        'crashes',
+        'served_ms',
+        'trial_ms',
+    )
+
+
+    def __init__(self, fingerprint=None, team=None, crashes=None, served_ms=None, trial_ms=None,):
+        self.fingerprint = fingerprint
+        self.team = team
+        self.crashes = crashes
+        self.served_ms = served_ms
+        self.trial_ms = trial_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.team = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Crash()
+                        _elem54.read(iprot)
+                        self.crashes.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.served_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.trial_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Suspect')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.team is not None:
+            oprot.writeFieldBegin('team', TType.STRING, 2)
+            oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter55 in self.crashes:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.served_ms is not None:
+            oprot.writeFieldBegin('served_ms', TType.I32, 4)
+            oprot.writeI32(self.served_ms)
+            oprot.writeFieldEnd()
+        if self.trial_ms is not None:
+            oprot.writeFieldBegin('trial_ms', TType.I32, 5)
+            oprot.writeI32(self.trial_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HostRecord(object):
+    """
+    Attributes:
+     - zone
+     - quarantined
+     - written_ms
+
+    """
+
+    __slots__ = (
+        'zone',
+        'quarantined',
+        'written_ms',
+    )
+
+
+    def __init__(self, zone=None, quarantined=None, written_ms=None,):
+        self.zone = zone
+        self.quarantined = quarantined
+        self.written_ms = written_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.quarantined = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Suspect()
+                        _elem61.read(iprot)
+                        self.quarantined.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.written_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostRecord')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.quarantined is not None:
+            oprot.writeFieldBegin('quarantined', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.quarantined))
+            for iter62 in self.quarantined:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.written_ms is not None:
+            oprot.writeFieldBegin('written_ms', TType.I64, 3)
+            oprot.writeI64(self.written_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Beat(object):
     """
     Attributes:
@@ -914,6 +1244,7 @@
      - number
      - digest
      - link_mbps
+     - suspects
 
     """
 
@@ -932,10 +1263,11 @@
         'number',
         'digest',
         'link_mbps',
+        'suspects',
     )
 
 
-    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None,):
+    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None,):
         self.config_offset = config_offset
         self.upstreams_end = upstreams_end
         self.stopping = stopping
@@ -950,6 +1282,7 @@
         self.number = number
         self.digest = digest
         self.link_mbps = link_mbps
+        self.suspects = suspects
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -978,32 +1311,32 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = UpstreamLoad()
-                        _elem54.read(iprot)
-                        self.loads.append(_elem54)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = UpstreamLoad()
+                        _elem68.read(iprot)
+                        self.loads.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = SentPrompt()
-                        _elem60.read(iprot)
-                        self.prompts.append(_elem60)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = SentPrompt()
+                        _elem74.read(iprot)
+                        self.prompts.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype64, _size61) = iprot.readListBegin()
-                    for _i65 in range(_size61):
-                        _elem66 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.peers.append(_elem66)
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.peers.append(_elem80)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1020,22 +1353,22 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.streams = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = StreamSample()
-                        _elem72.read(iprot)
-                        self.streams.append(_elem72)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = StreamSample()
+                        _elem86.read(iprot)
+                        self.streams.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.reading = []
-                    (_etype76, _size73) = iprot.readListBegin()
-                    for _i77 in range(_size73):
-                        _elem78 = ServiceReading()
-                        _elem78.read(iprot)
-                        self.reading.append(_elem78)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = ServiceReading()
+                        _elem92.read(iprot)
+                        self.reading.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1060,6 +1393,17 @@
                     self.link_mbps = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = Suspect()
+                        _elem98.read(iprot)
+                        self.suspects.append(_elem98)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1085,22 +1429,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter79 in self.loads:
-                iter79.write(oprot)
+            for iter99 in self.loads:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter80 in self.prompts:
-                iter80.write(oprot)
+            for iter100 in self.prompts:
+                iter100.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.peers))
-            for iter81 in self.peers:
-                oprot.writeString(iter81.encode('utf-8') if sys.version_info[0] == 2 else iter81)
+            for iter101 in self.peers:
+                oprot.writeString(iter101.encode('utf-8') if sys.version_info[0] == 2 else iter101)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.warm is not None:
@@ -1114,15 +1458,15 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter82 in self.streams:
-                iter82.write(oprot)
+            for iter102 in self.streams:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reading is not None:
             oprot.writeFieldBegin('reading', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.reading))
-            for iter83 in self.reading:
-                iter83.write(oprot)
+            for iter103 in self.reading:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.zone is not None:
@@ -1141,6 +1485,13 @@
             oprot.writeFieldBegin('link_mbps', TType.I32, 15)
             oprot.writeI32(self.link_mbps)
             oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter104 in self.suspects:
+                iter104.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1193,11 +1544,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = SentPrompt()
-                        _elem89.read(iprot)
-                        self.prompts.append(_elem89)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = SentPrompt()
+                        _elem110.read(iprot)
+                        self.prompts.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1214,8 +1565,8 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter90 in self.prompts:
-                iter90.write(oprot)
+            for iter111 in self.prompts:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1380,11 +1731,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = KeyedRecord()
-                        _elem96.read(iprot)
-                        self.upstreams.append(_elem96)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = KeyedRecord()
+                        _elem117.read(iprot)
+                        self.upstreams.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1396,11 +1747,11 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.ending_ms = {}
-                    (_ktype98, _vtype99, _size97) = iprot.readMapBegin()
-                    for _i101 in range(_size97):
-                        _key102 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val103 = iprot.readI32()
-                        self.ending_ms[_key102] = _val103
+                    (_ktype119, _vtype120, _size118) = iprot.readMapBegin()
+                    for _i122 in range(_size118):
+                        _key123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val124 = iprot.readI32()
+                        self.ending_ms[_key123] = _val124
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1426,8 +1777,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter104 in self.upstreams:
-                iter104.write(oprot)
+            for iter125 in self.upstreams:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_end is not None:
@@ -1437,9 +1788,9 @@
         if self.ending_ms is not None:
             oprot.writeFieldBegin('ending_ms', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.ending_ms))
-            for kiter105, viter106 in self.ending_ms.items():
-                oprot.writeString(kiter105.encode('utf-8') if sys.version_info[0] == 2 else kiter105)
-                oprot.writeI32(viter106)
+            for kiter126, viter127 in self.ending_ms.items():
+                oprot.writeString(kiter126.encode('utf-8') if sys.version_info[0] == 2 else kiter126)
+                oprot.writeI32(viter127)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.changes_from is not None:
@@ -1532,6 +1883,30 @@
     (3, TType.LIST, 'loads', (TType.STRUCT, [UpstreamLoad, None], False), None, ),  # 3
     (4, TType.LIST, 'reading', (TType.STRUCT, [ServiceReading, None], False), None, ),  # 4
 )
+all_structs.append(Crash)
+Crash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'sent_ms', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.BOOL, 'silent', None, None, ),  # 4
+)
+all_structs.append(Suspect)
+Suspect.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'team', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 3
+    (4, TType.I32, 'served_ms', None, None, ),  # 4
+    (5, TType.I32, 'trial_ms', None, None, ),  # 5
+)
+all_structs.append(HostRecord)
+HostRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'quarantined', (TType.STRUCT, [Suspect, None], False), None, ),  # 2
+    (3, TType.I64, 'written_ms', None, None, ),  # 3
+)
 all_structs.append(Beat)
 Beat.thrift_spec = (
     None,  # 0
@@ -1550,6 +1925,7 @@
     (13, TType.I32, 'number', None, None, ),  # 13
     (14, TType.STRUCT, 'digest', [Digest, None], None, ),  # 14
     (15, TType.I32, 'link_mbps', None, None, ),  # 15
+    (16, TType.LIST, 'suspects', (TType.STRUCT, [Suspect, None], False), None, ),  # 16
 )
 all_structs.append(Prompts)
 Prompts.thrift_spec = (
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -8,13 +8,11 @@
 import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
 
 from rudderpass._ids import NodeId
 from rudderpass.directory import (
     Decoders,
     Directory,
-    KeyedLog,
     Learned,
     Reachability,
     StoreFollower,
@@ -31,9 +29,11 @@
 from rudderpass.host._admin import make_metrics_server, make_ready_server
 from rudderpass.host._metrics import HostGauges, HostMetrics
 from rudderpass.host._peers import PeerTalk
+from rudderpass.host._registry import HostRegistry, HostStore, QuarantineArchive
 from rudderpass.host._settings import HostSettings
 from rudderpass.host._stopping import StopSchedule, StopStep
 from rudderpass.host._warmup import CacheWarmup, PartsReader, WarmupParts
+from rudderpass.quarantine import QuarantineChange, SuspectNews
 from rudderpass.webserver import HttpServer, ServerLimits
 
 TICK_SECONDS = 0.25
@@ -48,20 +48,6 @@
 """A caller may use a connection just before its idle time ends."""
 
 
-class HostStore(KeyedLog, Protocol):
-    """The store as a host uses it."""
-
-    @property
-    def calls(self) -> int:
-        """Calls made so far."""
-
-    def append(self, topic: str, key: str, value: bytes) -> None:
-        """Write the newest record of a key.
-
-        :raises PlatformError: when it may not have been written.
-        """
-
-
 @dataclass(frozen=True)
 class Platform:
     """What an adapter brings: the store, its topics, and how all is written."""
@@ -130,6 +116,7 @@
             self._metrics.record,
             self._metrics.record_repeat,
             self._settled,
+            self._peers.tell_soon,
         )
         self._app = ExchangeApp(parts)
         self._front = HttpServer(
@@ -158,12 +145,19 @@
             ),
             self._stopping,
         )
+        self._registry = HostRegistry(
+            platform.store, platform.hosts_topic, self._peers.address, settings.zone
+        )
+        self._archive = QuarantineArchive(
+            self._registry, self._describe_quarantined, self._stopping
+        )
         self._threads = [
             threading.Thread(target=target, name=name, daemon=True)
             for name, target in (
                 ("tick", self._tick),
                 ("register", self._register),
                 ("warmup", warmup.run),
+                ("archive", self._archive.run),
             )
         ]
 
@@ -263,12 +257,33 @@
     def _do_due(self, now: float) -> None:
         with self._guard:
             gone = self._core.tick(now)
+            changes = self._core.quarantine.tick(now)
+        for change in changes:
+            self._note_quarantine(change)
         for entry in gone:
             self._connections.forget(entry.address)
             log("upstream", f"{entry.upstream} is gone.", upstream=entry.upstream)
         self._connections.close_expired(now)
         self._peers.do_due(now)
 
+    def _describe_quarantined(self) -> tuple[SuspectNews, ...]:
+        with self._guard:
+            return self._core.quarantine.describe_quarantined(time.monotonic())
+
+    def _note_quarantine(self, change: QuarantineChange) -> None:
+        if change.is_own:
+            self._archive.note_change()
+        word = "quarantined" if change.is_quarantined else "released"
+        log(
+            "quarantine",
+            f"{change.fingerprint.hex()} {word}, {len(change.upstreams)} crashes.",
+            fingerprint=change.fingerprint.hex(),
+            team=change.team,
+            quarantined=change.is_quarantined,
+            upstreams=list(change.upstreams),
+            seen_here=change.is_own,
+        )
+
     def _register(self) -> None:
         """Announce this host in the store, once, and learn of the others."""
         while not self._stopping.is_set():
@@ -282,22 +297,22 @@
                 self._stopping.wait(REGISTER_PAUSE_SECONDS)
 
     def _announce(self) -> None:
-        """Meet all hosts that the store lists, and be listed.
+        """Meet all hosts that the store lists, learn what they quarantined, be listed.
 
         When all hosts start for the first time, each is listed before it reads the
         list, so that of any two one finds the other. Later one call less will do.
 
         :raises PlatformError: when the store does not answer.
         """
-        own = self._peers.address
-        store, topic = self._platform.store, self._platform.hosts_topic
-        zone = self._settings.zone.encode()
         if self._settings.is_first_start:
-            store.append(topic, own, zone)
-        listed = {NodeId(record.key) for record in store.read_newest(topic).records}
-        self._peers.meet(listed)
-        if own not in listed:
-            store.append(topic, own, zone)
+            self._registry.write()
+        registered = self._registry.read()
+        with self._guard:
+            book = self._core.quarantine
+            book.take(registered.quarantined, False, time.monotonic())
+        self._peers.meet(registered.hosts)
+        if self._peers.address not in registered.hosts:
+            self._registry.write()
 
     def _note_store_news(self, learned: list[Learned]) -> None:
         """Take news from the store, and tell those who rely on this host at once."""
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -135,6 +135,11 @@
         self._wake.wait(seconds)
         self._wake.clear()
 
+    def tell_soon(self) -> None:
+        """Let the next beat go out at once; what it tells cannot wait."""
+        self._next_beat = 0.0
+        self._wake.set()
+
     def do_due(self, now: float) -> None:
         """Tell peers, choose whether to follow the store, and fetch what is missed."""
         if now >= self._next_beat:
--- a/src/rudderpass/host/_telling.py
+++ b/src/rudderpass/host/_telling.py
@@ -21,6 +21,7 @@
     choose_server,
 )
 from rudderpass.learning import StreamSample
+from rudderpass.quarantine import SuspectNews
 
 PRESENCE_BEATS = 2
 """One relayed beat in so many also tells that this host is there: one that follows the
@@ -79,7 +80,11 @@
 
     def greet(self, now: float, is_relayed: bool) -> Beat:
         """Return a beat for a peer that may not know this host."""
-        return self._make_beat(now, has_work=not is_relayed)
+        return self._make_beat(
+            now,
+            has_work=not is_relayed,
+            suspects=self._core.quarantine.describe_quarantined(now),
+        )
 
     def compose(
         self, now: float, is_relayed: bool, has_store_news: bool = False
@@ -92,8 +97,10 @@
         """
         self._number += 1
         self._core.loads.note_told(self._number, now)
+        suspects = self._core.quarantine.tell(now)
         beat = self._make_beat(
             now,
+            suspects=suspects,
             prompts=tuple(self._core.drain_prompts()),
             streams=tuple(self._core.drain_streams()),
             names_peers=self._number % NAMING_BEATS == 0,
@@ -112,7 +119,7 @@
         ]
         if self._relaying.is_relay:
             self._relaying.take(True, beat.prompts, beat.streams, now)
-            messages += self._compose_digests(relays, now)
+            messages += self._compose_digests(relays, suspects, now)
         return [message for message in messages if message.targets]
 
     def take(self, beat: Beat, now: float) -> bool:
@@ -124,6 +131,7 @@
                 beat.sender, ToldWork(beat.loads, beat.reading), beat.zone, now
             )
         self._core.take_news(beat.prompts, beat.streams, now)
+        self._core.quarantine.take(beat.suspects, self._relaying.is_relay, now)
         if beat.digest is not None:
             self._take_digest(beat.digest, beat.zone, now)
         if self._relaying.is_relay:
@@ -167,7 +175,9 @@
             hosts = []
         return targets + [host for host in hosts if host not in relays]
 
-    def _compose_digests(self, relays: list[NodeId], now: float) -> list[Message]:
+    def _compose_digests(
+        self, relays: list[NodeId], suspects: tuple[SuspectNews, ...], now: float
+    ) -> list[Message]:
         hosts = [
             host
             for host in self._mesh.live_in(self._zone, now)
@@ -181,6 +191,7 @@
         work = self._core.loads.sum_zone(self._zone, now)
         for_relays = self._make_beat(
             now,
+            suspects=suspects,
             prompts=prompts,
             streams=streams,
             digest=Digest(False, {self._zone: members}, work.loads, work.reading),
@@ -190,6 +201,7 @@
         named = {self._zone: members, **self._describe_others(now)}
         for_zone = self._make_beat(
             now,
+            suspects=suspects,
             prompts=prompts,
             streams=streams,
             digest=Digest(True, named, work.loads, work.reading),
@@ -248,6 +260,7 @@
         names_peers: bool = False,
         digest: Digest | None = None,
         has_work: bool = True,
+        suspects: tuple[SuspectNews, ...] = (),
     ) -> Beat:
         tells_work = has_work and digest is None
         directory = self._core.directory
@@ -268,4 +281,5 @@
             self._number,
             digest,
             self._link_mbps,
+            suspects,
         )
