Test the quarantine: order, loss, bounds, starts, cuts, engines that crash together

What the tests found in the first version, mended here: a peer's trial held copies up until it lapsed although its crash was known; a refused connection after two crashes ended an attempt that had sent nothing; a crashed upstream stayed a candidate until the next refused connection; a suspect's second send met the streams that its first crash had moved (it waits 50 ms now, and goes to the idlest upstream alone).

--- a/src/rudderpass/exchange/_choice.py
+++ b/src/rudderpass/exchange/_choice.py
@@ -45,9 +45,6 @@
     SERVICE_SECONDS,
 )
 
-QUIET_REQUESTS = 1
-"""Requests more than the idlest upstream has, with which one still counts as quiet."""
-
 
 @dataclass(frozen=True)
 class Candidate:
@@ -166,16 +163,14 @@
 def isolate_choice(choice: Choice, fingerprint: Fingerprint) -> Choice:
     """Choose instead where a request that may crash the upstream harms fewest others.
 
-    Of the upstreams with about as little work, each request has its own order, so that
-    several suspects do not meet at one.
+    Of upstreams with as little work, each request has its own order, so that several
+    suspects do not meet at one.
     """
     if not choice.candidates:
         return choice
     least = min(candidate.load.running for candidate in choice.candidates)
     quiet = [
-        candidate
-        for candidate in choice.candidates
-        if candidate.load.running <= least + QUIET_REQUESTS
+        candidate for candidate in choice.candidates if candidate.load.running == least
     ]
     chosen = max(
         quiet,
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -346,6 +346,12 @@
         self._quarantine.note_cut(cut, now)
         return True
 
+    def note_crashed(self, upstream: UpstreamId, now: float) -> list[CutSend]:
+        """Take note that an upstream refuses connections; return what it cut before."""
+        self._knowledge.evidence_of(upstream).note_unreachable(now)
+        self._knowledge.prefixes.forget_upstream(upstream)
+        return self._quarantine.note_crashed(upstream, now)
+
     def take_work(
         self, peer: NodeId, work: ToldWork, zone: AvailabilityZone | None, now: float
     ) -> None:
--- a/src/rudderpass/exchange/_vetting.py
+++ b/src/rudderpass/exchange/_vetting.py
@@ -29,6 +29,11 @@
 TRIAL_POLL_SECONDS = 0.02
 """How often a waiting copy looks again."""
 
+RETRIAL_PAUSE_SECONDS = 0.05
+"""After a crash, until the same attempt goes on to another upstream. The streams that
+were cut beside it are placed by then, so that it does not meet them again, and peers
+have told what they saw."""
+
 SAFE_CRASHES = 1
 """Crashes under a request after which the same attempt still goes to another upstream.
 With more, its caller is told, and the next copy is tried by itself."""
@@ -65,6 +70,7 @@
         self._caller = caller
         self._known_fingerprint: Fingerprint | None = None
         self._is_on_trial = False
+        self._pause = 0.0
 
     @property
     def fingerprint(self) -> Fingerprint:
@@ -82,6 +88,9 @@
         """
         if not self._parts.core.quarantine.is_watching:
             return Permit()
+        if self._pause > 0:
+            time.sleep(self._pause)
+            self._pause = 0.0
         target = self._accepted.route.target_latency
         patience = min(TRIAL_PATIENCE_SECONDS, TRIAL_PATIENCE_SHARE * target)
         give_up_at = time.monotonic() + patience
@@ -102,17 +111,18 @@
     def note_failure(self, assigned: Assignment, error: UpstreamError) -> bool:
         """Take note of a failed send; tell whether the same attempt may go on."""
         self.close()
-        if isinstance(error, ConnectionCut):
-            self._note_cut(assigned, error)
-        elif isinstance(error, NobodyListens):
+        if isinstance(error, NobodyListens):
             self._note_crashed(assigned)
-        else:
+        if not isinstance(error, ConnectionCut):
             return True
+        self._note_cut(assigned, error)
         with self._parts.guard:
             book = self._parts.core.quarantine
             if not book.is_watching:
                 return True
             verdict = book.judge(self.fingerprint, time.monotonic())
+        if verdict.kind is not VerdictKind.FREE:
+            self._pause = RETRIAL_PAUSE_SECONDS
         return verdict.crashes <= SAFE_CRASHES
 
     def note_whole_answer(self) -> None:
@@ -173,8 +183,7 @@
 
     def _note_crashed(self, assigned: Assignment) -> None:
         with self._parts.guard:
-            book = self._parts.core.quarantine
-            cuts = book.note_crashed(assigned.upstream, time.monotonic())
+            cuts = self._parts.core.note_crashed(assigned.upstream, time.monotonic())
         if not cuts:
             return
         log(
--- a/src/rudderpass/quarantine/_book.py
+++ b/src/rudderpass/quarantine/_book.py
@@ -83,6 +83,12 @@
         """When the latest crash under it was."""
         return max((crash.at for crash in self.crashes.values()), default=_NEVER)
 
+    def trial_left(self, now: float) -> float:
+        """Return for how long a copy on trial still holds others up; 0 without one."""
+        if self.trial <= max(self.last_crash, self.served):
+            return 0.0
+        return max(0.0, self.trial + TRIAL_SECONDS - now)
+
     def add(self, crash: Crash) -> bool:
         """Take a crash; tell whether it says anything new."""
         if crash.at <= self.served:
@@ -98,7 +104,6 @@
     def clear(self, served: float) -> None:
         """Take a whole answer: crashes before it were not this request's doing."""
         self.served = served
-        self.trial = _NEVER
         self.crashes = {
             name: crash for name, crash in self.crashes.items() if crash.at > served
         }
@@ -151,7 +156,7 @@
             count = count_causes(unexplained)
             if count < 2 and not any(crash.silent for crash in unexplained):
                 return Verdict(VerdictKind.FREE, count)
-        left = suspect.trial + TRIAL_SECONDS - now
+        left = suspect.trial_left(now)
         if left > 0:
             return Verdict(VerdictKind.WAIT, count, left)
         return Verdict(VerdictKind.TRIAL, count)
@@ -169,7 +174,6 @@
         for cut in cuts:
             suspect = self._suspect(cut.fingerprint, cut.team)
             suspect.is_own = True
-            suspect.trial = _NEVER
             if suspect.add(cut.crash):
                 self._note_change(suspect)
         return cuts
@@ -299,8 +303,7 @@
                 is_news = True
         if item.trial is not None:
             began = now - item.trial
-            is_over = began <= max(suspect.last_crash, suspect.served)
-            if began > suspect.trial + SAME_SECONDS and not is_over:
+            if began > suspect.trial + SAME_SECONDS:
                 suspect.trial = began
                 is_news = True
         return is_news
@@ -378,5 +381,5 @@
             for crash in suspect.crashes.values()
         ),
         None if suspect.served == _NEVER else now - suspect.served,
-        None if now - suspect.trial > TRIAL_SECONDS else now - suspect.trial,
+        now - suspect.trial if suspect.trial_left(now) > 0 else None,
     )
--- a/tests/gossip/test_mutated.py
+++ b/tests/gossip/test_mutated.py
@@ -28,6 +28,7 @@
 from tests.directory.builders import ZONE, make_route
 from tests.exchange.builders import assign, make_core, make_request, parts
 from tests.fuzz import make_settings
+from tests.quarantine.builders import BAD, GOOD, crash, news_of
 
 OWN = NodeId("10.0.0.9:1")
 SENDER = NodeId("10.0.0.2:1")
@@ -54,6 +55,7 @@
             {UPSTREAM: Load(9, 4000, 1.5, (1, 8), (500, 3500))},
             {PoolId("engines"): Reading(9000.0, 1000.0)},
         ),
+        suspects=(news_of(BAD, crash("u1", 2.0), crash("u2", 1.0)), news_of(GOOD)),
     )
 )
 STATE = encode_state(
--- a/tests/host/fleet.py
+++ b/tests/host/fleet.py
@@ -60,6 +60,8 @@
     ) -> None:
         self.now = 0.0
         self.received: Counter[NodeId] = Counter()
+        self.cut: set[tuple[NodeId, NodeId]] = set()
+        self._upstreams = upstreams
         self._rng = random.Random(7)
         self._loss = loss
         self._order = itertools.count()
@@ -87,6 +89,18 @@
             action()
         self.now = until
 
+    def restart(self, host: FleetHost) -> FleetHost:
+        """Start a host again: it knows nothing but whom it may greet."""
+        started = FleetHost(host.name, host.zone, host.link_mbps, self._upstreams)
+        self.hosts[host.name] = started
+        started.mesh.add(self.hosts)
+        self._start(started)
+        return started
+
+    def tell_now(self, host: FleetHost) -> None:
+        """Send a host's next beat at once, as it does when it has seen a crash."""
+        self._send_beats(host)
+
     def up(self) -> list[FleetHost]:
         """Return the hosts that run."""
         return [host for host in self.hosts.values() if host.is_up]
@@ -121,10 +135,16 @@
         self._tick(host)
 
     def _tick(self, host: FleetHost) -> None:
+        if self.hosts[host.name] is not host:
+            return  # It was started again.
         self._after(INTERVAL, partial(self._tick, host))
         if not host.is_up:
             return
         host.core.tick(self.now)
+        host.core.quarantine.tick(self.now)
+        self._send_beats(host)
+
+    def _send_beats(self, host: FleetHost) -> None:
         messages = host.telling.compose(self.now, host.is_relayed(self.now))
         for message in messages:
             data = encode_beat(message.beat)
@@ -133,6 +153,8 @@
                 self._deliver(host.name, target, data)
 
     def _deliver(self, sender: NodeId, target: NodeId, data: bytes) -> None:
+        if (sender, target) in self.cut:
+            return
         if self._rng.random() >= self._loss:
             self._after(DELAY, partial(self._take, sender, target, data))
 
--- /dev/null
+++ b/tests/quarantine/test_blame.py
@@ -0,0 +1,67 @@
+"""Which requests crashes are put down to."""
+
+from __future__ import annotations
+
+import pytest
+
+from rudderpass.quarantine import Crash, count_causes, find_culprits
+from tests.quarantine.builders import BAD, GOOD, crash, name
+
+THREE = [crash("u1", 1.0), crash("u2", 2.0), crash("u3", 3.0)]
+
+
+@pytest.mark.parametrize(
+    ("crashes", "count"),
+    [
+        ([], 0),
+        (THREE, 3),
+        ([crash("u1", 1.0), crash("u2", 1.05, sent=0.5)], 1),
+        ([crash("u1", 1.0), crash("u2", 1.05, sent=1.01)], 2),
+        ([crash("u1", 1.0), crash("u2", 1.3, sent=0.5)], 2),
+        ([crash(f"u{n}", 1.0 + 0.06 * n, sent=0.5) for n in range(4)], 2),
+    ],
+    ids=["none", "apart", "at once", "the next attempt", "close", "not chained"],
+)
+def test_crashes_that_may_share_a_cause_count_once(
+    crashes: list[Crash], count: int
+) -> None:
+    assert count_causes(crashes) == count
+
+
+def test_two_crashes_prove_nothing() -> None:
+    assert find_culprits({BAD: THREE[:2]}) == {}
+
+
+def test_three_do() -> None:
+    assert find_culprits({BAD: THREE}) == {BAD: 3}
+
+
+def test_what_runs_beside_the_culprit_is_explained_by_it() -> None:
+    beside = [crash("u1", 1.0, silent=False), crash("u2", 2.0), crash("u3", 3.0)]
+    assert find_culprits({BAD: THREE, GOOD: beside}) == {BAD: 3}
+
+
+@pytest.mark.parametrize("order", [(BAD, GOOD), (GOOD, BAD)])
+def test_more_crashes_come_before_silence(order: tuple[object, ...]) -> None:
+    more = [*THREE, crash("u4", 4.0)]
+    told = {GOOD: THREE, BAD: [c.merge(crash(c.upstream, c.at)) for c in more]}
+    assert find_culprits({key: told[key] for key in told}) == {BAD: 4}
+
+
+def test_two_culprits_are_both_found() -> None:
+    worse = name("worse")
+    others = [crash("v1", 1.5), crash("v2", 2.5), crash("v3", 3.5), crash("u1", 1.0)]
+    assert find_culprits({BAD: THREE, worse: others}) == {worse: 4}, "u1 is explained"
+    more = [*THREE, crash("u4", 4.0)]
+    assert find_culprits({BAD: more, worse: others}).keys() == {BAD, worse}
+
+
+def test_a_crash_explained_already_does_not_make_three() -> None:
+    beside = [crash("u1", 1.0), crash("v2", 2.5), crash("v3", 3.5)]
+    four = [*THREE, crash("u4", 4.0)]
+    assert find_culprits({BAD: four, GOOD: beside}) == {BAD: 4}
+
+
+def test_a_rack_that_goes_convicts_nobody() -> None:
+    at_once = [crash(f"u{n}", 1.0 + n / 1000, sent=0.2, silent=n > 3) for n in range(6)]
+    assert find_culprits({name(f"body-{n}"): at_once[n:] for n in range(6)}) == {}
--- a/tests/soak/poison.py
+++ b/tests/soak/poison.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from rudderpass.observe import read_records
 from tests.soak.callers import Attempt, Callers
 from tests.soak.deployment import HOSTS, SoakDeployment, service_of
 from tests.soak.upstreams import FATAL_BODY, Run, digest_of
@@ -41,6 +42,7 @@
     :ivar others: attempts of all others at engines.
     :ivar innocent: attempts at the innocent body that began after the last crash by
         chance.
+    :ivar quarantined: fingerprints that any host quarantined, as its log says.
     :ivar breaches: broken promises of any kind.
     """
 
@@ -49,6 +51,7 @@
     fatal: tuple[Attempt, ...]
     others: tuple[Attempt, ...]
     innocent: tuple[Attempt, ...]
+    quarantined: frozenset[str]
     breaches: tuple[str, ...]
 
 
@@ -63,16 +66,20 @@
 
     :param folder: where settings and logs of the hosts are left.
     :param seconds: how long the fatal body comes.
+    :param body: the fatal body; None for a play without one.
     :param kill_after: seconds after the third crash at which all hosts are killed.
+    :param group: how many engines crash at once by chance.
     """
 
     def __init__(
         self,
         folder: Path,
         seconds: float,
-        body: bytes = FATAL_BODY,
+        body: bytes | None = FATAL_BODY,
         kill_after: float | None = None,
+        group: int = 1,
     ) -> None:
+        self._group = group
         self._body = body
         self._deployment = SoakDeployment(1, folder, engines=ENGINES)
         self._callers = Callers(self._deployment, 1)
@@ -108,7 +115,8 @@
         return self._judge()
 
     def _ask_fatal(self) -> None:
-        self._repeat("plan", self._body, FATAL_PAUSE_SECONDS, self._fatal)
+        if self._body is not None:
+            self._repeat("plan", self._body, FATAL_PAUSE_SECONDS, self._fatal)
 
     def _ask_innocent(self) -> None:
         self._repeat("plan", INNOCENT_BODY, INNOCENT_PAUSE_SECONDS, self._innocent)
@@ -141,9 +149,19 @@
                     if upstream.is_running(digest)
                 ]
                 if running:
-                    self._deployment.crash_engine(running[0])
+                    others = [name for name in self._living() if name not in running]
+                    for name in [*running, *others][: self._group]:
+                        self._deployment.crash_engine(name)
                     break
 
+    def _living(self) -> list[str]:
+        deployment = self._deployment
+        return [
+            name
+            for name in list(deployment.upstreams)
+            if name.startswith("i-llm") and name not in deployment.left
+        ]
+
     def _kill_all(self) -> None:
         if self._kill_after is None:
             return
@@ -161,10 +179,21 @@
         by_body = [c.at for c in list(self._deployment.crashes) if c.is_by_body]
         return by_body[FATAL_CRASHES - 1] if len(by_body) >= FATAL_CRASHES else None
 
+    def _read_quarantined(self) -> frozenset[str]:
+        found = set()
+        for host in self._deployment.hosts:
+            with (host.folder / "log.jsonl").open(encoding="utf-8") as lines:
+                found |= {
+                    str(record.fields["fingerprint"])
+                    for record in read_records(lines)
+                    if record.fields.get("quarantined") is True
+                }
+        return frozenset(found)
+
     def _judge(self) -> PoisonVerdict:
         crashes = self._deployment.crashes
         third = self._third_crash()
-        fatal_digest = digest_of(self._body)
+        fatal_digest = digest_of(self._body or b"")
         sends = [
             run
             for runs in self._deployment.book.runs.values()
@@ -183,5 +212,6 @@
                 if service_of(attempt.route) == "llm"
             ),
             tuple(a for a in self._innocent if a.began > last_chance),
+            self._read_quarantined(),
             tuple(self._callers.breaches),
         )
--- a/tests/soak/test_poison.py
+++ b/tests/soak/test_poison.py
@@ -44,4 +44,13 @@
     assert verdict.fatal_crashes <= FEW_CRASHES
     assert served_share(verdict.innocent) >= SERVED, "an innocent body suffers"
     assert served_share(verdict.others) >= SERVED
+    assert len(verdict.quarantined) == 1, "this request and no other"
+    assert verdict.breaches == ()
+
+
+def test_engines_that_crash_together_convict_nobody(tmp_path: Path) -> None:
+    """Five of eight engines go at once, again and again, under a much-asked body."""
+    verdict = PoisonPlay(tmp_path, CI_SECONDS, body=None, group=5).play()
+    assert verdict.quarantined == set()
+    assert served_share(verdict.innocent) >= SERVED
     assert verdict.breaches == ()
