--- a/src/rudderpass/cli/_main.py
+++ b/src/rudderpass/cli/_main.py
@@ -15,6 +15,7 @@
 from rudderpass.cli._demo import demo
 from rudderpass.cli._logs import logs
 from rudderpass.cli._nodes import node, status
+from rudderpass.cli._quarantine import quarantine
 from rudderpass.cli._replay import compare, make_trace, replay
 from rudderpass.host._command import host
 
@@ -41,6 +42,7 @@
     snapshot,
     status,
     logs,
+    quarantine,
     replay,
     make_trace,
     compare,
--- a/src/rudderpass/host/_admin.py
+++ b/src/rudderpass/host/_admin.py
@@ -1,13 +1,48 @@
-"""Readiness and metrics of a host, each on the address that its settings name."""
+"""Readiness, metrics and quarantine of a host, on the addresses its settings name."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-from typing import Any
+import json
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import asdict, dataclass
+from http import HTTPStatus
+from typing import Any, Protocol
+from urllib.parse import parse_qs
 
+from rudderpass._ids import Fingerprint
 from rudderpass.webserver import HttpServer, ServerLimits
 
+QUARANTINE_PATH = "/quarantine"
+LIFT_PATH = "/quarantine/lift"
+
 _LIMITS = ServerLimits(threads=2, connections=32)
+_TEXT = "text/plain; version=0.0.4"
+_JSON = "application/json"
+
+
+@dataclass(frozen=True)
+class QuarantinedRequest:
+    """A quarantined request as operators see it.
+
+    :param fingerprint: hexadecimal, as in the logs.
+    :param upstreams: those that crashed under it.
+    :param seconds_left: until one copy may be tried once more.
+    """
+
+    fingerprint: str
+    team: str | None
+    upstreams: tuple[str, ...]
+    seconds_left: float
+
+
+class QuarantineDesk(Protocol):
+    """What operators may do about quarantined requests."""
+
+    def list_quarantined(self) -> Sequence[QuarantinedRequest]:
+        """Return the quarantined requests."""
+
+    def lift_quarantine(self, fingerprint: Fingerprint) -> bool:
+        """Release a request, here and at all peers; tell whether it was suspect."""
 
 
 def make_ready_server(address: str, is_ready: Callable[[], bool]) -> HttpServer:
@@ -17,29 +52,53 @@
         environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         if is_ready():
-            return _reply(start_response, "200 OK", b"ready\n")
-        return _reply(start_response, "503 Service Unavailable", b"not ready\n")
+            return _reply(start_response, HTTPStatus.OK, b"ready\n")
+        return _reply(start_response, HTTPStatus.SERVICE_UNAVAILABLE, b"not ready\n")
 
     return HttpServer(answer, address, _LIMITS)
 
 
-def make_metrics_server(address: str, expose: Callable[[], bytes]) -> HttpServer:
-    """Return a server that exposes the metrics on every path."""
+def make_metrics_server(
+    address: str, expose: Callable[[], bytes], desk: QuarantineDesk
+) -> HttpServer:
+    """Return a server for operators: the quarantine, and metrics on any other path."""
 
     def answer(
         environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        return _reply(start_response, "200 OK", expose())
+        path = environ.get("PATH_INFO")
+        if path == QUARANTINE_PATH:
+            listed = [asdict(request) for request in desk.list_quarantined()]
+            body = json.dumps(listed).encode() + b"\n"
+            return _reply(start_response, HTTPStatus.OK, body, _JSON)
+        if path == LIFT_PATH:
+            status, text = _lift(environ, desk)
+            return _reply(start_response, status, f"{text}\n".encode())
+        return _reply(start_response, HTTPStatus.OK, expose())
 
     return HttpServer(answer, address, _LIMITS)
 
 
+def _lift(environ: dict[str, Any], desk: QuarantineDesk) -> tuple[HTTPStatus, str]:
+    """Release the request that a query names; return what to answer."""
+    if environ.get("REQUEST_METHOD") != "POST":
+        return HTTPStatus.METHOD_NOT_ALLOWED, "lift with POST"
+    text, *_ = parse_qs(environ.get("QUERY_STRING", "")).get("fingerprint", [""])
+    try:
+        fingerprint = Fingerprint(bytes.fromhex(text))
+    except ValueError:
+        return HTTPStatus.BAD_REQUEST, f"fingerprint {text!r} is not hexadecimal"
+    if not desk.lift_quarantine(fingerprint):
+        return HTTPStatus.NOT_FOUND, f"no crash is known under {text!r}"
+    return HTTPStatus.OK, "lifted"
+
+
 def _reply(
-    start_response: Callable[..., Any], status: str, body: bytes
+    start_response: Callable[..., Any],
+    status: HTTPStatus,
+    body: bytes,
+    content_type: str = _TEXT,
 ) -> Iterable[bytes]:
-    headers = [
-        ("Content-Type", "text/plain; version=0.0.4"),
-        ("Content-Length", str(len(body))),
-    ]
-    start_response(status, headers)
+    headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+    start_response(f"{status.value} {status.phrase}", headers)
     return [body]
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from rudderpass._ids import NodeId
+from rudderpass._ids import Fingerprint, NodeId
 from rudderpass.directory import (
     Decoders,
     Directory,
@@ -26,7 +26,11 @@
     ExchangeParts,
     UpstreamConnections,
 )
-from rudderpass.host._admin import make_metrics_server, make_ready_server
+from rudderpass.host._admin import (
+    QuarantinedRequest,
+    make_metrics_server,
+    make_ready_server,
+)
 from rudderpass.host._metrics import HostGauges, HostMetrics
 from rudderpass.host._peers import PeerTalk
 from rudderpass.host._registry import HostRegistry, HostStore, QuarantineArchive
@@ -124,7 +128,7 @@
         )
         self._ready = make_ready_server(settings.ready, self._is_ready)
         self._metrics_server = make_metrics_server(
-            settings.metrics, self._metrics.expose
+            settings.metrics, self._metrics.expose, self
         )
         self._follower = StoreFollower(
             platform.store,
@@ -191,6 +195,35 @@
         """Whether the host knows what the upstreams keep in their caches."""
         return self._core.is_warm
 
+    def list_quarantined(self) -> list[QuarantinedRequest]:
+        """Return the requests that must not be sent now, for operators."""
+        now = time.monotonic()
+        with self._guard:
+            book = self._core.quarantine
+            return [
+                QuarantinedRequest(
+                    news.fingerprint.hex(),
+                    news.team,
+                    tuple(sorted(crash.upstream for crash in news.crashes)),
+                    round(book.judge(news.fingerprint, now).seconds, 1),
+                )
+                for news in book.describe_quarantined(now)
+            ]
+
+    def lift_quarantine(self, fingerprint: Fingerprint) -> bool:
+        """Release a request, here and at all peers; tell whether it was suspect."""
+        with self._guard:
+            is_lifted = self._core.quarantine.lift(fingerprint, time.monotonic())
+        if is_lifted:
+            log(
+                "quarantine",
+                f"{fingerprint.hex()} lifted by an operator.",
+                fingerprint=fingerprint.hex(),
+            )
+            self._peers.tell_soon()
+            self._archive.note_change()
+        return is_lifted
+
     def start(self) -> None:
         """Start all parts."""
         self._follower.start()
@@ -376,5 +409,7 @@
                 store_calls=self._platform.store.calls,
                 gossip_bytes=self._peers.transport.sent_bytes,
                 streams_passed_over=self._core.streams_passed_over,
+                suspect_requests=self._core.quarantine.suspect_count,
+                quarantined_requests=len(self._core.quarantine.quarantined),
                 log_lines_dropped=self._dropped_lines(),
             )
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -36,6 +36,8 @@
     store_calls: int
     gossip_bytes: int
     streams_passed_over: int
+    suspect_requests: int
+    quarantined_requests: int
     log_lines_dropped: int
 
 
