Take all moments from one clock that counts suspension

What is old after a sleep must count as old: lists, peers, kept connections, evidence, quarantines, and the time that a caller has left, of which an upstream was handed too much. One module reads CLOCK_BOOTTIME; waits go by the steady clock as before.

--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Protocol
 
+from rudderpass import _clock
 from rudderpass.directory._directory import Directory
 from rudderpass.directory._messages import KeyedRecord, Learned
 from rudderpass.errors import ConnectionLost, PlatformError
@@ -115,8 +115,8 @@
     """The time that a follower lives in; tests bring one of their own."""
 
     def now(self) -> float:
-        """Return the time in seconds; it only counts differences."""
-        return time.monotonic()
+        """Return the time in seconds; only differences mean anything."""
+        return _clock.now()
 
     def wait(self, event: threading.Event, seconds: float | None = None) -> None:
         """Wait until an event is set, ``seconds`` at most."""
--- a/src/rudderpass/exchange/_connections.py
+++ b/src/rudderpass/exchange/_connections.py
@@ -6,11 +6,11 @@
 import select
 import socket
 import threading
-import time
 from collections import deque
 from concurrent.futures import Future
 from dataclasses import dataclass
 
+from rudderpass import _clock
 from rudderpass._sockets import watch_liveness
 from rudderpass.errors import NobodyListens, UpstreamError
 from rudderpass.exchange._request import ExchangeRequest, Headers
@@ -208,7 +208,7 @@
             return
         with self._lock:
             kept = self._kept.setdefault(connection.address, deque())
-            kept.append(_Kept(raw, time.monotonic() + rest))
+            kept.append(_Kept(raw, _clock.now() + rest))
             surplus = kept.popleft() if len(kept) > KEPT_EACH else None
         if surplus is not None:
             surplus.connection.close()
@@ -235,7 +235,7 @@
         self.close_expired(float("inf"))
 
     def _take(self, address: str) -> http.client.HTTPConnection | None:
-        now = time.monotonic()
+        now = _clock.now()
         while True:
             with self._lock:
                 kept = self._kept.get(address)
--- a/src/rudderpass/exchange/_lines.py
+++ b/src/rudderpass/exchange/_lines.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import time
-
+from rudderpass import _clock
 from rudderpass._ids import Fingerprint
 from rudderpass.errors import ConnectionCut, NobodyListens, UpstreamError
 from rudderpass.eventlog import log, round_age
@@ -98,7 +97,7 @@
         cut=isinstance(error, ConnectionCut),
         nobody_listens=isinstance(error, NobodyListens),
         had_answered=assigned.is_answering,
-        under_way_for=round(time.monotonic() - assigned.sent, 4),
+        under_way_for=round(_clock.now() - assigned.sent, 4),
         fingerprint=None if fingerprint is None else fingerprint.hex(),
     )
 
--- a/src/rudderpass/exchange/_progress.py
+++ b/src/rudderpass/exchange/_progress.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import Enum
 
+from rudderpass import _clock
 from rudderpass._ids import PoolId
 from rudderpass.exchange._assignment import Assignment
 from rudderpass.exchange._budget import RepeatDecision
@@ -104,7 +104,7 @@
         self.parts = parts
         self.request = request
         self.caller = caller
-        self.arrived = time.monotonic()
+        self.arrived = _clock.now()
         self.state = AttemptState(repeatable=False)
         self.sends = 0
         self.splitter = EventSplitter(request.last_event)
@@ -165,7 +165,7 @@
         if not events.data:
             return False
         self.note_first_answer()
-        self._note_event(time.monotonic())
+        self._note_event(_clock.now())
         self.state = replace(self.state, produced=self.state.produced + events.count)
         self.begin_stream()(events.data)
         return True
@@ -173,7 +173,7 @@
     def note_first_answer(self) -> None:
         """Take the time of the answer's begin."""
         if self.first_answer is None:
-            self.first_answer = time.monotonic() - self.arrived
+            self.first_answer = _clock.now() - self.arrived
 
     def _note_event(self, now: float) -> None:
         if self._last_event_at is not None:
@@ -188,4 +188,4 @@
         """Tell the host's decisions that an upstream has begun to answer."""
         if not assigned.is_answering:
             with self.parts.guard:
-                self.parts.core.note_answering(assigned, time.monotonic())
+                self.parts.core.note_answering(assigned, _clock.now())
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -4,11 +4,11 @@
 
 import http.client
 import math
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from http import HTTPStatus
 
+from rudderpass import _clock
 from rudderpass.errors import (
     CallerGone,
     ConnectionCut,
@@ -71,7 +71,7 @@
 
     @property
     def _time_left(self) -> float:
-        return self._accepted.deadline - time.monotonic()
+        return self._accepted.deadline - _clock.now()
 
     def abort(self) -> None:
         """End the send from another thread, since its caller left."""
@@ -132,7 +132,7 @@
             )
         except UpstreamError:
             with self._parts.guard:
-                self._parts.core.note_unreachable(self._assigned, time.monotonic())
+                self._parts.core.note_unreachable(self._assigned, _clock.now())
             raise
         return self._connection
 
@@ -143,7 +143,7 @@
         chosen near the end of the drain bound arrives beyond it.
         """
         with self._parts.guard:
-            if self._parts.core.takes_work(self._assigned, time.monotonic()):
+            if self._parts.core.takes_work(self._assigned, _clock.now()):
                 return
         raise UpstreamError(
             "left before the send", sent=False, step="connect", peer=connection.address
@@ -197,7 +197,7 @@
             return
         core, guard = self._parts.core, self._parts.guard
         with guard:
-            patience = core.patience(self._accepted, self._assigned, time.monotonic())
+            patience = core.patience(self._accepted, self._assigned, _clock.now())
         if patience is None:
             return
         while patience < self._time_left:
@@ -263,7 +263,7 @@
         self._progress.expect_stream(status, list(head.headers))
         set_at = 0.0
         while True:
-            now = time.monotonic()
+            now = _clock.now()
             if now - set_at > _TIMEOUT_STEP_SECONDS:
                 connection.set_timeout(self._time_left)
                 set_at = now
@@ -288,7 +288,7 @@
         pause = self._progress.longest_pause
         sample = StreamSample(self._assigned.upstream, pace, pause)
         with self._parts.guard:
-            self._parts.core.note_stream(sample, time.monotonic())
+            self._parts.core.note_stream(sample, _clock.now())
 
     def _read_piece(self, response: http.client.HTTPResponse) -> bytes:
         try:
@@ -330,11 +330,11 @@
             if isinstance(error, UpstreamReplaced):
                 self._parts.core.note_replaced(self._assigned)
             elif error.refused:
-                self._parts.core.note_refused(self._assigned, time.monotonic())
+                self._parts.core.note_refused(self._assigned, _clock.now())
 
     def _note_end(self, succeeded: bool | None) -> None:
         with self._parts.guard:
-            self._parts.core.note_end(self._assigned, succeeded, time.monotonic())
+            self._parts.core.note_end(self._assigned, succeeded, _clock.now())
 
     def _failed(self, text: str, cause: BaseException | None = None) -> UpstreamError:
         if cause is not None and _is_cut(cause):
--- a/src/rudderpass/exchange/_serve.py
+++ b/src/rudderpass/exchange/_serve.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterable
 from http import HTTPStatus
 
+from rudderpass import _clock
 from rudderpass._ids import UpstreamId
 from rudderpass.errors import CallerGone, ConnectionCut, StaleConnection, UpstreamError
 from rudderpass.exchange._assignment import Accepted, Assignment, RefusalReason, Refused
@@ -144,7 +144,7 @@
                 self._request,
                 accepted,
                 self._excluded,
-                time.monotonic(),
+                _clock.now(),
                 permit.isolate,
             )
         log_choice(self._request, accepted, assigned)
@@ -165,7 +165,7 @@
             self._excluded.add(assigned.upstream)
         progress = self._progress
         progress.state = note_failure(progress.state, error)
-        now = time.monotonic()
+        now = _clock.now()
         is_in_time = now < accepted.deadline - LATE_SECONDS
         may_go_on = vetting.note_failure(assigned, error)
         step = decide_next(
@@ -213,7 +213,7 @@
             begin = self._progress.begin_answer
             return pass_answer(begin, failure.head, failure.body, Ending.FAILED)
         assert self._accepted is not None
-        is_late = time.monotonic() >= self._accepted.deadline - LATE_SECONDS
+        is_late = _clock.now() >= self._accepted.deadline - LATE_SECONDS
         status = HTTPStatus.GATEWAY_TIMEOUT if is_late else HTTPStatus.BAD_GATEWAY
         return self._answer_own(status, None, Ending.UNKNOWN)
 
@@ -250,7 +250,7 @@
             sends=progress.sends,
             first_answer=progress.first_answer,
             longest_pause=progress.longest_pause,
-            whole=time.monotonic() - progress.arrived,
+            whole=_clock.now() - progress.arrived,
             late_pauses=progress.late_pauses,
         )
         self._parts.on_end(end)
--- a/src/rudderpass/exchange/_vetting.py
+++ b/src/rudderpass/exchange/_vetting.py
@@ -5,6 +5,7 @@
 import time
 from dataclasses import dataclass
 
+from rudderpass import _clock
 from rudderpass._ids import Fingerprint
 from rudderpass.errors import (
     CallerGone,
@@ -93,16 +94,16 @@
             self._pause = 0.0
         target = self._accepted.route.target_latency
         patience = min(TRIAL_PATIENCE_SECONDS, TRIAL_PATIENCE_SHARE * target)
-        give_up_at = time.monotonic() + patience
+        give_up_at = _clock.now() + patience
         while True:
-            verdict = self._judge(time.monotonic() >= give_up_at)
+            verdict = self._judge(_clock.now() >= give_up_at)
             if verdict.kind is VerdictKind.FREE:
                 return Permit()
             if verdict.kind is VerdictKind.TRIAL:
                 return self._begin_trial(verdict)
             if verdict.kind is VerdictKind.QUARANTINED:
                 return self._refuse(RefusalReason.QUARANTINED, verdict)
-            if time.monotonic() >= give_up_at:
+            if _clock.now() >= give_up_at:
                 return self._refuse(RefusalReason.ON_TRIAL, verdict)
             if self._caller.is_gone:
                 raise CallerGone("the caller left", step="trial")
@@ -120,7 +121,7 @@
             book = self._parts.core.quarantine
             if not book.is_watching:
                 return True
-            verdict = book.judge(self.fingerprint, time.monotonic())
+            verdict = book.judge(self.fingerprint, _clock.now())
         if verdict.kind is not VerdictKind.FREE:
             self._pause = RETRIAL_PAUSE_SECONDS
         return verdict.crashes <= SAFE_CRASHES
@@ -133,7 +134,7 @@
             return
         fingerprint = self.fingerprint
         with self._parts.guard:
-            book.note_served(fingerprint, time.monotonic())
+            book.note_served(fingerprint, _clock.now())
 
     def close(self) -> None:
         """End the trial, if one was begun and its send has ended."""
@@ -146,7 +147,7 @@
     def _judge(self, is_out_of_patience: bool) -> Verdict:
         """Return the verdict; where it allows a trial, that has begun."""
         fingerprint = self.fingerprint
-        now = time.monotonic()
+        now = _clock.now()
         with self._parts.guard:
             book = self._parts.core.quarantine
             verdict = book.judge(fingerprint, now)
@@ -168,7 +169,7 @@
         return Refused(reason, verdict.seconds)
 
     def _note_cut(self, assigned: Assignment, error: ConnectionCut) -> None:
-        now = time.monotonic()
+        now = _clock.now()
         crash = Crash(
             assigned.upstream, assigned.sent, now, silent=not assigned.is_answering
         )
@@ -183,7 +184,7 @@
 
     def _note_crashed(self, assigned: Assignment) -> None:
         with self._parts.guard:
-            cuts = self._parts.core.note_crashed(assigned.upstream, time.monotonic())
+            cuts = self._parts.core.note_crashed(assigned.upstream, _clock.now())
         if not cuts:
             return
         log(
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from rudderpass import _clock
 from rudderpass._ids import Fingerprint, NodeId
 from rudderpass.directory import (
     Decoders,
@@ -96,8 +97,8 @@
             self._directory,
             settings.retries,
             settings.reread_window,
-            lambda: self._peers.mesh.count_hosts(time.monotonic()),
-            None if settings.is_first_start else time.monotonic(),
+            lambda: self._peers.mesh.count_hosts(_clock.now()),
+            None if settings.is_first_start else _clock.now(),
         )
         self._peers = PeerTalk(
             settings.peer,
@@ -197,7 +198,7 @@
 
     def list_quarantined(self) -> list[QuarantinedRequest]:
         """Return the requests that must not be sent now, for operators."""
-        now = time.monotonic()
+        now = _clock.now()
         with self._guard:
             book = self._core.quarantine
             return [
@@ -213,7 +214,7 @@
     def lift_quarantine(self, fingerprint: Fingerprint) -> bool:
         """Release a request, here and at all peers; tell whether it was suspect."""
         with self._guard:
-            is_lifted = self._core.quarantine.lift(fingerprint, time.monotonic())
+            is_lifted = self._core.quarantine.lift(fingerprint, _clock.now())
         if is_lifted:
             log(
                 "quarantine",
@@ -244,13 +245,13 @@
 
     def stop(self) -> int:
         """Stop in order; return how many requests were cut."""
-        began = time.monotonic()
+        began = _clock.now()
         schedule = StopSchedule(self._settings.stop_grace)
         with self._guard:
             self._core.stop()
         log("host", "stopping, not ready any more.", active=self._app.active)
         while True:
-            step = schedule.next_step(time.monotonic() - began, self._app.active)
+            step = schedule.next_step(_clock.now() - began, self._app.active)
             if step is StopStep.EXIT:
                 break
             if step is StopStep.CLOSE_IDLE:
@@ -281,7 +282,7 @@
     def _tick(self) -> None:
         while not self._stopping.is_set():
             try:
-                self._do_due(time.monotonic())
+                self._do_due(_clock.now())
             except Exception as error:
                 # Whatever it is must not end the beats of a host that serves.
                 log("fault", f"tick, {error}.", error=traceback.format_exc())
@@ -301,7 +302,7 @@
 
     def _describe_quarantined(self) -> tuple[SuspectNews, ...]:
         with self._guard:
-            return self._core.quarantine.describe_quarantined(time.monotonic())
+            return self._core.quarantine.describe_quarantined(_clock.now())
 
     def _note_quarantine(self, change: QuarantineChange) -> None:
         if change.is_own:
@@ -342,7 +343,7 @@
         registered = self._registry.read()
         with self._guard:
             book = self._core.quarantine
-            book.take(registered.quarantined, False, time.monotonic())
+            book.take(registered.quarantined, False, _clock.now())
         self._peers.meet(registered.hosts)
         if self._peers.address not in registered.hosts:
             self._registry.write()
@@ -353,7 +354,7 @@
         self._note_learned(learned)
         if learned:
             is_first = not was_informed and self._informed.is_set()
-            self._peers.tell_store_news(is_first, time.monotonic())
+            self._peers.tell_store_news(is_first, _clock.now())
 
     def _note_learned(self, learned: list[Learned]) -> None:
         for change in learned:
@@ -390,7 +391,7 @@
     def _note_unanswered(self) -> None:
         """Let requests wait no longer for what nobody can tell this host now."""
         with self._guard:
-            if not self._peers.mesh.has_informed(time.monotonic()):
+            if not self._peers.mesh.has_informed(_clock.now()):
                 self._settled.set()
 
     def _read_gauges(self) -> HostGauges:
@@ -402,8 +403,8 @@
                 config_offset=self._directory.config_offset,
                 upstreams=len(self._directory.listed),
                 upstreams_ending=self._directory.ending_count,
-                list_age_seconds=self._directory.list_age(time.monotonic()),
-                live_peers=len(self._peers.mesh.live(time.monotonic())),
+                list_age_seconds=self._directory.list_age(_clock.now()),
+                live_peers=len(self._peers.mesh.live(_clock.now())),
                 is_relay=self._peers.is_relay,
                 store_reachable=self._follower.is_reachable,
                 store_calls=self._platform.store.calls,
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -4,9 +4,9 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable, Iterable
 
+from rudderpass import _clock
 from rudderpass._ids import AvailabilityZone, NodeId
 from rudderpass.directory import CURRENT_SECONDS, DirectoryState, Learned, StoreFollower
 from rudderpass.errors import PeerError
@@ -74,7 +74,7 @@
         self._rng = random.Random(own)
         self._mesh = Mesh(own, self._rng)
         self._mesh.add(NodeId(seed) for seed in seeds)
-        self._rule = FollowRule(own, self._mesh, time.monotonic())
+        self._rule = FollowRule(own, self._mesh, _clock.now())
         self._telling = Telling(
             own,
             zone,
@@ -111,14 +111,14 @@
         """
         self._follower = follower
         self._transport.start()
-        self._greet_silent(time.monotonic())
+        self._greet_silent(_clock.now())
 
     def meet(self, peers: Iterable[NodeId]) -> None:
         """Greet peers that may exist, as the store lists them.
 
         :param peers: none where the store does not answer.
         """
-        now = time.monotonic()
+        now = _clock.now()
         with self._guard:
             self._mesh.add(peers)
             self._rule.note_acquainted()
@@ -230,11 +230,11 @@
             return
         with self._guard:
             source = f"peer {peer}"
-            learned = self._directory.take_state(state, source, time.monotonic())
+            learned = self._directory.take_state(state, source, _clock.now())
         self._on_learned(learned)
 
     def _take_beat(self, beat: Beat) -> None:
-        now = time.monotonic()
+        now = _clock.now()
         with self._guard:
             is_news = self._telling.take(beat, now)
             greeting = self._telling.greet(now, self._is_relayed) if is_news else None
@@ -263,7 +263,7 @@
 
     def _read_state(self, config_offset: int, upstreams_end: int) -> DirectoryState:
         with self._guard:
-            now = time.monotonic()
+            now = _clock.now()
             return self._directory.state_since(config_offset, upstreams_end, now)
 
     def _read_prompts(self) -> tuple[SentPrompt, ...]:
--- a/src/rudderpass/host/_warmup.py
+++ b/src/rudderpass/host/_warmup.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import xxhash
 
+from rudderpass import _clock
 from rudderpass._ids import NodeId, UpstreamId
 from rudderpass.directory import RegisteredUpstream
 from rudderpass.errors import PeerError, UpstreamError
@@ -67,9 +67,9 @@
             self._parts.core.is_warm = True
 
     def _wait_for_beliefs(self) -> bool:
-        began = time.monotonic()
+        began = _clock.now()
         self._stopping.wait(LISTEN_SECONDS)
-        while time.monotonic() - began < GIVE_UP_SECONDS:
+        while _clock.now() - began < GIVE_UP_SECONDS:
             with self._parts.guard:
                 if self._parts.core.engine_upstreams():
                     return True
@@ -79,7 +79,7 @@
 
     def _ask_peer(self) -> bool:
         with self._parts.guard:
-            peer = self._parts.mesh.warm_peer(time.monotonic())
+            peer = self._parts.mesh.warm_peer(_clock.now())
         if peer is None:
             return False
         try:
@@ -88,14 +88,14 @@
             log("cache", f"no peer's knowledge, {error.show()}.", peer=peer)
             return False
         with self._parts.guard:
-            self._parts.core.take_prompts(prompts, time.monotonic())
+            self._parts.core.take_prompts(prompts, _clock.now())
         log("cache", f"learned from {peer}.", peer=peer, upstreams=len(prompts))
         return True
 
     def _ask_upstreams(self) -> None:
         with self._parts.guard:
             upstreams = self._parts.core.engine_upstreams()
-            live = self._parts.mesh.live(time.monotonic())
+            live = self._parts.mesh.live(_clock.now())
         hosts = [self._parts.transport.address, *live]
         for entry in upstreams:
             if is_reader(self._parts.transport.address, hosts, entry.upstream):
@@ -110,7 +110,7 @@
         if kept:
             with self._parts.guard:
                 prompt = SentPrompt(entry.upstream, kept)
-                self._parts.core.share_prompt(prompt, time.monotonic())
+                self._parts.core.share_prompt(prompt, _clock.now())
         log(
             "cache",
             f"{entry.upstream} keeps {len(kept)} parts.",
--- a/tests/directory/test_follower.py
+++ b/tests/directory/test_follower.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from rudderpass import _clock
 from rudderpass.directory import (
     HistoryLost,
     KeyedPage,
@@ -133,9 +134,9 @@
 ) -> None:
     followed.follower.start()
     wait_for(lambda: followed.follower.is_reachable)
-    assert followed.follower.is_current(time.monotonic())
+    assert followed.follower.is_current(_clock.now())
     followed.follower.set_active(False, is_shared=True)
-    assert not followed.follower.is_current(time.monotonic())
+    assert not followed.follower.is_current(_clock.now())
     time.sleep(0.05)
     lists = followed.store.lists
     followed.store.topics["config"].append(config_record(0, 3))
@@ -152,10 +153,10 @@
     followed: Followed,
 ) -> None:
     followed.follower.start()
-    wait_for(lambda: followed.follower.is_current(time.monotonic()))
+    wait_for(lambda: followed.follower.is_current(_clock.now()))
     followed.store.down = True
     wait_for(lambda: not followed.follower.is_reachable)
-    assert not followed.follower.is_current(time.monotonic() + 2.0)
+    assert not followed.follower.is_current(_clock.now() + 2.0)
     followed.follower.close()
 
 
--- a/tests/exchange/test_poison.py
+++ b/tests/exchange/test_poison.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from rudderpass import _clock
 from rudderpass.directory import ExchangeRoute, RouteKind
 from tests.directory.builders import make_route, upstream_end
 from tests.exchange.test_serve import MakeWorld, make_world
@@ -104,7 +105,7 @@
         upstream: Upstream, connection: socket.socket, asked: Asked
     ) -> None:
         directory = world.core.directory
-        directory.take_upstreams([upstream_end(9, 1)], 10, "store", time.monotonic())
+        directory.take_upstreams([upstream_end(9, 1)], 10, "store", _clock.now())
         crash_on(FATAL, answer())(upstream, connection, asked)
 
     world.upstreams[0].behaviour = leave_and_crash
--- a/tests/exchange/test_serve.py
+++ b/tests/exchange/test_serve.py
@@ -11,6 +11,7 @@
 import eliot
 import pytest
 
+from rudderpass import _clock
 from rudderpass.directory import ExchangeRoute, RouteKind
 from rudderpass.exchange import Ending, UpstreamConnection, UpstreamConnections
 from tests.directory.builders import make_route, upstream_end
@@ -174,7 +175,7 @@
     ) -> UpstreamConnection:
         connection = open_at_once(connections, address, may_reuse, timeout)
         left = [upstream_end(2, 1)]
-        world.core.directory.take_upstreams(left, 3, "store", time.monotonic())
+        world.core.directory.take_upstreams(left, 3, "store", _clock.now())
         return connection
 
     monkeypatch.setattr(UpstreamConnections, "open", open_late)
--- a/tests/host/test_quarantine.py
+++ b/tests/host/test_quarantine.py
@@ -8,6 +8,7 @@
 import pytest
 from click.testing import CliRunner, Result
 
+from rudderpass import _clock
 from rudderpass.cli import main
 from rudderpass.host import ExchangeHost
 from rudderpass.platform import HOSTS_TOPIC
@@ -20,7 +21,7 @@
 
 def crash_three(host: ExchangeHost) -> None:
     """Let a host see three upstreams crash under one request."""
-    now = time.monotonic()
+    now = _clock.now()
     with host._guard:
         for number in range(3):
             seen = crash(f"u{number}", now - 3 + number)
