Hear everything anew after the machine was suspended, before serving by it

What callers saw: a host that had slept served by what it knew before: a key taken away meanwhile opened, an upstream that had left got work.

Cause: nothing noticed the sleep. Calls that wait for news may be dead, and an answer that was slept through may be as old as its question; a beat may have waited in the socket's queue. Ruled out: the clock alone (with it mended, four of nine tests stayed red).

Change: the two clocks are compared before each decision (two readings). On a jump the host is not ready, asks the store on new calls and greets all peers; requests wait 0.3 s and are refused after that (503, not run), until the store has answered both topics or a peer that follows it is no further. If nobody can tell, it goes on with what it knew, after 3 s at most: being cut off must not end service. An answer that took longer than an awake host waits counts from its question.

--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -147,13 +147,23 @@
         return learned
 
     def take_upstreams(
-        self, records: Iterable[KeyedRecord], end: int, source: str, now: float
+        self,
+        records: Iterable[KeyedRecord],
+        end: int,
+        source: str,
+        now: float,
+        heard: float | None = None,
     ) -> list[Learned]:
-        """Take changes to the list of upstreams, in the log's order."""
+        """Take changes to the list of upstreams, in the log's order.
+
+        :param heard: when they were surely all; ``now`` by default.
+        """
         until = self._lapses.believed_until(now)
-        learned = self._take_changes(records, lambda upstream: until, source, now)
+        # Two calls at a time may bring the same ones.
+        news = [record for record in records if record.offset >= self._upstreams.end]
+        learned = self._take_changes(news, lambda upstream: until, source, now)
         self._upstreams.advance(end)
-        self._lapses.note_confirmed(now)
+        self._lapses.note_confirmed(now if heard is None else heard)
         self.expire(now)
         return learned
 
--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -27,6 +27,9 @@
 CURRENT_SECONDS = 1.7
 """After so long without an answer from the store a host is no source for others."""
 
+SLOWEST_ANSWER_SECONDS = 2.0
+"""An awake host gives a call up sooner than this beyond the wait that it asked for."""
+
 FIRST_PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 0.8
 """From a failed call's begin to the next one, but for FIRST_PAUSE_SECONDS at the least:
@@ -85,14 +88,14 @@
     """How one topic's records reach the directory.
 
     :param take_newest: takes the newest record of each key.
-    :param take_changes: takes records in the log's order.
+    :param take_changes: takes records in the log's order, and since when they are all.
     :param note_away: told when a call that the store did not answer was made.
     :param end: the offset to read from.
     """
 
     topic: str
     take_newest: Callable[[KeyedPage], list[Learned]]
-    take_changes: Callable[[KeyedPage], list[Learned]]
+    take_changes: Callable[[KeyedPage, float], list[Learned]]
     end: Callable[[], int]
     note_away: Callable[[float], None]
 
@@ -164,7 +167,9 @@
             FollowedTopic(
                 config_topic,
                 lambda page: directory.take_config(page.records, page.end, "store"),
-                lambda page: directory.take_config(page.records, page.end, "store"),
+                lambda page, heard: directory.take_config(
+                    page.records, page.end, "store"
+                ),
                 lambda: directory.config_end,
                 lambda began: None,
             ),
@@ -173,8 +178,8 @@
                 lambda page: directory.take_all_upstreams(
                     page.records, page.end, "store", self._clock.now()
                 ),
-                lambda page: directory.take_upstreams(
-                    page.records, page.end, "store", self._clock.now()
+                lambda page, heard: directory.take_upstreams(
+                    page.records, page.end, "store", self._clock.now(), heard
                 ),
                 lambda: directory.upstreams_end,
                 directory.note_store_away,
@@ -214,6 +219,18 @@
         for topic in self._topics:
             self._executor.submit(self._follow, topic)
 
+    def read_now(self) -> None:
+        """Read what is new, beside the calls that wait and may be dead.
+
+        :raises PlatformError: when the store does not answer.
+        """
+        for topic in self._topics:
+            try:
+                heard = self._read_changes(topic, 0.0)
+            except HistoryLost:
+                heard = self._read_newest(topic)
+            self._answered[topic.topic] = heard
+
     def close(self) -> None:
         """Stop following; calls that wait are left to end by themselves."""
         self._stopping.set()
@@ -232,7 +249,7 @@
     def _follow_once(self, topic: FollowedTopic, state: _Following) -> None:
         began = self._clock.now()
         try:
-            self._read(topic, state)
+            heard = self._read(topic, state)
         except HistoryLost:
             state.is_listed = False
         except ConnectionLost as error:
@@ -252,29 +269,37 @@
             state.is_answering = True
             state.pause = FIRST_PAUSE_SECONDS
             self._note(topic, True, "")
-            self._answered[topic.topic] = self._clock.now()
+            self._answered[topic.topic] = heard
 
-    def _read(self, topic: FollowedTopic, state: _Following) -> None:
+    def _read(self, topic: FollowedTopic, state: _Following) -> float:
+        """Read what is new; return since when the host surely knows it all."""
         if not state.is_listed:
-            self._read_newest(topic)
+            heard = self._read_newest(topic)
             state.is_listed = True
-            return
+            return heard
         # Into a store that may be silent only short calls are sent.
-        self._read_changes(topic, self._wait if state.is_answering else 0.0)
+        return self._read_changes(topic, self._wait if state.is_answering else 0.0)
 
-    def _read_newest(self, topic: FollowedTopic) -> None:
+    def _read_newest(self, topic: FollowedTopic) -> float:
+        began = self._clock.now()
         page = self._store.read_newest(topic.topic)
         with self._guard:
             learned = topic.take_newest(page)
         self._on_learned(learned)
+        return began
 
-    def _read_changes(self, topic: FollowedTopic, wait: float) -> None:
+    def _read_changes(self, topic: FollowedTopic, wait: float) -> float:
         with self._guard:
             offset = topic.end()
+        began = self._clock.now()
         page = self._store.read_after(topic.topic, offset, wait)
+        heard = self._clock.now()
+        if heard - began > wait + SLOWEST_ANSWER_SECONDS:
+            heard = began  # The host slept meanwhile; the answer may be as old.
         with self._guard:
-            learned = topic.take_changes(page)
+            learned = topic.take_changes(page, heard)
         self._on_learned(learned)
+        return heard
 
     def _note_away(self, topic: FollowedTopic, began: float, error: Exception) -> None:
         with self._guard:
--- a/src/rudderpass/exchange/_assignment.py
+++ b/src/rudderpass/exchange/_assignment.py
@@ -23,6 +23,7 @@
     QUARANTINED = "upstreams crashed under this request"
     ON_TRIAL = "another copy of this request is on trial"
     OVERLOAD = "no upstream can answer in time"
+    SLEPT = "this host slept and asks for news"
     STOPPING = "this host is stopping"
 
 
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -38,6 +38,10 @@
 the store. Callers wait a third of the time they have left at most, and are refused for
 good when they come back too soon."""
 
+SLEPT_RETRY_SECONDS = 0.3
+"""When to come back to a host that has just slept: another one serves at once, and this
+one does when the store or a peer has answered."""
+
 STOPPING_RETRY_SECONDS = 0.05
 """When to come back to another host; at once, but for the new connection."""
 
@@ -97,6 +101,7 @@
         self._begun: dict[UpstreamId, dict[int, float]] = {}
         self._stopping = False
         self._refusing = False
+        self._doubting = False
         self.is_warm = False
 
     @property
@@ -122,7 +127,21 @@
     @property
     def is_ready(self) -> bool:
         """Whether the host may take new callers."""
-        return self._directory.config is not None and not self._stopping
+        is_informed = self._directory.config is not None and not self._doubting
+        return is_informed and not self._stopping
+
+    @property
+    def is_doubting(self) -> bool:
+        """Whether the host's beliefs are to be heard anew before it serves by them."""
+        return self._doubting
+
+    def doubt(self) -> None:
+        """Serve nobody until :meth:`trust`: the host slept, much may have changed."""
+        self._doubting = True
+
+    def trust(self) -> None:
+        """Serve by the host's beliefs again."""
+        self._doubting = False
 
     @property
     def is_stopping(self) -> bool:
@@ -145,6 +164,8 @@
         """Find the route, team and service of a request."""
         if self._refusing:
             return Refused(RefusalReason.STOPPING, STOPPING_RETRY_SECONDS)
+        if self._doubting:
+            return Refused(RefusalReason.SLEPT, SLEPT_RETRY_SECONDS)
         config = self._directory.config
         if config is None:
             return Refused(RefusalReason.NO_CONFIG, NO_CONFIG_RETRY_SECONDS)
@@ -182,6 +203,8 @@
 
         :param isolate: the request's fingerprint, where it may crash the upstream.
         """
+        if self._doubting:
+            return Refused(RefusalReason.SLEPT, SLEPT_RETRY_SECONDS)
         self._directory.expire(now)
         upstreams = self._directory.serving(accepted.service)
         harms = self._forecasts.harms(accepted, upstreams, now)
@@ -243,6 +266,8 @@
 
     def takes_work(self, assignment: Assignment, now: float) -> bool:
         """Tell whether the upstream that was chosen still takes new work."""
+        if self._doubting:
+            return False
         return self._directory.takes_work(assignment.upstream, now)
 
     def take_repeat(self, service: PoolId, now: float) -> RepeatDecision:
--- a/src/rudderpass/exchange/_progress.py
+++ b/src/rudderpass/exchange/_progress.py
@@ -67,6 +67,8 @@
         found that nobody can tell it of them now.
     :param on_suspects: told when peers must hear at once of a request that may crash
         upstreams.
+    :param on_decision: told before anything is decided; it may find that the host
+        slept.
     """
 
     core: ExchangeCore
@@ -77,6 +79,7 @@
     on_repeat: Callable[[PoolId, RepeatDecision], None]
     settled: threading.Event
     on_suspects: Callable[[], None] = lambda: None
+    on_decision: Callable[[], None] = lambda: None
 
 
 class Progress:
--- a/src/rudderpass/exchange/_serve.py
+++ b/src/rudderpass/exchange/_serve.py
@@ -48,6 +48,7 @@
     RefusalReason.OVERLOAD: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.QUARANTINED: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.ON_TRIAL: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.SLEPT: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.STOPPING: HTTPStatus.SERVICE_UNAVAILABLE,
 }
 
@@ -105,8 +106,7 @@
         return passed.body
 
     def _run(self) -> Passed:
-        if not self._parts.settled.is_set():
-            self._parts.settled.wait(START_WAIT_SECONDS)
+        self._await_news()
         with self._parts.guard:
             accepted = self._parts.core.accept(self._request, self._progress.arrived)
         if isinstance(accepted, Refused):
@@ -135,7 +135,14 @@
             if refused is not None:
                 return self._give_up(refused)
 
+    def _await_news(self) -> None:
+        """Wait a moment where the host is about to hear what it must know."""
+        self._parts.on_decision()
+        if not self._parts.settled.is_set():
+            self._parts.settled.wait(START_WAIT_SECONDS)
+
     def _assign(self, accepted: Accepted, vetting: Vetting) -> Assignment | Refused:
+        self._await_news()
         permit = vetting.admit()
         if isinstance(permit, Refused):
             return permit
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -37,6 +37,7 @@
 from rudderpass.host._registry import HostRegistry, HostStore, QuarantineArchive
 from rudderpass.host._settings import HostSettings
 from rudderpass.host._stopping import StopSchedule, StopStep
+from rudderpass.host._waking import NewsSources, Waking
 from rudderpass.host._warmup import CacheWarmup, PartsReader, WarmupParts
 from rudderpass.quarantine import QuarantineChange, SuspectNews
 from rudderpass.webserver import HttpServer, ServerLimits
@@ -108,6 +109,7 @@
             self._core,
             self._guard,
             self._note_learned,
+            lambda now: self._waking.note_peer_news(now),
         )
         self._connections = UpstreamConnections()
         self._metrics = HostMetrics(self._read_gauges, lambda: self._directory.unusable)
@@ -122,6 +124,7 @@
             self._metrics.record_repeat,
             self._settled,
             self._peers.tell_soon,
+            lambda: self._waking.look(),
         )
         self._app = ExchangeApp(parts)
         self._front = HttpServer(
@@ -139,6 +142,16 @@
             self._note_store_news,
             self._note_store,
         )
+        self._waking = Waking(
+            self._core,
+            self._guard,
+            self._settled,
+            NewsSources(
+                self._follower.read_now,
+                self._peers.greet_all,
+                self._peers.mesh.has_informed,
+            ),
+        )
         self._stopping = threading.Event()
         warmup = CacheWarmup(
             WarmupParts(
@@ -277,6 +290,7 @@
         self._connections.close()
 
     def _is_ready(self) -> bool:
+        self._waking.look()
         return self._core.is_ready
 
     def _tick(self) -> None:
@@ -289,6 +303,8 @@
             self._peers.wait(TICK_SECONDS)
 
     def _do_due(self, now: float) -> None:
+        self._waking.look()
+        self._waking.give_up(now)
         with self._guard:
             gone = self._core.tick(now)
             changes = self._core.quarantine.tick(now)
@@ -367,7 +383,8 @@
             )
         if self._directory.is_complete:
             self._informed.set()
-            self._settled.set()
+            if not self._core.is_doubting:
+                self._settled.set()
         config = self._directory.config
         if config is not None and learned:
             limits = config.limits
@@ -391,7 +408,8 @@
     def _note_unanswered(self) -> None:
         """Let requests wait no longer for what nobody can tell this host now."""
         with self._guard:
-            if not self._peers.mesh.has_informed(_clock.now()):
+            knows_none = not self._peers.mesh.has_informed(_clock.now())
+            if knows_none and not self._core.is_doubting:
                 self._settled.set()
 
     def _read_gauges(self) -> HostGauges:
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -39,6 +39,8 @@
     :param link_mbps: what its link carries, Mbit/s.
     :param seeds: addresses of some peers; they may be stale.
     :param on_learned: told what changed by a peer's word.
+    :param on_confirmed: told when a peer that hears the store knows no more than this
+        host.
 
     .. versionadded:: 0.2
     """
@@ -52,11 +54,13 @@
         core: ExchangeCore,
         guard: threading.RLock,
         on_learned: Callable[[list[Learned]], None],
+        on_confirmed: Callable[[float], None],
     ) -> None:
         self._core = core
         self._directory = core.directory
         self._guard = guard
         self._on_learned = on_learned
+        self._on_confirmed = on_confirmed
         self._follower: StoreFollower | None = None
         self._is_large = False
         self._is_relayed = False
@@ -175,6 +179,13 @@
         if self._is_large or is_first:
             self.tell_peers(now, has_store_news=True)
 
+    def greet_all(self, now: float) -> None:
+        """Tell all peers that this host is there; those that missed it answer."""
+        with self._guard:
+            beat = self._telling.greet(now, self._is_relayed)
+            targets = self._mesh.known
+        self._send_beat(beat, targets)
+
     @property
     def _is_following(self) -> bool:
         return self._follower is not None and self._follower.is_active
@@ -220,7 +231,8 @@
         self._fetch_at = None
         with self._guard:
             offsets = self._directory.config_offset, self._directory.upstreams_end
-            peer = self._mesh.ahead(*offsets, self._hears_for_itself, now)
+            hears = self._hears_for_itself and not self._core.is_doubting
+            peer = self._mesh.ahead(*offsets, hears, now)
         if peer is None:
             return
         try:
@@ -246,8 +258,10 @@
                 or beat.upstreams_end > self._directory.upstreams_end
             )
             is_urgent = not (self._directory.is_complete and self._is_large)
-        if is_behind and not self._hears_for_itself:
-            self._plan_fetch(is_urgent, now)
+        if is_behind and (not self._hears_for_itself or self._core.is_doubting):
+            self._plan_fetch(is_urgent or self._core.is_doubting, now)
+        if beat.following and not is_behind:
+            self._on_confirmed(now)
         if greeting is not None:
             # A starting host waits for this to learn whom it may ask.
             self._send_beat(greeting, [beat.sender])
--- a/tests/directory/test_follower.py
+++ b/tests/directory/test_follower.py
@@ -10,6 +10,7 @@
 
 from rudderpass import _clock
 from rudderpass.directory import (
+    Clock,
     HistoryLost,
     KeyedPage,
     KeyedRecord,
@@ -177,3 +178,42 @@
     followed.store.topics["config"].append(config_record(1, 2))
     wait_for(lambda: followed.version == 2)
     followed.follower.close()
+
+
+class SleepingClock(Clock):
+    """The real time, and a sleep that a test adds."""
+
+    def __init__(self) -> None:
+        self.slept = 0.0
+
+    def now(self) -> float:
+        return super().now() + self.slept
+
+
+def test_an_answer_that_was_slept_through_is_as_old_as_its_question() -> None:
+    clock = SleepingClock()
+    store = FakeStore()
+    store.topics["config"].append(config_record(0, 1))
+    directory = make_directory()
+    follower = StoreFollower(
+        store,
+        directory,
+        ("config", "upstreams"),
+        threading.RLock(),
+        lambda learned: None,
+        lambda change: None,
+        clock,
+    )
+    follower.read_now()
+    assert follower._answered["upstreams"] == pytest.approx(clock.now(), abs=1.0)
+    real_read = store.read_after
+
+    def sleep_and_read(topic: str, offset: int, wait: float) -> KeyedPage:
+        clock.slept += 20.0
+        return real_read(topic, offset, wait)
+
+    store.read_after = sleep_and_read  # type: ignore[method-assign]
+    follower.read_now()
+    assert clock.now() - follower._answered["upstreams"] > 19.0
+    assert directory.list_age(clock.now()) > 19.0
+    follower.close()
--- a/tests/host/test_suspension.py
+++ b/tests/host/test_suspension.py
@@ -3,7 +3,9 @@
 What users said: a machine may be suspended for seconds, and the steady clock does not
 count that time. Every age was a difference on the steady clock, so after 20 s a list
 20 s old counted as fresh, a key that was taken away meanwhile opened, and a drain that
-had ended was still running.
+had ended was still running. The cause was twofold: the clock, and that a host took no
+notice of the sleep, so it served by its beliefs until news happened to come.
+Evidence: with the clock alone mended, four of these tests still failed.
 """
 
 from __future__ import annotations
