--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 
 from rudderpass._ids import PoolId, UpstreamId, UpstreamName
-from rudderpass.directory._config import ExchangeConfig
+from rudderpass.directory._config import EngineTraits, ExchangeConfig
 from rudderpass.directory._lapses import DRAIN_BOUND_SECONDS, LapseRule
 from rudderpass.directory._messages import (
     DirectoryState,
@@ -89,6 +89,11 @@
         """All upstream records below this offset have been seen."""
         return self._upstreams.end
 
+    def find_engine(self, service: PoolId) -> EngineTraits | None:
+        """Return what a service's upstreams are as model engines; None if none."""
+        spec = None if self._config is None else self._config.find_service(service)
+        return None if spec is None else spec.engine
+
     def serving(self, service: PoolId) -> list[RegisteredUpstream]:
         """Return a service's upstreams that take new work."""
         return self._upstreams.serving(service)
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -5,12 +5,8 @@
 from collections.abc import Callable, Collection
 
 from rudderpass._ids import AvailabilityZone, Fingerprint, NodeId, PoolId, UpstreamId
-from rudderpass.directory import (
-    Directory,
-    EngineTraits,
-    RegisteredUpstream,
-    rank_urgency,
-)
+from rudderpass.directory import Directory, RegisteredUpstream
+from rudderpass.exchange._acceptance import NO_UPSTREAM_RETRY_SECONDS, accept_request
 from rudderpass.exchange._assignment import (
     Accepted,
     Assignment,
@@ -19,24 +15,18 @@
     SentPrompt,
 )
 from rudderpass.exchange._budget import BudgetRule, RepeatDecision, SharedRetryBudget
+from rudderpass.exchange._caches import CacheBook
 from rudderpass.exchange._choice import Knowledge, choose_upstream, isolate_choice
+from rudderpass.exchange._crashes import CrashEvidence
 from rudderpass.exchange._forecast import Forecasts
 from rudderpass.exchange._load import LoadBook, ToldWork, request_load
-from rudderpass.exchange._news import PromptNews
 from rudderpass.exchange._overload import find_return
 from rudderpass.exchange._prefixes import PrefixMemory
-from rudderpass.exchange._request import ExchangeRequest, PromptPart
+from rudderpass.exchange._request import ExchangeRequest
 from rudderpass.exchange._slots import HoldTimes, SlotTerms
 from rudderpass.exchange._weights import SERVICE_SECONDS
 from rudderpass.learning import StreamSample
-from rudderpass.quarantine import CutSend, QuarantineBook
-
-NO_CONFIG_RETRY_SECONDS = 2.0
-NO_UPSTREAM_RETRY_SECONDS = 1.0
-"""When to come back. A host that knows nothing waits for the store or for a peer, which
-takes seconds when all were restarted; a missing entry is back about two seconds after
-the store. Callers wait a third of the time they have left at most, and are refused for
-good when they come back too soon."""
+from rudderpass.quarantine import QuarantineBook
 
 SLEPT_RETRY_SECONDS = 0.3
 """When to come back to a host that has just slept: another one serves at once, and this
@@ -53,12 +43,6 @@
 PATIENCE_EXPECTED_FACTOR = 4.0
 """An upstream that is expected to be slow is waited for so many times longer."""
 
-DISPROOF_SECONDS = 10.0
-CURRENT_LIST_SECONDS = 5.0
-"""An upstream that is still listed so long after its port refused connections has not
-crashed, unless the list is old: an entry lapses after three heartbeats. The link to it
-was cut, and the requests under way there are innocent."""
-
 MIN_EXPECTED_SECONDS = 0.05
 """Below this an expected time says too little to learn a speed from."""
 
@@ -94,9 +78,10 @@
         self._loads = LoadBook()
         self._forecasts = Forecasts(directory, self._loads)
         self._holds = HoldTimes()
-        self._news = PromptNews()
+        self._caches = CacheBook(directory, self._knowledge.prefixes)
         self._budget = SharedRetryBudget(rule, restarted_at)
         self._quarantine = QuarantineBook()
+        self._crashes = CrashEvidence(directory, self._knowledge, self._quarantine)
         self._count_hosts = count_hosts
         self._begun: dict[UpstreamId, dict[int, float]] = {}
         self._stopping = False
@@ -119,6 +104,16 @@
         """The requests that may crash upstreams."""
         return self._quarantine
 
+    @property
+    def caches(self) -> CacheBook:
+        """What the upstreams' caches are believed to hold."""
+        return self._caches
+
+    @property
+    def crashes(self) -> CrashEvidence:
+        """What this host sees of upstreams that crash."""
+        return self._crashes
+
     @property
     def streams_passed_over(self) -> int:
         """Streams told or seen whose times cannot be true."""
@@ -166,30 +161,10 @@
             return Refused(RefusalReason.STOPPING, STOPPING_RETRY_SECONDS)
         if self._doubting:
             return Refused(RefusalReason.SLEPT, SLEPT_RETRY_SECONDS)
-        config = self._directory.config
-        if config is None:
-            return Refused(RefusalReason.NO_CONFIG, NO_CONFIG_RETRY_SECONDS)
-        route = config.match(request.host, request.path)
-        if route is None:
-            return Refused(RefusalReason.NO_ROUTE)
-        team = config.find_team(request.key)
-        if config.teams and not route.public and team is None:
-            return Refused(RefusalReason.UNKNOWN_KEY)
-        service = route.service_for(request.split_key)
-        if service is None:
-            return Refused(RefusalReason.NO_SERVICE, NO_UPSTREAM_RETRY_SECONDS)
-        self._budget.note_request(service, now)
-        team_tier = None if team is None else team.tier
-        limit = min(request.time_limit or route.timeout, route.timeout)
-        return Accepted(
-            route,
-            service,
-            None if team is None else team.name,
-            rank_urgency(route.tier, team_tier),
-            now + limit,
-            config.version,
-            team_tier,
-        )
+        accepted = accept_request(self._directory.config, request, now)
+        if isinstance(accepted, Accepted):
+            self._budget.note_request(accepted.service, now)
+        return accepted
 
     def assign(
         self,
@@ -217,7 +192,7 @@
             excluded,
             self._loads.totals(now),
             self._knowledge,
-            self._find_engine(accepted.service),
+            self._directory.find_engine(accepted.service),
             SlotTerms(accepted.tier, self._holds.read(accepted.service, now)),
             now,
         )
@@ -244,8 +219,7 @@
             self._loads.note_reading(
                 accepted.service, chosen.unread_tokens, harms.tightness, now
             )
-            self._note_prompt(upstream, request.parts, now)
-            self._news.note_sent(upstream, request.parts, now)
+            self._caches.note_sent(upstream, request.parts, now)
         return Assignment(
             accepted.service,
             upstream,
@@ -360,23 +334,6 @@
         self._knowledge.evidence_of(assignment.upstream).note_unreachable(now)
         self._knowledge.prefixes.forget_upstream(assignment.upstream)
 
-    def note_cut(self, cut: CutSend, now: float) -> bool:
-        """Take note of a cut send; tell whether its upstream may have crashed.
-
-        One that was about to leave ends its connections as planned.
-        """
-        upstream = cut.crash.upstream
-        if self._directory.is_ending(upstream, now):
-            return False
-        self._quarantine.note_cut(cut, now)
-        return True
-
-    def note_crashed(self, upstream: UpstreamId, now: float) -> list[CutSend]:
-        """Take note that an upstream refuses connections; return what it cut before."""
-        self._knowledge.evidence_of(upstream).note_unreachable(now)
-        self._knowledge.prefixes.forget_upstream(upstream)
-        return self._quarantine.note_crashed(upstream, now)
-
     def take_work(
         self, peer: NodeId, work: ToldWork, zone: AvailabilityZone | None, now: float
     ) -> None:
@@ -393,37 +350,18 @@
         now: float,
     ) -> None:
         """Take the prompts that upstreams were sent, and what streams showed."""
-        self.take_prompts(prompts, now)
+        self._caches.take(prompts, now)
         self._forecasts.take_streams(streams, now)
 
-    def take_prompts(self, prompts: Collection[SentPrompt], now: float) -> None:
-        """Take what upstreams keep, as a peer knows it."""
-        for prompt in prompts:
-            self._note_prompt(prompt.upstream, prompt.parts, now)
-
-    def share_prompt(self, prompt: SentPrompt, now: float) -> None:
-        """Take what an upstream keeps, and tell the peers."""
-        self._note_prompt(prompt.upstream, prompt.parts, now)
-        self._news.add(prompt)
-
-    def known_prompts(self) -> tuple[SentPrompt, ...]:
-        """Return what the upstreams are believed to keep."""
-        known = self._knowledge.prefixes.known()
-        return tuple(SentPrompt(upstream, parts) for upstream, parts in known)
-
     def engine_upstreams(self) -> list[RegisteredUpstream]:
         """Return the engines that take new work."""
         return [
             record.entry
             for record in self._directory.listed.values()
             if not record.entry.leaving
-            and self._find_engine(record.entry.service) is not None
+            and self._directory.find_engine(record.entry.service) is not None
         ]
 
-    def drain_prompts(self) -> list[SentPrompt]:
-        """Return the prompts sent since the last call, to be told to peers."""
-        return self._news.drain()
-
     def drain_streams(self) -> list[StreamSample]:
         """Return what streams showed since the last call, to be told to peers."""
         return self._forecasts.drain_streams()
@@ -435,44 +373,15 @@
         for entry in gone:
             self._knowledge.prefixes.forget_upstream(entry.upstream)
             self._forecasts.forget_upstream(entry.upstream)
-            self._quarantine.note_crashed(entry.upstream, now)
-        self._disprove_crashes(now)
+            self._crashes.note_gone(entry.upstream, now)
+        self._crashes.disprove(now)
         self._forget_unlisted()
-        self._knowledge.prefixes.forget_unused(now)
-        self._news.forget_old(now)
+        self._caches.forget_old(now)
         return gone
 
-    def _disprove_crashes(self, now: float) -> None:
-        """Take back crashes of upstreams that go on to write their entries."""
-        if self._directory.list_age(now) > CURRENT_LIST_SECONDS:
-            return
-        for upstream in self._quarantine.crashed_before(now - DISPROOF_SECONDS):
-            if self._directory.takes_work(upstream, now):
-                self._quarantine.disprove(upstream, now)
-
     def _forget_unlisted(self) -> None:
         """Drop what is known of gone upstreams; their answers may end after them."""
         listed = self._directory.listed
         for known in (self._knowledge.evidence, self._begun):
             for upstream in [upstream for upstream in known if upstream not in listed]:
                 del known[upstream]
-
-    def _note_prompt(
-        self, upstream: UpstreamId, parts: tuple[PromptPart, ...], now: float
-    ) -> None:
-        if upstream not in self._directory.listed:
-            return  # Another start of it, gone or not heard of yet.
-        capacity = self._cache_tokens(upstream)
-        self._knowledge.prefixes.note_use(upstream, parts, capacity, now)
-
-    def _cache_tokens(self, upstream: UpstreamId) -> int:
-        record = self._directory.listed.get(upstream)
-        if record is None:
-            return 0
-        engine = self._find_engine(record.entry.service)
-        return 0 if engine is None else engine.cache_tokens
-
-    def _find_engine(self, service: PoolId) -> EngineTraits | None:
-        config = self._directory.config
-        spec = None if config is None else config.find_service(service)
-        return None if spec is None else spec.engine
--- a/src/rudderpass/exchange/_vetting.py
+++ b/src/rudderpass/exchange/_vetting.py
@@ -175,7 +175,7 @@
         )
         cut = CutSend(self.fingerprint, self._accepted.team, crash)
         with self._parts.guard:
-            if not self._parts.core.note_cut(cut, now):
+            if not self._parts.core.crashes.note_cut(cut, now):
                 return
         if isinstance(error, StaleConnection):
             return  # The next send goes to the same upstream, and tells.
@@ -184,7 +184,8 @@
 
     def _note_crashed(self, assigned: Assignment) -> None:
         with self._parts.guard:
-            cuts = self._parts.core.note_crashed(assigned.upstream, _clock.now())
+            crashes = self._parts.core.crashes
+            cuts = crashes.note_refused_connection(assigned.upstream, _clock.now())
         if not cuts:
             return
         log(
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from rudderpass import _clock
-from rudderpass._ids import Fingerprint, NodeId
+from rudderpass._ids import NodeId
 from rudderpass.directory import (
     Decoders,
     Directory,
@@ -18,7 +18,6 @@
     Reachability,
     StoreFollower,
 )
-from rudderpass.errors import PlatformError
 from rudderpass.eventlog import log, round_age
 from rudderpass.exchange import (
     ExchangeApp,
@@ -27,25 +26,18 @@
     ExchangeParts,
     UpstreamConnections,
 )
-from rudderpass.host._admin import (
-    QuarantinedRequest,
-    make_metrics_server,
-    make_ready_server,
-)
+from rudderpass.host._admin import make_metrics_server, make_ready_server
 from rudderpass.host._metrics import HostGauges, HostMetrics
 from rudderpass.host._peers import PeerTalk
-from rudderpass.host._registry import HostRegistry, HostStore, QuarantineArchive
+from rudderpass.host._quarantine import QuarantineControl
+from rudderpass.host._registry import HostRegistry, HostStore, Registered, Registration
 from rudderpass.host._settings import HostSettings
 from rudderpass.host._stopping import StopSchedule, StopStep
 from rudderpass.host._waking import NewsSources, Waking
 from rudderpass.host._warmup import CacheWarmup, PartsReader, WarmupParts
-from rudderpass.quarantine import QuarantineChange, SuspectNews
 from rudderpass.webserver import HttpServer, ServerLimits
 
 TICK_SECONDS = 0.25
-REGISTER_PAUSE_SECONDS = 1.0
-"""Between attempts to announce this host; peers also learn of it from its beats."""
-
 FRONT_LIMITS = ServerLimits(threads=256, connections=3000)
 """A host has 3,900 descriptors for sockets; a burst at a small deployment keeps
 40 requests under way on one host. Threads start only as they are needed."""
@@ -131,8 +123,19 @@
             self._app, settings.front, FRONT_LIMITS, listener=listener
         )
         self._ready = make_ready_server(settings.ready, self._is_ready)
+        self._stopping = threading.Event()
+        registry = HostRegistry(
+            platform.store, platform.hosts_topic, self._peers.address, settings.zone
+        )
+        self._quarantine = QuarantineControl(
+            self._core.quarantine,
+            self._guard,
+            registry,
+            self._peers.tell_soon,
+            self._stopping,
+        )
         self._metrics_server = make_metrics_server(
-            settings.metrics, self._metrics.expose, self
+            settings.metrics, self._metrics.expose, self._quarantine
         )
         self._follower = StoreFollower(
             platform.store,
@@ -152,7 +155,6 @@
                 self._peers.mesh.has_informed,
             ),
         )
-        self._stopping = threading.Event()
         warmup = CacheWarmup(
             WarmupParts(
                 self._core,
@@ -163,19 +165,16 @@
             ),
             self._stopping,
         )
-        self._registry = HostRegistry(
-            platform.store, platform.hosts_topic, self._peers.address, settings.zone
-        )
-        self._archive = QuarantineArchive(
-            self._registry, self._describe_quarantined, self._stopping
+        registration = Registration(
+            registry, settings.is_first_start, self._take_registered, self._stopping
         )
         self._threads = [
             threading.Thread(target=target, name=name, daemon=True)
             for name, target in (
                 ("tick", self._tick),
-                ("register", self._register),
+                ("register", registration.run),
                 ("warmup", warmup.run),
-                ("archive", self._archive.run),
+                ("archive", self._quarantine.run_archive),
             )
         ]
 
@@ -209,35 +208,6 @@
         """Whether the host knows what the upstreams keep in their caches."""
         return self._core.is_warm
 
-    def list_quarantined(self) -> list[QuarantinedRequest]:
-        """Return the requests that must not be sent now, for operators."""
-        now = _clock.now()
-        with self._guard:
-            book = self._core.quarantine
-            return [
-                QuarantinedRequest(
-                    news.fingerprint.hex(),
-                    news.team,
-                    tuple(sorted(crash.upstream for crash in news.crashes)),
-                    round(book.judge(news.fingerprint, now).seconds, 1),
-                )
-                for news in book.describe_quarantined(now)
-            ]
-
-    def lift_quarantine(self, fingerprint: Fingerprint) -> bool:
-        """Release a request, here and at all peers; tell whether it was suspect."""
-        with self._guard:
-            is_lifted = self._core.quarantine.lift(fingerprint, _clock.now())
-        if is_lifted:
-            log(
-                "quarantine",
-                f"{fingerprint.hex()} lifted by an operator.",
-                fingerprint=fingerprint.hex(),
-            )
-            self._peers.tell_soon()
-            self._archive.note_change()
-        return is_lifted
-
     def start(self) -> None:
         """Start all parts."""
         self._follower.start()
@@ -305,64 +275,25 @@
     def _do_due(self, now: float) -> None:
         self._waking.look()
         self._waking.give_up(now)
+        self._quarantine.tick(now)
         with self._guard:
             gone = self._core.tick(now)
-            changes = self._core.quarantine.tick(now)
-        for change in changes:
-            self._note_quarantine(change)
         for entry in gone:
             self._connections.forget(entry.address)
             log("upstream", f"{entry.upstream} is gone.", upstream=entry.upstream)
         self._connections.close_expired(now)
         self._peers.do_due(now)
 
-    def _describe_quarantined(self) -> tuple[SuspectNews, ...]:
-        with self._guard:
-            return self._core.quarantine.describe_quarantined(_clock.now())
-
-    def _note_quarantine(self, change: QuarantineChange) -> None:
-        if change.is_own:
-            self._archive.note_change()
-        word = "quarantined" if change.is_quarantined else "released"
-        log(
-            "quarantine",
-            f"{change.fingerprint.hex()} {word}, {len(change.upstreams)} crashes.",
-            fingerprint=change.fingerprint.hex(),
-            team=change.team,
-            quarantined=change.is_quarantined,
-            upstreams=list(change.upstreams),
-            seen_here=change.is_own,
-        )
-
-    def _register(self) -> None:
-        """Announce this host in the store, once, and learn of the others."""
-        while not self._stopping.is_set():
-            try:
-                self._announce()
-                return
-            except PlatformError as error:
-                self._peers.meet(())
-                self._note_unanswered()
-                log("host", "not announced yet.", error=error.show())
-                self._stopping.wait(REGISTER_PAUSE_SECONDS)
-
-    def _announce(self) -> None:
-        """Meet all hosts that the store lists, learn what they quarantined, be listed.
-
-        When all hosts start for the first time, each is listed before it reads the
-        list, so that of any two one finds the other. Later one call less will do.
-
-        :raises PlatformError: when the store does not answer.
-        """
-        if self._settings.is_first_start:
-            self._registry.write()
-        registered = self._registry.read()
+    def _take_registered(self, registered: Registered | None) -> None:
+        """Take what the hosts keep in the store; None where it does not answer."""
+        if registered is None:
+            self._peers.meet(())
+            self._note_unanswered()
+            return
         with self._guard:
             book = self._core.quarantine
             book.take(registered.quarantined, False, _clock.now())
         self._peers.meet(registered.hosts)
-        if self._peers.address not in registered.hosts:
-            self._registry.write()
 
     def _note_store_news(self, learned: list[Learned]) -> None:
         """Take news from the store, and tell those who rely on this host at once."""
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -282,7 +282,7 @@
 
     def _read_prompts(self) -> tuple[SentPrompt, ...]:
         with self._guard:
-            return self._core.known_prompts()
+            return self._core.caches.known()
 
     def _note_error(self, error: PeerError) -> None:
         log("peer", error.show(), peer=error.peer, step=error.step)
--- a/src/rudderpass/host/_registry.py
+++ b/src/rudderpass/host/_registry.py
@@ -19,6 +19,9 @@
 from rudderpass.gossip import decode_quarantined, encode_host_record
 from rudderpass.quarantine import SuspectNews
 
+REGISTER_PAUSE_SECONDS = 1.0
+"""Between attempts to announce this host; peers also learn of it from its beats."""
+
 ARCHIVE_PAUSE_SECONDS = 1.0
 """Between two writes of a host's quarantines, also failed ones."""
 
@@ -59,6 +62,10 @@
         self._own = own
         self._zone = zone
 
+    def is_among(self, registered: Registered) -> bool:
+        """Tell whether this host is listed."""
+        return self._own in registered.hosts
+
     def write(self, quarantined: Collection[SuspectNews] = ()) -> None:
         """Write this host's record.
 
@@ -82,6 +89,53 @@
         return Registered({NodeId(r.key) for r in records}, tuple(quarantined))
 
 
+class Registration:
+    """Announces a host in the store, once, in a thread of its own.
+
+    :param is_first_start: whether the whole deployment starts for the first time.
+    :param on_answer: told what the hosts keep, or None where the store does not answer.
+    :param stopping: set when the host stops.
+    """
+
+    def __init__(
+        self,
+        registry: HostRegistry,
+        is_first_start: bool,
+        on_answer: Callable[[Registered | None], None],
+        stopping: threading.Event,
+    ) -> None:
+        self._registry = registry
+        self._is_first_start = is_first_start
+        self._on_answer = on_answer
+        self._stopping = stopping
+
+    def run(self) -> None:
+        """Try until the store has answered or the host stops."""
+        while not self._stopping.is_set():
+            try:
+                self._announce()
+                return
+            except PlatformError as error:
+                self._on_answer(None)
+                log("host", "not announced yet.", error=error.show())
+                self._stopping.wait(REGISTER_PAUSE_SECONDS)
+
+    def _announce(self) -> None:
+        """Learn of all hosts that the store lists, and be listed.
+
+        When all hosts start for the first time, each is listed before it reads the
+        list, so that of any two one finds the other. Later one call less will do.
+
+        :raises PlatformError: when the store does not answer.
+        """
+        if self._is_first_start:
+            self._registry.write()
+        registered = self._registry.read()
+        self._on_answer(registered)
+        if not self._registry.is_among(registered):
+            self._registry.write()
+
+
 class QuarantineArchive:
     """Writes this host's quarantines to the store, in a thread of its own.
 
--- a/src/rudderpass/host/_telling.py
+++ b/src/rudderpass/host/_telling.py
@@ -101,7 +101,7 @@
         beat = self._make_beat(
             now,
             suspects=suspects,
-            prompts=tuple(self._core.drain_prompts()),
+            prompts=tuple(self._core.caches.drain()),
             streams=tuple(self._core.drain_streams()),
             names_peers=self._number % NAMING_BEATS == 0,
         )
--- a/tests/exchange/load.py
+++ b/tests/exchange/load.py
@@ -287,7 +287,7 @@
         now, core = self._clock.now, self._cores[index]
         told = (
             core.loads.own,
-            core.drain_prompts(),
+            core.caches.drain(),
             core.drain_streams(),
             core.loads.own_reading(now),
         )
--- a/tests/exchange/test_crash_check.py
+++ b/tests/exchange/test_crash_check.py
@@ -11,7 +11,7 @@
 from rudderpass._ids import Fingerprint, RequestId, UpstreamId
 from rudderpass.exchange import Refused, UpstreamConnections
 from rudderpass.exchange._connections import CRASH_CHECK_SECONDS
-from rudderpass.exchange._core import DISPROOF_SECONDS
+from rudderpass.exchange._crashes import DISPROOF_SECONDS
 from rudderpass.quarantine import CutSend
 from tests.directory.builders import make_route, upstream_end
 from tests.exchange.builders import (
@@ -82,7 +82,7 @@
 
 def test_an_entry_that_lapses_after_a_cut_shows_a_crash() -> None:
     core = make_core(make_route())
-    assert core.note_cut(CutSend(BAD, None, crash("u1", 1.0)), 1.0)
+    assert core.crashes.note_cut(CutSend(BAD, None, crash("u1", 1.0)), 1.0)
     core.directory.take_upstreams([upstream_end(5, 1)], 6, "store", 2.0)
     core.tick(4.5)
     assert core.quarantine.judge(BAD, 4.5).crashes == 1
--- a/tests/gossip/test_mutated.py
+++ b/tests/gossip/test_mutated.py
@@ -116,7 +116,7 @@
     except PeerError:
         return
     core = make_core(make_route())
-    core.take_prompts(prompts, 1.0)
+    core.caches.take(prompts, 1.0)
     assign(core, make_request(parts=PROMPT.parts), 1.1)
 
 
--- a/tests/host/test_telling.py
+++ b/tests/host/test_telling.py
@@ -72,7 +72,7 @@
     assigned = fleet.send(sender, "plan")
     fleet.run(1.0)
     for host in fleet.up():
-        known = [prompt.upstream for prompt in host.core.known_prompts()]
+        known = [prompt.upstream for prompt in host.core.caches.known()]
         assert known == [assigned.upstream]
 
 
@@ -194,8 +194,8 @@
     engine = UpstreamId("u1")
     for host in fleet.up():
         kept = parts(*((f"{rng.getrandbits(32):08x}", 3) for _ in range(300)))
-        host.core.share_prompt(SentPrompt(engine, kept), fleet.now)
+        host.core.caches.share(SentPrompt(engine, kept), fleet.now)
     fleet.run(8.0)
     for host in fleet.up():
-        (known,) = host.core.known_prompts()
+        (known,) = host.core.caches.known()
         assert len(known.parts) == HOSTS * 300
