--- a/src/rudderpass/quarantine/_blame.py
+++ b/src/rudderpass/quarantine/_blame.py
@@ -71,10 +71,13 @@
     against nobody else. A body that many ask for runs beside several guilty ones, and
     may have more crashes in the end than each of them.
     """
+    # After a crash of many upstreams most suspects have one or two crashes, and looking
+    # at these again and again would take a host's time when it has the least.
+    grave = {n: cs for n, cs in suspects.items() if len(cs) >= PROVING_CRASHES}
     culprits: set[Fingerprint] = set()
     explained: set[UpstreamId] = set()
     seen: dict[Fingerprint, list[Crash]] = {}
-    for upstream, sights in _order(suspects):
+    for upstream, sights in _order(grave):
         for name, crash in sights:
             seen.setdefault(name, []).append(crash)
         if any(name in culprits for name, _ in sights):
--- a/src/rudderpass/quarantine/_book.py
+++ b/src/rudderpass/quarantine/_book.py
@@ -198,10 +198,6 @@
                 self._blame = None
                 suspect.tells_left = TELLS if passes_on else suspect.tells_left
 
-    def has_untold(self) -> bool:
-        """Tell whether anything has not been told yet."""
-        return any(s.tells_left == TELLS for s in self._suspects.values())
-
     def tell(self, now: float) -> tuple[SuspectNews, ...]:
         """Return what is to be told in the next beat."""
         culprits = self._find_blame().culprits
