--- a/src/rudderpass/exchange/_vetting.py
+++ b/src/rudderpass/exchange/_vetting.py
@@ -19,6 +19,7 @@
 from rudderpass.exchange._fingerprint import compute_fingerprint
 from rudderpass.exchange._progress import ExchangeParts
 from rudderpass.exchange._request import ExchangeRequest
+from rudderpass.exchange._send import UpstreamFailed
 from rudderpass.quarantine import Crash, CutSend, Verdict, VerdictKind
 from rudderpass.webserver import CallerConnection
 
@@ -112,6 +113,8 @@
     def note_failure(self, assigned: Assignment, error: UpstreamError) -> bool:
         """Take note of a failed send; tell whether the same attempt may go on."""
         self.close()
+        if isinstance(error, UpstreamFailed):
+            self.note_whole_answer()
         if isinstance(error, NobodyListens):
             self._note_crashed(assigned)
         if not isinstance(error, ConnectionCut):
@@ -127,7 +130,7 @@
         return verdict.kind is VerdictKind.FREE or verdict.crashes <= SAFE_CRASHES
 
     def note_whole_answer(self) -> None:
-        """Take note that an upstream answered the request whole, and so outlived it."""
+        """Take note that an upstream answered whole: it outlived the request."""
         self._is_on_trial = False
         book = self._parts.core.quarantine
         if not book.is_watching:
--- a/tests/exchange/test_poison.py
+++ b/tests/exchange/test_poison.py
@@ -16,8 +16,12 @@
 import pytest
 
 from rudderpass import _clock
+from rudderpass._ids import Fingerprint, TeamId
 from rudderpass.directory import ExchangeRoute, RouteKind
+from rudderpass.exchange._fingerprint import compute_fingerprint
+from rudderpass.quarantine import VerdictKind
 from tests.directory.builders import make_route, upstream_end
+from tests.exchange.builders import make_request
 from tests.exchange.test_serve import MakeWorld, make_world
 from tests.exchange.world import (
     Asked,
@@ -96,6 +100,18 @@
     assert world.core.quarantine.quarantined == set()
 
 
+def test_a_failure_that_is_answered_whole_clears_a_request(
+    make_world: MakeWorld,
+) -> None:
+    failing = answer(b"no", "500 Error")
+    world = make_world(make_route(), crash_on(FATAL, failing), failing, failing)
+    assert world.ask("r1", FATAL).status == 500
+    assert (
+        world.core.quarantine.judge(fingerprint_of(FATAL), _clock.now()).kind
+        is VerdictKind.FREE
+    )
+
+
 def test_an_upstream_that_ends_as_planned_has_not_crashed(
     make_world: MakeWorld,
 ) -> None:
@@ -147,6 +163,11 @@
     assert beside.result() == b"".join(event(number) for number in range(1, 31))
 
 
+def fingerprint_of(body: bytes) -> Fingerprint:
+    request = make_request(target="/quotes/a%2Fb?q=%20", body=body)
+    return compute_fingerprint(request, TeamId("team"))
+
+
 def count_sends(world: World, body: bytes) -> int:
     return sum(
         asked.body == body for upstream in world.upstreams for asked in upstream.asked
