--- a/src/rudderpass/exchange/_connections.py
+++ b/src/rudderpass/exchange/_connections.py
@@ -184,6 +184,9 @@
             return check.result()
         try:
             check.set_result(self._refuses(address))
+        except BaseException as error:
+            check.set_exception(error)  # Or the others would wait for ever.
+            raise
         finally:
             with self._lock:
                 del self._checks[address]
--- a/tests/exchange/test_crash_check.py
+++ b/tests/exchange/test_crash_check.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -43,6 +44,45 @@
     assert len(connections._kept[listener.address]) == 1
 
 
+def test_threads_that_ask_together_share_one_answer(
+    listener: Listener, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    connections = UpstreamConnections()
+    asked = []
+    ask = connections._refuses
+
+    def ask_slowly(address: str) -> bool:
+        asked.append(address)
+        time.sleep(0.1)
+        return ask(address)
+
+    monkeypatch.setattr(connections, "_refuses", ask_slowly)
+    listener.close()
+    with ThreadPoolExecutor(6) as executor:
+        answers = executor.map(connections.has_crashed, [listener.address] * 6)
+    assert list(answers) == [True] * 6
+    assert len(asked) == 1
+
+
+def test_nobody_waits_for_a_check_that_failed(
+    listener: Listener, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    connections = UpstreamConnections()
+
+    def fail(address: str) -> bool:
+        time.sleep(0.1)
+        raise ValueError("no address")
+
+    monkeypatch.setattr(connections, "_refuses", fail)
+    with ThreadPoolExecutor(3) as executor:
+        checks = [
+            executor.submit(connections.has_crashed, listener.address) for _ in range(3)
+        ]
+    for check in checks:
+        with pytest.raises(ValueError, match="no address"):
+            check.result(timeout=1.0)
+
+
 def test_silence_shows_none_and_takes_no_time() -> None:
     with socket.create_server(("127.0.0.1", 0), backlog=0) as server:
         host, port = server.getsockname()
