--- a/src/rudderpass/exchange/_budget.py
+++ b/src/rudderpass/exchange/_budget.py
@@ -13,9 +13,7 @@
 RESTARTED_SHARE = (1 - SAFETY_SHARE) / SAFETY_SHARE
 """Part of what its requests earn that a host uses in the first window after it started
 again. Its last process may just have spent all that its own requests had earned, and
-both together make up the allowance. With the whole, a kill of all hosts at the onset of
-failures and 60 requests a second took their further sends within 10 s past it, to 181
-of 179."""
+both together make up the allowance."""
 
 
 @dataclass(frozen=True)
@@ -51,9 +49,8 @@
     :param rule: the system's allowance.
     :param restarted_at: when this host started again, on the clock of the other calls.
         Its last process may have spent the host's share, and nobody can tell; so it has
-        none until that has left the window. Hosts that took their share anew at each
-        start sent 161 requests again within 10 s, of 148 allowed, when all were killed
-        three times. None where the whole deployment started for the first time.
+        none until that has left the window. None where the whole deployment started
+        for the first time.
 
     .. versionadded:: 0.2
     """
--- a/src/rudderpass/exchange/_evidence.py
+++ b/src/rudderpass/exchange/_evidence.py
@@ -8,7 +8,7 @@
 
 FAILURE_HALF_LIFE = 3.0
 """Seconds after which half of the evidence against an upstream is forgotten; failing
-upstreams of the users' days recover within 2 to 7 s."""
+upstreams recover within seconds."""
 
 EVIDENCE_NEEDED = 2.0
 """Answers' worth of doubt: one failure alone is weighed against so many successes."""
@@ -21,8 +21,7 @@
 
 REFUSAL_PAUSE_SECONDS = 0.3
 """An upstream that refused work is left alone so long. It refuses within milliseconds
-and so looks idle to all who go by work under way: in a burst one such took 49 of
-146 requests in a quarter of a second, and refused them."""
+and so looks idle to all who go by work under way, and would draw a whole burst."""
 
 SPEED_SMOOTHING = 0.25
 """Weight of a new sample in the learned slowness."""
--- a/src/rudderpass/exchange/_overload.py
+++ b/src/rudderpass/exchange/_overload.py
@@ -24,8 +24,7 @@
 CROWDED_SHARE = 0.9
 """Share of a service's slots that more urgent requests must have or wait for. Some slot
 is free somewhere all the time, and a host hears too late which, so without this less
-urgent requests began while more urgent ones were refused: 192 of 970 of these in a play
-of 44 hosts with more such requests than slots, and 25 with it."""
+urgent requests begin while more urgent ones are refused."""
 
 LONGEST_RETURN_SHARE = 0.3
 """Share of the time left after which a caller is told to come back at the latest:
--- a/src/rudderpass/gossip/_mesh.py
+++ b/src/rudderpass/gossip/_mesh.py
@@ -19,9 +19,8 @@
 long. It beats twice a second, and news must be in force within 2 to 3 s."""
 
 FANOUT = 100
-"""Peers told in one beat; with more hosts, each beat goes to some drawn at random. When
-8 of 70 peers were told, prompts remained unknown to the others, and in 34 s 8 M tokens
-were read again, at a price of 0.069 of all that answers could earn."""
+"""Peers told in one beat; with more hosts, each beat goes to some drawn at random. What
+few hear of is unknown to the others, which have prompts read again."""
 
 DEAD_FANOUT = 1
 """Silent peers told in one beat, so that hosts find one another again after a cut."""
@@ -39,8 +38,7 @@
 SPENDING_SECONDS = 60.0
 """A peer heard so lately still counts as one that shares the system's budgets: it may
 be cut off and go on spending, and what a dead one spent counts for a window of 10 s.
-Without it, four hosts of seven whose peers were killed at the onset of failures took
-the further sends of all within 10 s to 77, of 76 allowed."""
+"""
 
 MIN_HOSTS = 8
 """Hosts assumed to share the system's budgets when none is heard: more assumed hosts
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -18,21 +18,20 @@
 BEAT_SECONDS = 0.5
 """Between beats. The shorter, the less hosts send the same prompt, or a whole burst, to
 an upstream that looked idle; but each beat goes to each peer, and bytes between zones
-have a price. On a day of bursts 78 hosts earned 0.62 so, and 0.52 with a second."""
+have a price."""
 
 RELAYED_BEAT_SECONDS = 0.25
-"""The same where relays tell of all hosts: a prompt is known to the others after 0.3 s
-in the mean and 0.48 s for 95 in 100 (120 hosts in virtual time), for a fourteenth of
-the datagrams at 195 hosts."""
+"""The same where relays tell of all hosts: news pass two of them, and must not take
+longer than where each host tells each."""
 
 GATHERING_SECONDS = 0.02
 """From urgent news to the beat that tells it: all streams that a crash cuts end within
 milliseconds, and one beat tells of them all."""
 
 FETCH_SPREAD_SECONDS = 1.0
-"""Within so long the hosts of a large deployment fetch news, each at a time of its own,
-where 70 of them together held up the followers' beats for 1.2 s (71 hosts with an
-eighth of a core each). News must be in force within 2 to 3 s."""
+"""Within so long the hosts of a large deployment fetch news, each at a time of its own:
+all together would hold up the beats of those that they ask. News must be in force
+within 2 to 3 s."""
 
 
 class PeerTalk:
