--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -91,6 +91,31 @@
   3: i64 written_ms /* Unix time */
 }
 
+/* Requests that began to run within one window of the usage report, by team. */
+struct WindowUsage {
+  1: i64 window
+  2: map<string, i32> counts
+}
+
+/* What one start of a host has counted for the usage reports, the newest windows. */
+struct HostUsage {
+  1: i64 started_ms /* tells the starts of a host apart */
+  2: i64 closed_before /* the windows before this one are complete */
+  3: list<WindowUsage> windows
+}
+
+/* Who holds the duties, in the platform's log; the record's place is the token. */
+struct DutyHolder {
+  1: string host
+  2: string start
+}
+
+/* The usage reports that are settled, in the platform's log. */
+struct SettledUsage {
+  1: i64 next_window /* all windows before it are settled */
+  2: list<WindowUsage> windows /* those that may not have reached the platform */
+}
+
 /* Offsets are those of the platform's log: the greater one is newer. The sender is the
  * datagram's source address. Field 1 was the sender's name. */
 struct Beat {
@@ -109,6 +134,10 @@
   14: optional Digest digest
   15: optional i32 link_mbps /* of the sender's link, Mbit/s */
   16: optional list<Suspect> suspects
+  17: optional i64 duty_token /* the newest that the sender knows */
+  18: optional bool holds_duties
+  19: optional i64 usage_settled /* the windows before it need not be told any more */
+  20: optional HostUsage usage
 }
 
 /* All that the sender believes to be kept in caches. */
--- a/src/rudderpass/_ids.py
+++ b/src/rudderpass/_ids.py
@@ -28,3 +28,6 @@
 Version = NewType("Version", int)
 """A configuration version: one more than the offset of the log record that
 made it, so that 0 is the empty configuration."""
+
+FencingToken = NewType("FencingToken", int)
+"""Rises with each change of a duty's holder; the platform refuses lower ones."""
--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -7,6 +7,7 @@
     ExchangeRoute as ExchangeRoute,
     ExchangeTeam as ExchangeTeam,
     RouteKind as RouteKind,
+    ScalingTraits as ScalingTraits,
     ServiceShare as ServiceShare,
     ServiceSpec as ServiceSpec,
 )
--- a/src/rudderpass/directory/_config.py
+++ b/src/rudderpass/directory/_config.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import cached_property
 
 import xxhash
 
-from rudderpass._ids import PoolId, RouteName, TeamId
+from rudderpass._ids import AvailabilityZone, PoolId, RouteName, TeamId
 
 
 class RouteKind(Enum):
@@ -87,17 +88,38 @@
     link_bytes_per_second: float | None = None
 
 
+@dataclass(frozen=True)
+class ScalingTraits:
+    """What is declared of a service whose upstreams can be ordered.
+
+    :param least: upstreams in each availability zone, of both kinds together.
+    :param most: the same.
+    :param boot: seconds from an order until a new upstream serves.
+    :param zone_prices: of a second of one upstream, by availability zone.
+    :param spot_price: share of it that one costs that may be taken away; None where
+        there are none.
+    """
+
+    least: int
+    most: int
+    boot: float
+    zone_prices: Mapping[AvailabilityZone, float]
+    spot_price: float | None = None
+
+
 @dataclass(frozen=True)
 class ServiceSpec:
     """One service.
 
     :param max_connections: the most that one upstream takes from all hosts.
     :param engine: None for a service that is no model engine.
+    :param scaling: None for a service whose upstreams cannot be ordered.
     """
 
     name: PoolId
     max_connections: int
     engine: EngineTraits | None = None
+    scaling: ScalingTraits | None = None
 
 
 @dataclass(frozen=True)
--- a/src/rudderpass/directory/_upstreams.py
+++ b/src/rudderpass/directory/_upstreams.py
@@ -38,6 +38,7 @@
 
     :param upstream: names one start of the upstream.
     :param name: under which it registered; upstreams know themselves by it.
+    :param is_spot: whether it is of the cheap ones that may be taken away.
     """
 
     upstream: UpstreamId
@@ -47,6 +48,7 @@
     zone: AvailabilityZone
     slots: int
     leaving: bool = False
+    is_spot: bool = False
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/rudderpass/duties/_scaling.py
@@ -0,0 +1,208 @@
+"""How many upstreams are wanted, and which orders say so to the platform.
+
+Answers loads that rise threefold within a second, last for seconds, and are over before
+an upstream that is ordered for them serves: whatever is to serve them must be there
+before. So the numbers follow the largest work of a long while, not that of the moment.
+Cheap upstreams that may be taken away at any time are preferred where two of them cost
+less than one of the others, in all availability zones alike, since what takes them
+takes all of a zone.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from rudderpass._ids import AvailabilityZone, PoolId
+from rudderpass.directory import RegisteredUpstream, ScalingTraits
+from rudderpass.duties._messages import CallResult, ScaleSubject
+
+RETRY_SECONDS = 1.0
+"""Between two tries of an order that was not carried out."""
+
+MISSING_SECONDS = 3.0
+"""Beyond the time to boot, until an order whose upstreams are not there is repeated."""
+
+PEAK_SECONDS = 600.0
+"""How long the largest work counts: bursts come some minutes apart."""
+
+PEAK_STEP_SECONDS = 10.0
+"""The largest work of each such span is remembered."""
+
+BUSY_SHARE = 0.3
+"""Share of the upstreams' time that the largest work is to take: engines that are
+busier hold up one another's streams, and a burst of three times the usual fits."""
+
+CHEAP_SHARE = 0.5
+"""Upstreams that may be taken away are preferred up to this share of the price."""
+
+SWAP_SHARE = 0.1
+"""Share of a zone's upstreams that may be missing while cheap ones replace others: in
+a zone that is full, some must go before the next can come."""
+
+
+@dataclass(frozen=True)
+class ScaledService:
+    """A service whose upstreams can be ordered, and what is known of it.
+
+    :param upstreams: all that are believed to be there, leaving ones included.
+    :param busy: how many upstreams the work under way would keep busy all the time.
+    """
+
+    service: PoolId
+    traits: ScalingTraits
+    upstreams: Sequence[RegisteredUpstream]
+    busy: float = 0.0
+
+
+@dataclass
+class PeakWork:
+    """The largest work of a service in the last PEAK_SECONDS.
+
+    :ivar since: when it was looked at first.
+    """
+
+    since: float
+    _spans: dict[int, float] = field(default_factory=dict)
+
+    def note(self, busy: float, now: float) -> None:
+        """Take the work of the moment."""
+        span = int(now // PEAK_STEP_SECONDS)
+        self._spans[span] = max(busy, self._spans.get(span, 0.0))
+        oldest = int((now - PEAK_SECONDS) // PEAK_STEP_SECONDS)
+        for old in [known for known in self._spans if known < oldest]:
+            del self._spans[old]
+
+    @property
+    def busy(self) -> float:
+        """How many upstreams the largest work would keep busy."""
+        return max(self._spans.values(), default=0.0)
+
+    def is_known(self, now: float) -> bool:
+        """Tell whether it was looked at for long enough to give upstreams back."""
+        return now - self.since >= PEAK_SECONDS
+
+
+def plan_upstreams(
+    scaled: ScaledService, peak: PeakWork, now: float
+) -> dict[ScaleSubject, int]:
+    """Return the next numbers on the way to the wanted ones.
+
+    While the largest work is not known, none are given back, and cheap upstreams are
+    had as far as the bounds allow.
+    """
+    traits = scaled.traits
+    zones = sorted(traits.zone_prices) or sorted({e.zone for e in scaled.upstreams})
+    is_cheap = traits.spot_price is not None and traits.spot_price <= CHEAP_SHARE
+    needed = peak.busy / BUSY_SHARE
+    if is_cheap and len(zones) > 1:
+        needed *= len(zones) / (len(zones) - 1)  # One zone's may all be gone.
+    each = math.ceil(needed / max(1, len(zones)))
+    wanted: dict[ScaleSubject, int] = {}
+    for zone in zones:
+        here = [e for e in scaled.upstreams if e.zone == zone and not e.leaving]
+        least = max(1, traits.least)
+        if not peak.is_known(now):
+            least = traits.most if is_cheap else max(least, len(here))
+        total = min(traits.most, max(least, each))
+        wanted |= _plan_zone(scaled, zone, here, total, is_cheap)
+    return wanted
+
+
+def _plan_zone(
+    scaled: ScaledService,
+    zone: AvailabilityZone,
+    here: Sequence[RegisteredUpstream],
+    total: int,
+    is_cheap: bool,
+) -> dict[ScaleSubject, int]:
+    """Return the next numbers of one zone.
+
+    One upstream stays that nothing takes away. The others of its kind are given back as
+    those that replace them serve.
+    """
+    usual_subject = ScaleSubject(scaled.service, zone, False)
+    if not is_cheap:
+        return {usual_subject: total}
+    spot_here = sum(entry.is_spot for entry in here)
+    usual_here = len(here) - spot_here
+    missing = total - spot_here - math.ceil(SWAP_SHARE * total)
+    usual = max(1, min(usual_here, missing))
+    room = scaled.traits.most - max(usual, usual_here)
+    spot_subject = ScaleSubject(scaled.service, zone, True)
+    return {usual_subject: usual, spot_subject: max(0, min(total - 1, room))}
+
+
+class ScaleOrders:
+    """The orders of the host that holds the duties.
+
+    Not thread-safe: the host's lock guards it.
+    """
+
+    def __init__(self) -> None:
+        self._wanted: dict[ScaleSubject, int] = {}
+        self._seen: dict[ScaleSubject, int] = {}
+        self._ordered: dict[ScaleSubject, int] = {}
+        self._tried: dict[ScaleSubject, float] = {}
+        self._boot: dict[PoolId, float] = {}
+        self._peaks: dict[PoolId, PeakWork] = {}
+
+    @property
+    def wanted(self) -> int:
+        """How many upstreams are wanted now."""
+        return sum(self._wanted.values())
+
+    def begin(self) -> None:
+        """Take the duty over: what was ordered before is not known."""
+        self._ordered.clear()
+        self._tried.clear()
+        self._peaks.clear()
+
+    def look(self, services: Sequence[ScaledService], now: float) -> None:
+        """Take what is there now, and work out what is wanted."""
+        self._wanted.clear()
+        self._seen.clear()
+        for scaled in services:
+            peak = self._peaks.setdefault(scaled.service, PeakWork(now))
+            peak.note(scaled.busy, now)
+            self._boot[scaled.service] = scaled.traits.boot
+            self._wanted.update(plan_upstreams(scaled, peak, now))
+            for entry in scaled.upstreams:
+                if not entry.leaving:
+                    subject = ScaleSubject(entry.service, entry.zone, entry.is_spot)
+                    self._seen[subject] = self._seen.get(subject, 0) + 1
+
+    def find_order(self, now: float) -> tuple[ScaleSubject, int] | None:
+        """Return the order that is to be made now; more upstreams come first."""
+        due = [
+            (count - self._seen.get(subject, 0), subject, count)
+            for subject, count in self._wanted.items()
+            if self._is_due(subject, count, now)
+        ]
+        if not due:
+            return None
+        _, subject, count = max(due, key=lambda item: item[0])
+        return subject, count
+
+    def note_sent(
+        self, subject: ScaleSubject, count: int, result: CallResult, now: float
+    ) -> None:
+        """Take note of how an order ended."""
+        self._tried[subject] = now
+        if result is CallResult.DONE:
+            self._ordered[subject] = count
+        else:
+            self._ordered.pop(subject, None)
+
+    def _is_due(self, subject: ScaleSubject, count: int, now: float) -> bool:
+        waited = now - self._tried.get(subject, -math.inf)
+        ordered = self._ordered.get(subject)
+        seen = self._seen.get(subject, 0)
+        if ordered is None:
+            # An order for what is there would give back what is not listed yet.
+            return seen != count and waited >= RETRY_SECONDS
+        if ordered != count:
+            return True
+        patience = self._boot[subject.service] + MISSING_SECONDS
+        return seen < count and waited >= patience
--- a/src/rudderpass/exchange/__init__.py
+++ b/src/rudderpass/exchange/__init__.py
@@ -13,6 +13,7 @@
     RepeatDecision as RepeatDecision,
     SharedRetryBudget as SharedRetryBudget,
 )
+from rudderpass.exchange._busy import count_busy as count_busy
 from rudderpass.exchange._choice import (
     Choice as Choice,
     Knowledge as Knowledge,
--- a/src/rudderpass/exchange/_progress.py
+++ b/src/rudderpass/exchange/_progress.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 from rudderpass import _clock
-from rudderpass._ids import PoolId
+from rudderpass._ids import PoolId, TeamId
 from rudderpass.exchange._assignment import Assignment
 from rudderpass.exchange._budget import RepeatDecision
 from rudderpass.exchange._connections import UpstreamConnections
@@ -69,6 +69,7 @@
         upstreams.
     :param on_decision: told before anything is decided; it may find that the host
         slept.
+    :param on_begun: told of each request that has begun to run: its team, and when.
     """
 
     core: ExchangeCore
@@ -80,6 +81,7 @@
     settled: threading.Event
     on_suspects: Callable[[], None] = lambda: None
     on_decision: Callable[[], None] = lambda: None
+    on_begun: Callable[[TeamId | None, float], None] = lambda team, moment: None
 
 
 class Progress:
@@ -115,6 +117,7 @@
         self.longest_pause = 0.0
         self.latest_pause = 0.0
         self.late_pauses = 0
+        self._has_begun = False
         self._pauses: list[float] = []
         self._last_event_at: float | None = None
         self._start_response = start_response
@@ -173,6 +176,12 @@
         self.begin_stream()(events.data)
         return True
 
+    def note_begun(self, team: TeamId | None, moment: float) -> None:
+        """Take note that an upstream began to run it; only the first run counts."""
+        if not self._has_begun:
+            self._has_begun = True
+            self.parts.on_begun(team, moment)
+
     def note_first_answer(self) -> None:
         """Take the time of the answer's begin."""
         if self.first_answer is None:
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -224,6 +224,7 @@
             if head.status < HTTPStatus.INTERNAL_SERVER_ERROR and not is_streaming:
                 return  # Another upstream would say the same.
             body = _read_body(response, connection.address)
+            self._progress.note_begun(self._accepted.team, self._assigned.sent)
             raise UpstreamFailed(head, body, connection.address)
         refused = head.kind is not AnswerKind.FOREIGN
         if refused:
@@ -249,6 +250,7 @@
         connection.set_timeout(self._time_left)
         body = _read_body(response, connection.address)
         self._progress.note_first_answer()
+        self._progress.note_begun(self._accepted.team, self._assigned.sent)
         self._keep(connection, response, head)
         ending = Ending.SERVED if head.kind is AnswerKind.SUCCESS else Ending.FAILED
         return pass_answer(self._progress.begin_answer, head, body, ending)
@@ -305,6 +307,7 @@
         if not has_passed:
             return
         self._progress.note_answering(self._assigned)
+        self._progress.note_begun(self._accepted.team, _clock.now())
         self._note_late_pause()
 
     def _note_late_pause(self) -> None:
--- a/src/rudderpass/gossip/__init__.py
+++ b/src/rudderpass/gossip/__init__.py
@@ -10,6 +10,12 @@
     encode_state as encode_state,
 )
 from rudderpass.gossip._digest import Digest as Digest, Member as Member
+from rudderpass.gossip._duties import (
+    decode_duty_holder as decode_duty_holder,
+    decode_settled_usage as decode_settled_usage,
+    encode_duty_holder as encode_duty_holder,
+    encode_settled_usage as encode_settled_usage,
+)
 from rudderpass.gossip._following import FollowRule as FollowRule
 from rudderpass.gossip._mesh import NAMING_BEATS as NAMING_BEATS, Mesh as Mesh
 from rudderpass.gossip._relaying import (
--- a/src/rudderpass/gossip/_codec.py
+++ b/src/rudderpass/gossip/_codec.py
@@ -7,12 +7,21 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from rudderpass._ids import AvailabilityZone, NodeId, PoolId, UpstreamId, UpstreamName
+from rudderpass._ids import (
+    AvailabilityZone,
+    FencingToken,
+    NodeId,
+    PoolId,
+    UpstreamId,
+    UpstreamName,
+)
 from rudderpass._thrift import decode_struct, encode_struct
 from rudderpass.directory import URGENCY_RANKS, DirectoryState, KeyedRecord
+from rudderpass.duties import DutyNews, HostUsage
 from rudderpass.errors import PeerError
 from rudderpass.exchange import Load, PartId, PromptPart, Reading, SentPrompt
 from rudderpass.gossip._digest import Digest, Member
+from rudderpass.gossip._duties import usage_from_wire, usage_to_wire
 from rudderpass.gossip._gen.wire import ttypes as wire
 from rudderpass.gossip._suspects import suspect_from_wire, suspect_to_wire
 from rudderpass.gossip._wire import MAX_I32, given
@@ -63,6 +72,8 @@
     :param digest: what it sums up of other hosts, if it is a relay.
     :param link_mbps: what its link carries, Mbit/s; 0 where it does not say.
     :param suspects: requests that may crash upstreams.
+    :param duty: what it knows of the holder of the duties, where there are any.
+    :param usage: what it has counted for the usage reports.
     """
 
     sender: NodeId
@@ -81,6 +92,8 @@
     digest: Digest | None = None
     link_mbps: int = 0
     suspects: tuple[SuspectNews, ...] = ()
+    duty: DutyNews | None = None
+    usage: HostUsage | None = None
 
 
 def encode_beat(beat: Beat) -> bytes:
@@ -103,6 +116,10 @@
             None if beat.digest is None else _digest_to_wire(beat.digest),
             beat.link_mbps or None,
             [suspect_to_wire(suspect) for suspect in beat.suspects] or None,
+            None if beat.duty is None else beat.duty.token,
+            None if beat.duty is None else beat.duty.holds or None,
+            None if beat.duty is None else beat.duty.settled_before or None,
+            None if beat.usage is None else usage_to_wire(beat.usage),
         )
     )
     return data if len(data) < MIN_DEFLATED_BYTES else _deflate(data)
@@ -134,11 +151,21 @@
             None if raw.digest is None else _digest_from_wire(raw.digest),
             raw.link_mbps or 0,
             tuple(suspect_from_wire(item) for item in raw.suspects or ()),
+            _duty_from_wire(raw),
+            None if raw.usage is None else usage_from_wire(raw.usage),
         )
     except TypeError as error:
         raise PeerError(f"incomplete beat: {error}", step="decode") from error
 
 
+def _duty_from_wire(raw: wire.Beat) -> DutyNews | None:
+    if raw.duty_token is None:
+        return None
+    return DutyNews(
+        FencingToken(raw.duty_token), bool(raw.holds_duties), raw.usage_settled or 0
+    )
+
+
 def encode_state(state: DirectoryState) -> bytes:
     """Return a state's bytes."""
     config = None if state.config is None else _to_wire(state.config)
--- a/src/rudderpass/gossip/_gen/wire/ttypes.py
+++ b/src/rudderpass/gossip/_gen/wire/ttypes.py
@@ -1227,6 +1227,366 @@
         return not (self == other)
 
 
+class WindowUsage(object):
+    """
+    Attributes:
+     - window
+     - counts
+
+    """
+
+    __slots__ = (
+        'window',
+        'counts',
+    )
+
+
+    def __init__(self, window=None, counts=None,):
+        self.window = window
+        self.counts = counts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.window = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.counts = {}
+                    (_ktype64, _vtype65, _size63) = iprot.readMapBegin()
+                    for _i67 in range(_size63):
+                        _key68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val69 = iprot.readI32()
+                        self.counts[_key68] = _val69
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WindowUsage')
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.I64, 1)
+            oprot.writeI64(self.window)
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.counts))
+            for kiter70, viter71 in self.counts.items():
+                oprot.writeString(kiter70.encode('utf-8') if sys.version_info[0] == 2 else kiter70)
+                oprot.writeI32(viter71)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HostUsage(object):
+    """
+    Attributes:
+     - started_ms
+     - closed_before
+     - windows
+
+    """
+
+    __slots__ = (
+        'started_ms',
+        'closed_before',
+        'windows',
+    )
+
+
+    def __init__(self, started_ms=None, closed_before=None, windows=None,):
+        self.started_ms = started_ms
+        self.closed_before = closed_before
+        self.windows = windows
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.closed_before = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.windows = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = WindowUsage()
+                        _elem77.read(iprot)
+                        self.windows.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostUsage')
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 1)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.closed_before is not None:
+            oprot.writeFieldBegin('closed_before', TType.I64, 2)
+            oprot.writeI64(self.closed_before)
+            oprot.writeFieldEnd()
+        if self.windows is not None:
+            oprot.writeFieldBegin('windows', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.windows))
+            for iter78 in self.windows:
+                iter78.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DutyHolder(object):
+    """
+    Attributes:
+     - host
+     - start
+
+    """
+
+    __slots__ = (
+        'host',
+        'start',
+    )
+
+
+    def __init__(self, host=None, start=None,):
+        self.host = host
+        self.start = start
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.start = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DutyHolder')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.start is not None:
+            oprot.writeFieldBegin('start', TType.STRING, 2)
+            oprot.writeString(self.start.encode('utf-8') if sys.version_info[0] == 2 else self.start)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SettledUsage(object):
+    """
+    Attributes:
+     - next_window
+     - windows
+
+    """
+
+    __slots__ = (
+        'next_window',
+        'windows',
+    )
+
+
+    def __init__(self, next_window=None, windows=None,):
+        self.next_window = next_window
+        self.windows = windows
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.next_window = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.windows = []
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = WindowUsage()
+                        _elem84.read(iprot)
+                        self.windows.append(_elem84)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SettledUsage')
+        if self.next_window is not None:
+            oprot.writeFieldBegin('next_window', TType.I64, 1)
+            oprot.writeI64(self.next_window)
+            oprot.writeFieldEnd()
+        if self.windows is not None:
+            oprot.writeFieldBegin('windows', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.windows))
+            for iter85 in self.windows:
+                iter85.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Beat(object):
     """
     Attributes:
@@ -1245,6 +1605,10 @@
      - digest
      - link_mbps
      - suspects
+     - duty_token
+     - holds_duties
+     - usage_settled
+     - usage
 
     """
 
@@ -1264,10 +1628,14 @@
         'digest',
         'link_mbps',
         'suspects',
+        'duty_token',
+        'holds_duties',
+        'usage_settled',
+        'usage',
     )
 
 
-    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None,):
+    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None,):
         self.config_offset = config_offset
         self.upstreams_end = upstreams_end
         self.stopping = stopping
@@ -1283,6 +1651,10 @@
         self.digest = digest
         self.link_mbps = link_mbps
         self.suspects = suspects
+        self.duty_token = duty_token
+        self.holds_duties = holds_duties
+        self.usage_settled = usage_settled
+        self.usage = usage
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1311,32 +1683,32 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = UpstreamLoad()
-                        _elem68.read(iprot)
-                        self.loads.append(_elem68)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = UpstreamLoad()
+                        _elem91.read(iprot)
+                        self.loads.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = SentPrompt()
-                        _elem74.read(iprot)
-                        self.prompts.append(_elem74)
+                    (_etype95, _size92) = iprot.readListBegin()
+                    for _i96 in range(_size92):
+                        _elem97 = SentPrompt()
+                        _elem97.read(iprot)
+                        self.prompts.append(_elem97)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype78, _size75) = iprot.readListBegin()
-                    for _i79 in range(_size75):
-                        _elem80 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.peers.append(_elem80)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.peers.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1353,22 +1725,22 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.streams = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = StreamSample()
-                        _elem86.read(iprot)
-                        self.streams.append(_elem86)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = StreamSample()
+                        _elem109.read(iprot)
+                        self.streams.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.reading = []
-                    (_etype90, _size87) = iprot.readListBegin()
-                    for _i91 in range(_size87):
-                        _elem92 = ServiceReading()
-                        _elem92.read(iprot)
-                        self.reading.append(_elem92)
+                    (_etype113, _size110) = iprot.readListBegin()
+                    for _i114 in range(_size110):
+                        _elem115 = ServiceReading()
+                        _elem115.read(iprot)
+                        self.reading.append(_elem115)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1396,14 +1768,35 @@
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = Suspect()
-                        _elem98.read(iprot)
-                        self.suspects.append(_elem98)
+                    (_etype119, _size116) = iprot.readListBegin()
+                    for _i120 in range(_size116):
+                        _elem121 = Suspect()
+                        _elem121.read(iprot)
+                        self.suspects.append(_elem121)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.duty_token = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.BOOL:
+                    self.holds_duties = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I64:
+                    self.usage_settled = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.usage = HostUsage()
+                    self.usage.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1429,22 +1822,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter99 in self.loads:
-                iter99.write(oprot)
+            for iter122 in self.loads:
+                iter122.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter100 in self.prompts:
-                iter100.write(oprot)
+            for iter123 in self.prompts:
+                iter123.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.peers))
-            for iter101 in self.peers:
-                oprot.writeString(iter101.encode('utf-8') if sys.version_info[0] == 2 else iter101)
+            for iter124 in self.peers:
+                oprot.writeString(iter124.encode('utf-8') if sys.version_info[0] == 2 else iter124)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.warm is not None:
@@ -1458,15 +1851,15 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter102 in self.streams:
-                iter102.write(oprot)
+            for iter125 in self.streams:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reading is not None:
             oprot.writeFieldBegin('reading', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.reading))
-            for iter103 in self.reading:
-                iter103.write(oprot)
+            for iter126 in self.reading:
+                iter126.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.zone is not None:
@@ -1488,10 +1881,26 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter104 in self.suspects:
-                iter104.write(oprot)
+            for iter127 in self.suspects:
+                iter127.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.duty_token is not None:
+            oprot.writeFieldBegin('duty_token', TType.I64, 17)
+            oprot.writeI64(self.duty_token)
+            oprot.writeFieldEnd()
+        if self.holds_duties is not None:
+            oprot.writeFieldBegin('holds_duties', TType.BOOL, 18)
+            oprot.writeBool(self.holds_duties)
+            oprot.writeFieldEnd()
+        if self.usage_settled is not None:
+            oprot.writeFieldBegin('usage_settled', TType.I64, 19)
+            oprot.writeI64(self.usage_settled)
+            oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.STRUCT, 20)
+            self.usage.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1544,11 +1953,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = SentPrompt()
-                        _elem110.read(iprot)
-                        self.prompts.append(_elem110)
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = SentPrompt()
+                        _elem133.read(iprot)
+                        self.prompts.append(_elem133)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1565,8 +1974,8 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter111 in self.prompts:
-                iter111.write(oprot)
+            for iter134 in self.prompts:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1731,11 +2140,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = KeyedRecord()
-                        _elem117.read(iprot)
-                        self.upstreams.append(_elem117)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = KeyedRecord()
+                        _elem140.read(iprot)
+                        self.upstreams.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1747,11 +2156,11 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.ending_ms = {}
-                    (_ktype119, _vtype120, _size118) = iprot.readMapBegin()
-                    for _i122 in range(_size118):
-                        _key123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val124 = iprot.readI32()
-                        self.ending_ms[_key123] = _val124
+                    (_ktype142, _vtype143, _size141) = iprot.readMapBegin()
+                    for _i145 in range(_size141):
+                        _key146 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val147 = iprot.readI32()
+                        self.ending_ms[_key146] = _val147
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1777,8 +2186,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter125 in self.upstreams:
-                iter125.write(oprot)
+            for iter148 in self.upstreams:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_end is not None:
@@ -1788,9 +2197,9 @@
         if self.ending_ms is not None:
             oprot.writeFieldBegin('ending_ms', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.ending_ms))
-            for kiter126, viter127 in self.ending_ms.items():
-                oprot.writeString(kiter126.encode('utf-8') if sys.version_info[0] == 2 else kiter126)
-                oprot.writeI32(viter127)
+            for kiter149, viter150 in self.ending_ms.items():
+                oprot.writeString(kiter149.encode('utf-8') if sys.version_info[0] == 2 else kiter149)
+                oprot.writeI32(viter150)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.changes_from is not None:
@@ -1907,6 +2316,31 @@
     (2, TType.LIST, 'quarantined', (TType.STRUCT, [Suspect, None], False), None, ),  # 2
     (3, TType.I64, 'written_ms', None, None, ),  # 3
 )
+all_structs.append(WindowUsage)
+WindowUsage.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'window', None, None, ),  # 1
+    (2, TType.MAP, 'counts', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 2
+)
+all_structs.append(HostUsage)
+HostUsage.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'started_ms', None, None, ),  # 1
+    (2, TType.I64, 'closed_before', None, None, ),  # 2
+    (3, TType.LIST, 'windows', (TType.STRUCT, [WindowUsage, None], False), None, ),  # 3
+)
+all_structs.append(DutyHolder)
+DutyHolder.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'start', 'UTF8', None, ),  # 2
+)
+all_structs.append(SettledUsage)
+SettledUsage.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'next_window', None, None, ),  # 1
+    (2, TType.LIST, 'windows', (TType.STRUCT, [WindowUsage, None], False), None, ),  # 2
+)
 all_structs.append(Beat)
 Beat.thrift_spec = (
     None,  # 0
@@ -1926,6 +2360,10 @@
     (14, TType.STRUCT, 'digest', [Digest, None], None, ),  # 14
     (15, TType.I32, 'link_mbps', None, None, ),  # 15
     (16, TType.LIST, 'suspects', (TType.STRUCT, [Suspect, None], False), None, ),  # 16
+    (17, TType.I64, 'duty_token', None, None, ),  # 17
+    (18, TType.BOOL, 'holds_duties', None, None, ),  # 18
+    (19, TType.I64, 'usage_settled', None, None, ),  # 19
+    (20, TType.STRUCT, 'usage', [HostUsage, None], None, ),  # 20
 )
 all_structs.append(Prompts)
 Prompts.thrift_spec = (
--- a/src/rudderpass/gossip/_mesh.py
+++ b/src/rudderpass/gossip/_mesh.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -66,6 +67,7 @@
     stopping: bool = False
     warm: bool = False
     following: bool = False
+    holds_duties: bool = False
 
     def learn(
         self, told: Beat | Member, zone: AvailabilityZone | None, heard: float
@@ -111,6 +113,7 @@
             return False
         is_news = not self._is_live(peer, now)
         peer.heard_directly = now
+        peer.holds_duties = beat.duty is not None and beat.duty.holds
         peer.learn(beat, beat.zone, now)
         return is_news
 
@@ -222,6 +225,21 @@
         """Return the peers that hear the store by themselves, as their beats say."""
         return [name for name in self._peers if self._is_source(name, now)]
 
+    def gatherers(self, now: float) -> list[NodeId]:
+        """Return the peers that hold the duties or may take them over."""
+        return [
+            name
+            for name, peer in self._peers.items()
+            if self._is_source(name, now)
+            or (peer.holds_duties and self._is_live(peer, now))
+        ]
+
+    @property
+    def last_heard(self) -> float | None:
+        """When any peer spoke last to this host; None where none has."""
+        heard = max((p.heard_directly for p in self._peers.values()), default=-math.inf)
+        return None if heard == -math.inf else heard
+
     def ahead(
         self, config_offset: int, upstreams_end: int, follows: bool, now: float
     ) -> NodeId | None:
--- a/src/rudderpass/host/__init__.py
+++ b/src/rudderpass/host/__init__.py
@@ -1,4 +1,7 @@
 """One host that serves exchanges on a platform."""
 
 from rudderpass.host._host import ExchangeHost as ExchangeHost, Platform as Platform
-from rudderpass.host._settings import HostSettings as HostSettings
+from rudderpass.host._settings import (
+    DutySettings as DutySettings,
+    HostSettings as HostSettings,
+)
--- a/src/rudderpass/host/_command.py
+++ b/src/rudderpass/host/_command.py
@@ -17,14 +17,17 @@
 from rudderpass.directory import Decoders
 from rudderpass.errors import RudderpassError, SettingsError
 from rudderpass.eventlog import MAX_LINES_PER_SECOND, LogFile, log
+from rudderpass.host._duties import DutyAccess
 from rudderpass.host._host import ExchangeHost, Platform
 from rudderpass.host._settings import HostSettings
 from rudderpass.platform import (
     CONFIG_KEY,
     CONFIG_TOPIC,
+    DUTIES_TOPIC,
     HOSTS_TOPIC,
     SETTINGS_VARIABLE,
     UPSTREAMS_TOPIC,
+    CloudApi,
     KeyedStore,
     PlatformDialect,
     decode_config,
@@ -39,8 +42,13 @@
 
 def make_platform(settings: HostSettings) -> Platform:
     """Return the adapter's parts for a host."""
+    store = KeyedStore(settings.store)
+    duties = None
+    if settings.duties is not None:
+        cloud = CloudApi(settings.duties.platform)
+        duties = DutyAccess(store, DUTIES_TOPIC, cloud)
     return Platform(
-        store=KeyedStore(settings.store),
+        store=store,
         dialect=PlatformDialect(),
         decoders=Decoders(decode_config, decode_upstream),
         read_parts=read_kept_parts,
@@ -48,6 +56,7 @@
         config_topic=CONFIG_TOPIC,
         upstreams_topic=UPSTREAMS_TOPIC,
         hosts_topic=HOSTS_TOPIC,
+        duties=duties,
     )
 
 
--- /dev/null
+++ b/src/rudderpass/host/_duties.py
@@ -0,0 +1,374 @@
+"""A host's part in the duties, with its clock, log and calls to the platform."""
+
+from __future__ import annotations
+
+import threading
+import time
+import traceback
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Protocol
+
+from rudderpass import _clock
+from rudderpass._ids import FencingToken, NodeId, PoolId, TeamId
+from rudderpass.directory import KeyedPage, ScalingTraits
+from rudderpass.duties import (
+    Action,
+    CallResult,
+    DutyHolder,
+    DutyKeeper,
+    DutyLog,
+    DutyNews,
+    Holding,
+    HostUsage,
+    ReadLog,
+    ReportRule,
+    ScaledService,
+    ScaleOrders,
+    ScaleSubject,
+    SendOrder,
+    SendReport,
+    Surroundings,
+    UsageBook,
+    UsageCounter,
+    UsageReports,
+    WindowClock,
+    WindowUsage,
+    WriteClaim,
+    WriteUsage,
+)
+from rudderpass.errors import PeerError, PlatformError
+from rudderpass.eventlog import log
+from rudderpass.exchange import ExchangeCore, count_busy
+from rudderpass.gossip import (
+    Beat,
+    decode_duty_holder,
+    decode_settled_usage,
+    encode_duty_holder,
+    encode_settled_usage,
+)
+from rudderpass.host._settings import DutySettings
+
+HOLDER_KEY = "holder"
+USAGE_KEY = "usage"
+
+TELL_SECONDS = 1.0
+"""Between two datagrams with a host's counts; a killed host loses what it counted since
+the last one."""
+
+_MS = 1000
+
+
+class DutyStore(Protocol):
+    """The platform's store as the duties use it."""
+
+    def read_newest(self, topic: str) -> KeyedPage:
+        """Return the newest record of each key of a topic.
+
+        :raises PlatformError: when the store does not answer.
+        """
+
+    def append_at(self, topic: str, end: int, key: str, value: bytes) -> bool:
+        """Write a record if the topic still ends at ``end``; tell whether it was.
+
+        :raises PlatformError: when nobody knows.
+        """
+
+
+class DutyPlatform(Protocol):
+    """The calls to the platform that only the holder of the duties makes."""
+
+    def report_usage(
+        self, holder: str, token: FencingToken, usage: WindowUsage
+    ) -> CallResult:
+        """Report a window's usage."""
+
+    def order_upstreams(
+        self, holder: str, token: FencingToken, subject: ScaleSubject, count: int
+    ) -> CallResult:
+        """Order a number of upstreams."""
+
+
+@dataclass(frozen=True)
+class DutyAccess:
+    """What an adapter brings for the duties.
+
+    :param topic: of the log of the duties in the store.
+    """
+
+    store: DutyStore
+    topic: str
+    platform: DutyPlatform
+
+
+class HostDuties:
+    """Counts, listens, and makes the calls whenever this host holds the duties.
+
+    :param name: the host's name, as the platform knows it.
+    :param own: its address among its peers.
+    :param surroundings: returns what the host knows of itself and its peers; called
+        under the guard.
+    :param stopping: set when the host stops.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        settings: DutySettings,
+        access: DutyAccess,
+        name: str,
+        own: NodeId,
+        core: ExchangeCore,
+        guard: threading.RLock,
+        surroundings: Callable[[float], Surroundings],
+        stopping: threading.Event,
+    ) -> None:
+        now, wall = _clock.now(), time.time()
+        start = int(wall * _MS)
+        holder = DutyHolder(own, f"{start}-{time.monotonic_ns()}")
+        self._access = access
+        self._name = name
+        self._own = own
+        self._core = core
+        self._guard = guard
+        self._surroundings = surroundings
+        self._stopping = stopping
+        self._clock = WindowClock(settings.window, now, wall)
+        self._counter = UsageCounter(self._clock, start)
+        self._book = UsageBook()
+        self._reports_usage = settings.reports_usage
+        rule = ReportRule(settings.late)
+        reports = UsageReports(rule, self._clock, self._book, now)
+        self._orders = ScaleOrders() if settings.orders_upstreams else None
+        self._keeper = DutyKeeper(
+            holder,
+            Holding(holder, settings.holding, now),
+            reports if settings.reports_usage else None,
+            self._orders,
+        )
+        self._next_tell = now
+        self._wake = threading.Event()
+        self._thread: threading.Thread | None = None
+
+    @property
+    def news(self) -> DutyNews:
+        """What peers are told; to be read under the guard."""
+        return self._keeper.news
+
+    @property
+    def token(self) -> FencingToken | None:
+        """The token with which this host holds the duties; None if it does not."""
+        return self._keeper.token
+
+    @property
+    def holds(self) -> bool:
+        """Whether this host holds the duties."""
+        return self._keeper.token is not None
+
+    def note_begun(self, team: TeamId | None, moment: float) -> None:
+        """Count a request that began to run at a moment."""
+        if self._reports_usage:
+            with self._guard:
+                self._counter.note_begun(team, moment)
+
+    def take(self, beat: Beat, now: float) -> None:
+        """Take what a peer's beat tells; called under the guard."""
+        if beat.duty is not None:
+            self._keeper.hear(beat.duty, beat.stopping, now)
+            self._forget_before(beat.duty.settled_before)
+        if beat.usage is not None:
+            self._book.take(beat.sender, beat.usage)
+
+    def find_telling(self, now: float) -> HostUsage | None:
+        """Return the counts that are to be told now; called under the guard."""
+        if not self._reports_usage or now < self._next_tell:
+            return None
+        self._next_tell = now + TELL_SECONDS
+        usage = self._counter.describe(now)
+        self._book.take(self._own, usage)
+        return usage
+
+    def tick(self, now: float) -> None:
+        """Note the passing of time; have the calls made that are due."""
+        with self._guard:
+            self._clock.look(now, time.time())
+            around = self._surroundings(now)
+            held = self._keeper.token
+            self._keeper.look(around, now)
+            if self.holds:
+                self._forget_before(self._keeper.news.settled_before)
+                self._look_at_upstreams(now)
+            is_due = self._keeper.next_action(around, now) is not None
+        self._log_change(held)
+        if is_due:
+            self._start_thread()
+            self._wake.set()
+
+    def _forget_before(self, window: int) -> None:
+        self._counter.forget_before(window)
+        self._book.forget_before(window)
+
+    def _look_at_upstreams(self, now: float) -> None:
+        config = self._core.directory.config
+        if self._orders is None or config is None:
+            return
+        scaled = [
+            self._survey(s.name, s.scaling, now) for s in config.services if s.scaling
+        ]
+        self._orders.look(scaled, now)
+
+    def _survey(
+        self, service: PoolId, traits: ScalingTraits, now: float
+    ) -> ScaledService:
+        listed = self._core.directory.listed.values()
+        upstreams = [r.entry for r in listed if r.entry.service == service]
+        busy = count_busy(self._core.loads, service, upstreams, now)
+        return ScaledService(service, traits, upstreams, busy)
+
+    def _start_thread(self) -> None:
+        """Start the thread for the calls; most hosts never make any."""
+        if self._thread is None:
+            self._thread = threading.Thread(
+                target=self._run, name="duties", daemon=True
+            )
+            self._thread.start()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            self._wake.wait()
+            self._wake.clear()
+            try:
+                while self._step():
+                    pass
+            except Exception as error:
+                # Whatever it is must not end the duties of a host that serves.
+                log("fault", f"duties, {error}.", error=traceback.format_exc())
+
+    def _step(self) -> bool:
+        """Make one call; tell whether there was any to be made."""
+        now = _clock.now()
+        with self._guard:
+            held = self._keeper.token
+            action = self._keeper.next_action(self._surroundings(now), now)
+        if action is None or self._stopping.is_set():
+            return False
+        self._perform(action)
+        self._log_change(held)
+        return True
+
+    @singledispatchmethod
+    def _perform(self, action: Action) -> None:
+        raise TypeError(f"no call for {action}")
+
+    @_perform.register
+    def _(self, action: ReadLog) -> None:
+        try:
+            page = self._access.store.read_newest(self._access.topic)
+        except PlatformError as error:
+            self._note_log_failed(False, error)
+            return
+        with self._guard:
+            self._keeper.note_log(_read_log(page), _clock.now())
+
+    @_perform.register
+    def _(self, action: WriteClaim) -> None:
+        if self._append(action.end, HOLDER_KEY, encode_duty_holder(action.holder)):
+            with self._guard:
+                self._keeper.note_claimed(action, _clock.now())
+
+    @_perform.register
+    def _(self, action: WriteUsage) -> None:
+        if self._append(action.end, USAGE_KEY, encode_settled_usage(action.usage)):
+            with self._guard:
+                self._keeper.note_usage_written(action)
+
+    @_perform.register
+    def _(self, action: SendReport) -> None:
+        result = self._access.platform.report_usage(
+            self._name, action.token, action.usage
+        )
+        usage = action.usage
+        age = _clock.now() - self._clock.begin_of(usage.window + 1)
+        log(
+            "duty",
+            f"usage of window {usage.window}: {result.value}.",
+            window=usage.window,
+            requests=sum(usage.counts.values()),
+            teams=len(usage.counts),
+            token=action.token,
+            result=result.name.lower(),
+            age=round(age, 3),
+        )
+        with self._guard:
+            self._keeper.note_report(action, result, _clock.now())
+
+    @_perform.register
+    def _(self, action: SendOrder) -> None:
+        subject = action.subject
+        result = self._access.platform.order_upstreams(
+            self._name, action.token, subject, action.count
+        )
+        kind = "spot" if subject.is_spot else "usual"
+        log(
+            "duty",
+            f"{action.count} {kind} upstreams of {subject.service}"
+            f" in {subject.zone}: {result.value}.",
+            service=subject.service,
+            zone=subject.zone,
+            spot=subject.is_spot,
+            count=action.count,
+            token=action.token,
+            result=result.name.lower(),
+        )
+        with self._guard:
+            self._keeper.note_order(action, result, _clock.now())
+
+    def _append(self, end: int, key: str, value: bytes) -> bool:
+        try:
+            is_written = self._access.store.append_at(
+                self._access.topic, end, key, value
+            )
+        except PlatformError as error:
+            self._note_log_failed(False, error)
+            return False
+        if not is_written:
+            self._note_log_failed(True, None)
+        return is_written
+
+    def _note_log_failed(self, is_passed: bool, error: PlatformError | None) -> None:
+        reason = "others have written" if error is None else error.show()
+        log("duty", "the log of the duties failed.", error=reason)
+        with self._guard:
+            self._keeper.note_log_failed(is_passed, _clock.now())
+
+    def _log_change(self, held: FencingToken | None) -> None:
+        token = self._keeper.token
+        if token == held:
+            return
+        word = "lost" if token is None else f"held with token {token}"
+        log("duty", f"the duties are {word}.", token=token, before=held)
+
+
+def _read_log(page: KeyedPage) -> DutyLog:
+    """Return what the records of the log of the duties say."""
+    records: Mapping[str, tuple[int, bytes]] = {
+        record.key: (record.offset, record.value)
+        for record in page.records
+        if record.value is not None
+    }
+    claim = records.get(HOLDER_KEY)
+    settled = records.get(USAGE_KEY)
+    try:
+        return DutyLog(
+            page.end,
+            None if claim is None else decode_duty_holder(claim[1]),
+            FencingToken(0 if claim is None else claim[0] + 1),
+            None if settled is None else decode_settled_usage(settled[1]),
+        )
+    except PeerError as error:
+        # Nothing is known of such a record, so it is nobody's claim.
+        log("duty", f"a record cannot be read, {error.show()}.")
+        token = FencingToken(0 if claim is None else claim[0] + 1)
+        return DutyLog(page.end, None, token)
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from rudderpass import _clock
-from rudderpass._ids import NodeId
+from rudderpass._ids import NodeId, TeamId
 from rudderpass.directory import (
     Decoders,
     Directory,
@@ -27,6 +27,7 @@
     UpstreamConnections,
 )
 from rudderpass.host._admin import make_metrics_server, make_ready_server
+from rudderpass.host._duties import DutyAccess, HostDuties
 from rudderpass.host._metrics import HostGauges, HostMetrics
 from rudderpass.host._peers import PeerTalk
 from rudderpass.host._quarantine import QuarantineControl
@@ -58,6 +59,7 @@
     config_topic: str
     upstreams_topic: str
     hosts_topic: str
+    duties: DutyAccess | None = None
 
 
 class ExchangeHost:
@@ -103,6 +105,8 @@
             self._note_learned,
             lambda now: self._waking.note_peer_news(now),
         )
+        self._stopping = threading.Event()
+        self._duties = self._make_duties()
         self._connections = UpstreamConnections()
         self._metrics = HostMetrics(self._read_gauges, lambda: self._directory.unusable)
         self._informed = threading.Event()
@@ -117,13 +121,13 @@
             self._settled,
             self._peers.tell_soon,
             lambda: self._waking.look(),
+            self._note_begun,
         )
         self._app = ExchangeApp(parts)
         self._front = HttpServer(
             self._app, settings.front, FRONT_LIMITS, listener=listener
         )
         self._ready = make_ready_server(settings.ready, self._is_ready)
-        self._stopping = threading.Event()
         registry = HostRegistry(
             platform.store, platform.hosts_topic, self._peers.address, settings.zone
         )
@@ -211,7 +215,7 @@
     def start(self) -> None:
         """Start all parts."""
         self._follower.start()
-        self._peers.start(self._follower)
+        self._peers.start(self._follower, self._duties)
         self._ready.start()
         self._metrics_server.start()
         self._front.start()
@@ -282,8 +286,30 @@
             self._connections.forget(entry.address)
             log("upstream", f"{entry.upstream} is gone.", upstream=entry.upstream)
         self._connections.close_expired(now)
+        if self._duties is not None:
+            self._duties.tick(now)
         self._peers.do_due(now)
 
+    def _make_duties(self) -> HostDuties | None:
+        """Return this host's part in the duties, where the platform has any."""
+        settings, access = self._settings, self._platform.duties
+        if settings.duties is None or access is None:
+            return None
+        return HostDuties(
+            settings.duties,
+            access,
+            settings.name,
+            self._peers.address,
+            self._core,
+            self._guard,
+            self._peers.survey,
+            self._stopping,
+        )
+
+    def _note_begun(self, team: TeamId | None, moment: float) -> None:
+        if self._duties is not None:
+            self._duties.note_begun(team, moment)
+
     def _take_registered(self, registered: Registered | None) -> None:
         """Take what the hosts keep in the store; None where it does not answer."""
         if registered is None:
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -9,10 +9,12 @@
 from rudderpass import _clock
 from rudderpass._ids import AvailabilityZone, NodeId
 from rudderpass.directory import CURRENT_SECONDS, DirectoryState, Learned, StoreFollower
+from rudderpass.duties import Surroundings
 from rudderpass.errors import PeerError
 from rudderpass.eventlog import log
 from rudderpass.exchange import ExchangeCore, SentPrompt
 from rudderpass.gossip import RELAY_FROM, Beat, FollowRule, GossipTransport, Mesh
+from rudderpass.host._duties import HostDuties
 from rudderpass.host._telling import Telling
 
 BEAT_SECONDS = 0.5
@@ -59,6 +61,7 @@
         on_learned: Callable[[list[Learned]], None],
         on_confirmed: Callable[[float], None],
     ) -> None:
+        self._duties: HostDuties | None = None
         self._core = core
         self._directory = core.directory
         self._guard = guard
@@ -90,6 +93,7 @@
             core,
             self._mesh,
             lambda now: self._follower is not None and self._follower.is_current(now),
+            lambda: None if self._duties is None else self._duties.news,
         )
 
     @property
@@ -112,12 +116,14 @@
         """The sockets towards peers."""
         return self._transport
 
-    def start(self, follower: StoreFollower) -> None:
+    def start(self, follower: StoreFollower, duties: HostDuties | None) -> None:
         """Begin to hear peers.
 
         :param follower: follows the store when too few of the others do.
+        :param duties: this host's part in the duties, where there are any.
         """
         self._follower = follower
+        self._duties = duties
         self._transport.start()
         self._greet_silent(_clock.now())
 
@@ -153,8 +159,19 @@
         self._next_beat = min(self._next_beat, _clock.now() + GATHERING_SECONDS)
         self._wake.set()
 
+    def survey(self, now: float) -> Surroundings:
+        """Return what the duties' holder must know; to be called under the guard."""
+        is_current = self._follower is not None and self._follower.is_current(now)
+        is_candidate = is_current and not self._core.is_stopping
+        return Surroundings(
+            (self.address, *self._mesh.live(now)),
+            self._mesh.last_heard,
+            self._rule.count_sources_before(now) if is_candidate else None,
+        )
+
     def do_due(self, now: float) -> None:
         """Tell peers, choose whether to follow the store, and fetch what is missed."""
+        self._tell_usage(now)
         if now >= self._next_beat:
             # A little early, since waits end late.
             pause = RELAYED_BEAT_SECONDS if self._is_relayed else BEAT_SECONDS
@@ -195,6 +212,18 @@
             targets = self._mesh.known
         self._send_beat(beat, targets)
 
+    def _tell_usage(self, now: float) -> None:
+        """Tell those who may report this host's usage what it has counted."""
+        if self._duties is None:
+            return
+        with self._guard:
+            usage = self._duties.find_telling(now)
+            if usage is None:
+                return
+            beat = self._telling.tell_usage(usage, now)
+            targets = self._mesh.gatherers(now)
+        self._send_beat(beat, targets)
+
     @property
     def _is_following(self) -> bool:
         return self._follower is not None and self._follower.is_active
@@ -210,7 +239,8 @@
     def _choose_followers(self, now: float) -> None:
         """Follow the store, or rest while enough other hosts do."""
         with self._guard:
-            follows = self._rule.should_follow(now)
+            holds_duties = self._duties is not None and self._duties.holds
+            follows = self._rule.should_follow(now) or holds_duties
             self._is_large = self._rule.is_large(now)
             self._is_relayed = self._rule.count_hosts(now) >= RELAY_FROM
         if self._follower is None:
@@ -258,6 +288,8 @@
         now = _clock.now()
         with self._guard:
             is_news = self._telling.take(beat, now)
+            if self._duties is not None:
+                self._duties.take(beat, now)
             greeting = self._telling.greet(now, self._is_relayed) if is_news else None
             if beat.following:
                 heard = now - CURRENT_SECONDS
--- a/src/rudderpass/host/_settings.py
+++ b/src/rudderpass/host/_settings.py
@@ -5,9 +5,30 @@
 from dataclasses import dataclass
 
 from rudderpass._ids import AvailabilityZone
+from rudderpass.duties import HoldingRule
 from rudderpass.exchange import BudgetRule
 
 
+@dataclass(frozen=True)
+class DutySettings:
+    """The duties that one host at a time has. Times are seconds.
+
+    :param platform: ``ip:port`` of the platform's API that takes the calls.
+    :param reports_usage: whether usage is reported.
+    :param orders_upstreams: whether upstreams are ordered.
+    :param holding: how the duties change hands.
+    :param window: length of a usage report's window.
+    :param late: after the end of a window until its report is due.
+    """
+
+    platform: str
+    reports_usage: bool
+    orders_upstreams: bool
+    holding: HoldingRule
+    window: float = 5.0
+    late: float = 10.0
+
+
 @dataclass(frozen=True)
 class HostSettings:
     """All that a host is told. Times are seconds.
@@ -25,6 +46,7 @@
     :param stop_grace: after a request to stop the process is killed this much later.
     :param drain_bound: for which an upstream that is leaving may get new work.
     :param reread_window: within which reading a part of a prompt again has a price.
+    :param duties: None where there are none.
     """
 
     name: str
@@ -41,3 +63,4 @@
     drain_bound: float
     reread_window: float
     retries: BudgetRule
+    duties: DutySettings | None = None
--- a/src/rudderpass/host/_telling.py
+++ b/src/rudderpass/host/_telling.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from rudderpass._ids import AvailabilityZone, NodeId
+from rudderpass.duties import DutyNews, HostUsage
 from rudderpass.exchange import ExchangeCore, SentPrompt, ToldWork
 from rudderpass.gossip import (
     NAMING_BEATS,
@@ -47,6 +48,7 @@
     :param zone: the host's availability zone.
     :param link_mbps: what its link carries, Mbit/s.
     :param is_current: tells whether the host hears the platform's store by itself.
+    :param read_duty: returns what is told of the duties; None where there are none.
 
     Not thread-safe: the host's lock guards it.
 
@@ -61,6 +63,7 @@
         core: ExchangeCore,
         mesh: Mesh,
         is_current: Callable[[float], bool],
+        read_duty: Callable[[], DutyNews | None] = lambda: None,
     ) -> None:
         self._own = own
         self._zone = zone
@@ -68,6 +71,7 @@
         self._core = core
         self._mesh = mesh
         self._is_current = is_current
+        self._read_duty = read_duty
         self._relaying = Relaying(own, zone, link_mbps, mesh)
         self._rng = random.Random(own)
         self._numbers: dict[NodeId, int] = {}
@@ -86,6 +90,10 @@
             suspects=self._core.quarantine.describe_quarantined(now),
         )
 
+    def tell_usage(self, usage: HostUsage, now: float) -> Beat:
+        """Return a beat for hosts that gather the counts for the usage reports."""
+        return self._make_beat(now, has_work=False, usage=usage)
+
     def compose(
         self, now: float, is_relayed: bool, has_store_news: bool = False
     ) -> list[Message]:
@@ -163,7 +171,7 @@
         targets = self._mesh.draw_silent(now)
         if self._number % PRESENCE_BEATS and not has_store_news:
             return targets
-        if has_store_news or self._is_current(now):
+        if has_store_news or self._is_current(now) or self._holds_duties:
             hosts = self._mesh.live(now)
         elif self._relaying.is_relay:
             hosts = [
@@ -175,6 +183,12 @@
             hosts = []
         return targets + [host for host in hosts if host not in relays]
 
+    @property
+    def _holds_duties(self) -> bool:
+        """Whether this host holds the duties: others replace one they do not hear."""
+        duty = self._read_duty()
+        return duty is not None and duty.holds
+
     def _compose_digests(
         self, relays: list[NodeId], suspects: tuple[SuspectNews, ...], now: float
     ) -> list[Message]:
@@ -261,6 +275,7 @@
         digest: Digest | None = None,
         has_work: bool = True,
         suspects: tuple[SuspectNews, ...] = (),
+        usage: HostUsage | None = None,
     ) -> Beat:
         tells_work = has_work and digest is None
         directory = self._core.directory
@@ -282,4 +297,6 @@
             digest,
             self._link_mbps,
             suspects,
+            self._read_duty(),
+            usage,
         )
--- a/src/rudderpass/platform/__init__.py
+++ b/src/rudderpass/platform/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from rudderpass.platform._caches import read_kept_parts as read_kept_parts
+from rudderpass.platform._cloud import CloudApi as CloudApi
 from rudderpass.platform._dialect import PlatformDialect as PlatformDialect
 from rudderpass.platform._records import (
     decode_config as decode_config,
@@ -16,6 +17,7 @@
 from rudderpass.platform._store import (
     CONFIG_KEY as CONFIG_KEY,
     CONFIG_TOPIC as CONFIG_TOPIC,
+    DUTIES_TOPIC as DUTIES_TOPIC,
     HOSTS_TOPIC as HOSTS_TOPIC,
     UPSTREAMS_TOPIC as UPSTREAMS_TOPIC,
     KeyedStore as KeyedStore,
--- a/src/rudderpass/platform/_records.py
+++ b/src/rudderpass/platform/_records.py
@@ -13,6 +13,7 @@
     ExchangeTeam,
     RegisteredUpstream,
     RouteKind,
+    ScalingTraits,
     ServiceShare,
     ServiceSpec,
     identify_start,
@@ -22,6 +23,7 @@
     Engine,
     Limits,
     Route,
+    Scaling,
     Schema,
     Service,
     Team,
@@ -75,6 +77,7 @@
         zone=AvailabilityZone(entry.zone),
         slots=entry.slots,
         leaving=entry.state == _LEAVING,
+        is_spot=entry.spot is True,
     )
 
 
@@ -108,7 +111,18 @@
 
 def _make_service(item: Service) -> ServiceSpec:
     traits = None if item.engine is None else _make_engine(item.engine)
-    return ServiceSpec(PoolId(item.name), int(item.max_connections), traits)
+    scaling = None if item.scaling is None else _make_scaling(item.scaling)
+    return ServiceSpec(PoolId(item.name), int(item.max_connections), traits, scaling)
+
+
+def _make_scaling(item: Scaling) -> ScalingTraits:
+    return ScalingTraits(
+        item.min,
+        item.max,
+        item.boot_s,
+        {AvailabilityZone(zone): price for zone, price in item.zone_prices.items()},
+        item.spot_price,
+    )
 
 
 def _make_engine(item: Engine) -> EngineTraits:
--- a/src/rudderpass/platform/_schemas.py
+++ b/src/rudderpass/platform/_schemas.py
@@ -46,6 +46,7 @@
     :ivar sequence: counts its own changes of the entry, from its start on.
     :ivar cold_remaining: milliseconds for which it stays slow after its start.
     :ivar born: Unix milliseconds of its start; not all deployments tell it.
+    :ivar spot: whether it is of the cheap ones that may be taken away.
     """
 
     service: _Text
@@ -57,6 +58,7 @@
     sequence: _Count
     cold_remaining: _Number = field(name="coldRemainingMs")
     born: _Count | UnsetType = UNSET
+    spot: bool | UnsetType = UNSET
     stage: str | UnsetType = UNSET
     models: list[object] | UnsetType = UNSET
 
@@ -118,12 +120,31 @@
     moves: bool | None = None
 
 
+class Scaling(Struct, frozen=True, rename="camel"):
+    """What is declared of a service whose upstreams can be ordered.
+
+    :ivar min: upstreams in each zone; ``max`` is the same.
+    :ivar boot_s: seconds until a new one serves.
+    """
+
+    min: _Count
+    max: _Count
+    boot_s: _Number
+    zone_prices: dict[str, _Number]
+    spot_price: _Number | None = None
+
+    def __post_init__(self) -> None:
+        if self.min > self.max:
+            raise ValueError(f"scaling: min {self.min} is above max {self.max}")
+
+
 class Service(Struct, frozen=True, rename="camel"):
     """A service; one without an engine is a plain one."""
 
     name: _Text
     max_connections: _Number
     engine: Engine | None = None
+    scaling: Scaling | None = None
 
 
 class Team(Struct, frozen=True, rename="camel"):
--- a/src/rudderpass/platform/_settings_file.py
+++ b/src/rudderpass/platform/_settings_file.py
@@ -7,9 +7,10 @@
 from typing import Any
 
 from rudderpass._ids import AvailabilityZone
+from rudderpass.duties import HoldingRule
 from rudderpass.errors import SettingsError
 from rudderpass.exchange import BudgetRule
-from rudderpass.host import HostSettings
+from rudderpass.host import DutySettings, HostSettings
 
 SETTINGS_VARIABLE = "RUDDERPASS_SETTINGS"
 """Names the environment variable that holds the file's path."""
@@ -18,6 +19,8 @@
 """The port that ``deploy/system.toml`` names for metrics."""
 
 _PEER_PORT_INDEX = 0
+_USAGE_DUTY = "usage_report"
+_SCALE_DUTY = "autoscale"
 _MS = 1000.0
 
 
@@ -100,6 +103,33 @@
     return int(limits.number("linkMbps")) if limits.has("linkMbps") else 0
 
 
+def _read_duties(table: _Table, bounds: _Table) -> DutySettings | None:
+    """Return the duties that the file names; None where it names none."""
+    if not table.has("cloud"):
+        return None
+    cloud = table.table("cloud")
+    if not cloud.has("duties"):
+        return None
+    duties = cloud.texts("duties")
+    reports_usage = _USAGE_DUTY in duties
+    orders_upstreams = _SCALE_DUTY in duties
+    if not (reports_usage or orders_upstreams):
+        return None
+    usual = DutySettings("", False, False, HoldingRule(0.0, 0.0, False))
+    return DutySettings(
+        platform=cloud.text("address"),
+        reports_usage=reports_usage,
+        orders_upstreams=orders_upstreams,
+        holding=HoldingRule(
+            lease=bounds.number("leaseMs") / _MS,
+            thaw_slack=bounds.number("thawSlackMs") / _MS,
+            is_fenced=bounds.flag("fencingRequired"),
+        ),
+        window=bounds.number("reportWindowS") if reports_usage else usual.window,
+        late=bounds.number("usageLateS") if reports_usage else usual.late,
+    )
+
+
 def _read_table(table: _Table) -> HostSettings:
     listen = table.table("listen")
     bounds = table.table("bounds")
@@ -126,4 +156,5 @@
             slack=bounds.number("retrySlack"),
             window=bounds.number("retryWindowS"),
         ),
+        duties=_read_duties(table, bounds),
     )
--- a/src/rudderpass/platform/_store.py
+++ b/src/rudderpass/platform/_store.py
@@ -22,6 +22,9 @@
 HOSTS_TOPIC = "keyed.rudderpass-hosts"
 """A topic of our own: the addresses at which hosts reach one another."""
 
+DUTIES_TOPIC = "keyed.rudderpass-duties"
+"""A topic of our own: who holds the duties, and which usage is settled."""
+
 CONNECT_SECONDS = 0.8
 """The store answers in 4 ms; a host cut from it should find out soon."""
 
@@ -88,12 +91,25 @@
 
     def append(self, topic: str, key: str, value: bytes) -> None:
         """Write the newest record of a key; harmless when done twice."""
-        name = key.encode()
-        record = bytes([len(name)]) + name + value
-        body = _LENGTH.pack(len(record)) + record
         query = {"topic": topic, "part": "0"}
+        body = _frame_record(key, value)
         self._call("POST", "/-/log-append", query, CALL_SECONDS, body)
 
+    def append_at(self, topic: str, end: int, key: str, value: bytes) -> bool:
+        """Write the newest record of a key if the topic still ends at ``end``.
+
+        Tell whether it was written; if so, it stands at ``end``.
+
+        :raises PlatformError: when it may or may not have been written, or may be yet.
+        """
+        query = {"topic": topic, "part": "0", "currentRev": str(end)}
+        body = _frame_record(key, value)
+        try:
+            self._call("POST", "/-/log-append", query, CALL_SECONDS, body)
+        except TopicMoved:
+            return False
+        return True
+
     def _parse_newest(self, body: bytes) -> _NewestPage:
         try:
             value = json.loads(body)
@@ -129,6 +145,8 @@
             raise PlatformError(text, step=path, peer=self._address) from error
         if response.status == HTTPStatus.GONE:
             raise HistoryLost("records are gone", step=path, peer=self._address)
+        if response.status == HTTPStatus.PRECONDITION_FAILED:
+            raise TopicMoved("the topic has moved on", step=path, peer=self._address)
         if response.status != HTTPStatus.OK:
             self._disconnect()
             raise self._failed(f"status {response.status}", path)
@@ -154,6 +172,17 @@
         return PlatformError(f"store: {text}", step=step, peer=self._address)
 
 
+class TopicMoved(PlatformError):
+    """A topic does not end where a write expected it to; nothing was written."""
+
+
+def _frame_record(key: str, value: bytes) -> bytes:
+    """Return a keyed record as an append takes it."""
+    name = key.encode()
+    record = bytes([len(name)]) + name + value
+    return _LENGTH.pack(len(record)) + record
+
+
 @dataclass(frozen=True)
 class _NewestPage:
     records: tuple[KeyedRecord, ...]
--- a/tests/gossip/test_codec.py
+++ b/tests/gossip/test_codec.py
@@ -2,11 +2,30 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
-from rudderpass._ids import AvailabilityZone, NodeId, PoolId, UpstreamId
+from rudderpass._ids import (
+    AvailabilityZone,
+    FencingToken,
+    NodeId,
+    PoolId,
+    TeamId,
+    UpstreamId,
+)
+from rudderpass.duties import DutyHolder, DutyNews, HostUsage, SettledUsage, WindowUsage
+from rudderpass.errors import PeerError
 from rudderpass.exchange import Load, Reading
-from rudderpass.gossip import Beat, Digest, Member
+from rudderpass.gossip import (
+    Beat,
+    Digest,
+    Member,
+    decode_duty_holder,
+    decode_settled_usage,
+    encode_duty_holder,
+    encode_settled_usage,
+)
 from rudderpass.gossip._codec import decode_beat, encode_beat
 from rudderpass.learning import StreamSample
 
@@ -71,3 +90,40 @@
     idle = Beat(SENDER, 3, 9, False, {}, (), ())
     assert decode_beat(encode_beat(silent), SENDER).loads is None
     assert decode_beat(encode_beat(idle), SENDER).loads == {}
+
+
+USAGE = HostUsage(
+    1_790_000_000_123,
+    355_975_690,
+    (
+        WindowUsage(355_975_690, {TeamId("crew"): 12, TeamId("desk"): 1}),
+        WindowUsage(355_975_691, {}),
+    ),
+)
+
+
+def test_a_beat_brings_the_duties_and_the_counts() -> None:
+    duty = DutyNews(FencingToken(7), True, 355_975_689)
+    sent = replace(beat(Load(1, 0, 0.0)), duty=duty, usage=USAGE)
+    assert decode_beat(encode_beat(sent), SENDER) == sent
+    silent = replace(sent, duty=DutyNews(FencingToken(0)), usage=None)
+    assert decode_beat(encode_beat(silent), SENDER) == silent
+
+
+def test_a_beat_without_duties_has_no_bytes_for_them() -> None:
+    assert decode_beat(encode_beat(beat(Load(1, 0, 0.0))), SENDER).duty is None
+
+
+def test_records_of_the_duties_come_back_as_they_were() -> None:
+    holder = DutyHolder(SENDER, "1790000000123-77")
+    assert decode_duty_holder(encode_duty_holder(holder)) == holder
+    settled = SettledUsage(355_975_692, USAGE.windows)
+    assert decode_settled_usage(encode_settled_usage(settled)) == settled
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00", b"\xff" * 30])
+def test_records_of_the_duties_that_are_none_are_told(data: bytes) -> None:
+    with pytest.raises(PeerError):
+        decode_duty_holder(data)
+    with pytest.raises(PeerError):
+        decode_settled_usage(data)
--- a/tests/host/test_host.py
+++ b/tests/host/test_host.py
@@ -16,7 +16,7 @@
 from rudderpass._ids import AvailabilityZone, NodeId
 from rudderpass.exchange import BudgetRule
 from rudderpass.gossip import FollowRule, Mesh
-from rudderpass.host import ExchangeHost, HostSettings
+from rudderpass.host import DutySettings, ExchangeHost, HostSettings
 from rudderpass.host._command import make_platform
 from rudderpass.platform import CONFIG_TOPIC, HOSTS_TOPIC, UPSTREAMS_TOPIC
 from tests.exchange.world import Asked, Upstream, answer
@@ -93,6 +93,7 @@
         store: str = "",
         peer: str = "127.0.0.1:0",
         is_first_start: bool = False,
+        duties: DutySettings | None = None,
     ) -> ExchangeHost:
         settings = HostSettings(
             name=f"host-{len(self.hosts)}",
@@ -109,6 +110,7 @@
             drain_bound=2.0,
             reread_window=10.0,
             retries=BudgetRule(0.2, 40, 10.0),
+            duties=duties,
         )
         host = ExchangeHost(settings, make_platform(settings), lambda: 0)
         host.start()
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -49,6 +49,15 @@
             self._changed.notify_all()
             return len(records) - 1
 
+    def _append(self, topic: str, expected: str | None, key: str, value: bytes) -> bool:
+        """Append unless the topic ends elsewhere than the call expects."""
+        with self._changed:
+            end = len(self._topics.setdefault(topic, _Topic()).records)
+            if expected is not None and int(expected) != end:
+                return False
+            self.put(topic, key, value)
+            return True
+
     def newest(self, topic: str) -> dict[str, bytes]:
         with self._changed:
             return dict(self._topics.setdefault(topic, _Topic()).records)
@@ -83,7 +92,9 @@
         if path == "/-/log-append":
             key_length = body[4]
             key = body[5 : 5 + key_length].decode()
-            self.put(query["topic"], key, body[5 + key_length :])
+            value = body[5 + key_length :]
+            if not self._append(query["topic"], query.get("currentRev"), key, value):
+                return 412, b"{}"
             return 200, b"{}"
         return self._read(topic, int(query["from"]), int(query["waitMs"]))
 
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -85,3 +85,57 @@
 def test_a_start_counts_as_a_later_one_unless_said_otherwise(tmp_path: Path) -> None:
     text = GOOD.replace("bootstrap = true\n", "")
     assert not read_settings_file(write(tmp_path, text)).is_first_start
+
+
+DUTIES = """
+[cloud]
+address = "10.200.0.113:8424"
+duties = ["usage_report", "autoscale", "somethingNew"]
+"""
+DUTY_BOUNDS = """
+fencingRequired = true
+leaseMs = 3000
+thawSlackMs = 300
+reportWindowS = 5
+usageLateS = 10
+"""
+
+
+def with_duties(text: str = DUTIES) -> str:
+    return GOOD.replace("[platform]", DUTY_BOUNDS + "[platform]") + text
+
+
+def test_a_platform_without_duties_gives_none(tmp_path: Path) -> None:
+    assert read_settings_file(write(tmp_path, GOOD)).duties is None
+    other = with_duties('[cloud]\naddress = "10.0.0.1:1"\nduties = ["other"]\n')
+    assert read_settings_file(write(tmp_path, other)).duties is None
+
+
+def test_the_duties_are_read(tmp_path: Path) -> None:
+    duties = read_settings_file(write(tmp_path, with_duties())).duties
+    assert duties is not None
+    assert duties.platform == "10.200.0.113:8424"
+    assert duties.reports_usage and duties.orders_upstreams
+    assert duties.holding.is_fenced
+    assert (duties.holding.lease, duties.holding.thaw_slack) == (3.0, 0.3)
+    assert (duties.window, duties.late) == (5.0, 10.0)
+
+
+def test_only_the_duties_that_are_named_are_done(tmp_path: Path) -> None:
+    text = with_duties(DUTIES.replace('"usage_report", ', ""))
+    text = text.replace("reportWindowS = 5\nusageLateS = 10\n", "")
+    duties = read_settings_file(write(tmp_path, text)).duties
+    assert duties is not None
+    assert duties.orders_upstreams and not duties.reports_usage
+
+
+@pytest.mark.parametrize(
+    ("old", "field"),
+    [("leaseMs = 3000", "leaseMs"), ("reportWindowS = 5", "reportWindowS")],
+)
+def test_a_bound_that_a_duty_needs_is_named(
+    tmp_path: Path, old: str, field: str
+) -> None:
+    path = write(tmp_path, with_duties().replace(old, ""))
+    with pytest.raises(SettingsError, match=field):
+        read_settings_file(path)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -84,3 +84,21 @@
     with pytest.raises(PlatformError) as caught:
         client.read_newest(TOPIC)
     assert not isinstance(caught.value, ConnectionLost), "a new one failed"
+
+
+def test_a_write_goes_in_only_where_the_topic_ends_as_expected(
+    stand_in: StandInStore,
+) -> None:
+    client = KeyedStore(stand_in.address)
+    assert client.append_at(TOPIC, 0, "a", b"1")
+    assert not client.append_at(TOPIC, 0, "a", b"2"), "somebody else wrote meanwhile"
+    assert client.append_at(TOPIC, 1, "b", b"3")
+    page = client.read_newest(TOPIC)
+    assert page.records == (KeyedRecord(0, "a", b"1"), KeyedRecord(1, "b", b"3"))
+    assert page.end == 2
+
+
+def test_a_write_that_is_not_answered_is_an_error(stand_in: StandInStore) -> None:
+    stand_in.status = 503
+    with pytest.raises(PlatformError):
+        KeyedStore(stand_in.address).append_at(TOPIC, 0, "a", b"1")
