Report no window whose counts died with all hosts

Cause: a window counted as known as soon as anybody had counted in it. Now a holder that did not listen from the window's begin on takes it as known only if some host that counted in it is older than the window. A missing report costs the same and misleads nobody. Test: all killed, most killed.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -99,7 +99,7 @@
 
 /* What one start of a host has counted for the usage reports, the newest windows. */
 struct HostUsage {
-  1: i64 started_ms /* tells the starts of a host apart */
+  1: i64 started_ms /* Unix time of the start of the host */
   2: i64 closed_before /* the windows before this one are complete */
   3: list<WindowUsage> windows
 }
--- a/src/rudderpass/duties/_messages.py
+++ b/src/rudderpass/duties/_messages.py
@@ -33,7 +33,7 @@
 class HostUsage:
     """What one start of a host has counted.
 
-    :param start: tells the starts of a host apart.
+    :param start: when the host started, Unix milliseconds.
     :param closed_before: the windows before this one are complete.
     """
 
--- a/src/rudderpass/duties/_reports.py
+++ b/src/rudderpass/duties/_reports.py
@@ -73,6 +73,8 @@
         """Go on from what the log holds."""
         self._unsent = {}
         if settled is None:
+            # Nothing was ever reported, so no host counted before these did.
+            self._listening_since = float("-inf")
             current = self._clock.window_at(now)
             self._next_window = min(self._book.windows, default=current)
             return
@@ -130,10 +132,14 @@
     def _is_known(self, window: int) -> bool:
         """Tell whether the counts of a window are more than a part.
 
-        All hosts may have been killed: nothing is said then of what went before.
+        Guards against telling, where all hosts were killed, what only the time after
+        it had.
         """
-        is_heard = window in self._book.windows
-        return is_heard or self._clock.begin_of(window) >= self._listening_since
+        begin = self._clock.begin_of(window)
+        if begin >= self._listening_since:
+            return True
+        first_start = self._book.first_start(window)
+        return first_start is not None and first_start <= self._clock.wall_at(begin)
 
     def _is_given_up(self, window: int, now: float) -> bool:
         return now - self._clock.begin_of(window + 1) > GIVE_UP_SECONDS
--- a/src/rudderpass/duties/_usage.py
+++ b/src/rudderpass/duties/_usage.py
@@ -18,6 +18,8 @@
 """After the end of a window until a host's counts for it are complete: a request that
 is no stream counts from its sending, and is known to have run when it is answered."""
 
+_MS = 1000.0
+
 MAX_WINDOWS = 12
 """Windows kept, a minute's; none is settled while no host holds the duties."""
 
@@ -25,7 +27,7 @@
 class UsageCounter:
     """Counts one host's requests.
 
-    :param start: tells the starts of the host apart.
+    :param start: when the host started, Unix milliseconds.
 
     Not thread-safe: the host's lock guards it.
     """
@@ -98,6 +100,14 @@
             total.update(counts)
         return {team: count for team, count in sorted(total.items()) if count}
 
+    def first_start(self, window: int) -> float | None:
+        """Return when the oldest host that counted in a window started, Unix seconds.
+
+        None where none did.
+        """
+        starts = [start for _, start in self._counts.get(window, {})]
+        return min(starts) / _MS if starts else None
+
     def is_closed(self, window: int, hosts: Collection[NodeId]) -> bool:
         """Tell whether hosts have told all that they counted in a window."""
         return all(self._closed.get(host, 0) > window for host in hosts)
--- a/src/rudderpass/duties/_windows.py
+++ b/src/rudderpass/duties/_windows.py
@@ -44,6 +44,10 @@
         """Return the window in which a moment lies."""
         return int((moment + self._offset) // self._length)
 
+    def wall_at(self, moment: float) -> float:
+        """Return the true time of a moment, Unix seconds."""
+        return moment + self._offset
+
     def begin_of(self, window: int) -> float:
         """Return the moment at which a window begins; the one before it ends then."""
         return window * self._length - self._offset
--- a/tests/duties/test_keeper.py
+++ b/tests/duties/test_keeper.py
@@ -141,6 +141,30 @@
     assert sum(told.values()) == sum(world.begun.values())
 
 
+def test_a_window_that_all_were_killed_in_is_not_told_in_part() -> None:
+    world = DutyWorld(5)
+    world.run(6.0, lambda: begin_everywhere(world))
+    while (EPOCH + world.now) % WINDOW != 2.5:
+        world.run(0.25, lambda: begin_everywhere(world))
+    broken = int((EPOCH + world.now) // WINDOW)
+    for name in list(world.hosts):
+        world.start(name)
+    world.run(25.0, lambda: begin_everywhere(world))
+    told = reported(world)
+    assert broken not in told
+    assert told[broken + 1] == world.begun[broken + 1]
+
+
+def test_a_window_that_most_were_killed_in_is_told(world: DutyWorld) -> None:
+    world.run(2.0, lambda: begin_everywhere(world))
+    window = int((EPOCH + world.now) // WINDOW)
+    world.run(0.5)
+    for name in list(world.hosts)[1:]:
+        world.start(name)
+    world.run(20.0)
+    assert reported(world)[window] == world.begun[window]
+
+
 def test_a_host_started_again_never_uses_a_token_of_before(world: DutyWorld) -> None:
     old = world.holders[0]
     used = old.keeper.token
--- a/tests/duties/world.py
+++ b/tests/duties/world.py
@@ -146,7 +146,7 @@
         self.name = name
         own = DutyHolder(name, str(start))
         clock = WindowClock(WINDOW, now, EPOCH + now)
-        self.counter = UsageCounter(clock, start)
+        self.counter = UsageCounter(clock, int((EPOCH + now) * 1000) + start)
         self.book = UsageBook()
         self.orders = ScaleOrders()
         self.keeper = DutyKeeper(
