--- a/src/rudderpass/duties/_scaling.py
+++ b/src/rudderpass/duties/_scaling.py
@@ -134,6 +134,13 @@
     return {usual_subject: usual, spot_subject: max(0, min(total - 1, room))}
 
 
+def find_price(traits: ScalingTraits, subject: ScaleSubject) -> float:
+    """Return what a second of one upstream costs."""
+    share = traits.spot_price if subject.is_spot else None
+    price = traits.zone_prices.get(subject.zone, 1.0)
+    return price if share is None else share * price
+
+
 class ScaleOrders:
     """The orders of the host that holds the duties.
 
@@ -147,12 +154,30 @@
         self._tried: dict[ScaleSubject, float] = {}
         self._boot: dict[PoolId, float] = {}
         self._peaks: dict[PoolId, PeakWork] = {}
+        self._prices: dict[ScaleSubject, float] = {}
 
     @property
     def wanted(self) -> int:
         """How many upstreams are wanted now."""
         return sum(self._wanted.values())
 
+    @property
+    def price(self) -> float:
+        """What those that are wanted cost in one second, by the declared prices."""
+        return sum(
+            count * self._prices.get(subject, 1.0)
+            for subject, count in self._wanted.items()
+        )
+
+    def seen(self, subject: ScaleSubject) -> int:
+        """Return how many of what an order is for are there, leaving ones left out."""
+        return self._seen.get(subject, 0)
+
+    def peak(self, service: PoolId) -> float:
+        """Return how many upstreams the largest work would keep busy."""
+        known = self._peaks.get(service)
+        return 0.0 if known is None else known.busy
+
     def begin(self) -> None:
         """Take the duty over: what was ordered before is not known."""
         self._ordered.clear()
@@ -167,7 +192,11 @@
             peak = self._peaks.setdefault(scaled.service, PeakWork(now))
             peak.note(scaled.busy, now)
             self._boot[scaled.service] = scaled.traits.boot
-            self._wanted.update(plan_upstreams(scaled, peak, now))
+            wanted = plan_upstreams(scaled, peak, now)
+            self._wanted.update(wanted)
+            self._prices.update(
+                {subject: find_price(scaled.traits, subject) for subject in wanted}
+            )
             for entry in scaled.upstreams:
                 if not entry.leaving:
                     subject = ScaleSubject(entry.service, entry.zone, entry.is_spot)
--- a/src/rudderpass/host/__init__.py
+++ b/src/rudderpass/host/__init__.py
@@ -4,4 +4,5 @@
 from rudderpass.host._settings import (
     DutySettings as DutySettings,
     HostSettings as HostSettings,
+    OrderMode as OrderMode,
 )
--- a/src/rudderpass/host/_command.py
+++ b/src/rudderpass/host/_command.py
@@ -19,7 +19,7 @@
 from rudderpass.eventlog import MAX_LINES_PER_SECOND, LogFile, log
 from rudderpass.host._duties import DutyAccess
 from rudderpass.host._host import ExchangeHost, Platform
-from rudderpass.host._settings import HostSettings
+from rudderpass.host._settings import HostSettings, OrderMode
 from rudderpass.platform import (
     CONFIG_KEY,
     CONFIG_TOPIC,
@@ -77,8 +77,30 @@
     metavar="IP:PORT",
     help="Where callers reach the host, before the settings file says it.",
 )
+@click.option(
+    "--orders",
+    envvar="RUDDERPASS_HOST_ORDERS",
+    show_envvar=True,
+    type=click.Choice([mode.value for mode in OrderMode]),
+    default=OrderMode.ON.value,
+    show_default=True,
+    help="Whether upstreams are ordered from the platform; a dry run only logs.",
+)
+@click.option(
+    "--most-upstreams",
+    envvar="RUDDERPASS_HOST_MOST_UPSTREAMS",
+    show_envvar=True,
+    type=click.IntRange(min=1),
+    help="In each availability zone, below the configuration's bound.",
+)
 @click.pass_obj
-def host(listener: socket.socket | None, path: Path, listen: str | None) -> None:
+def host(
+    listener: socket.socket | None,
+    path: Path,
+    listen: str | None,
+    orders: str,
+    most_upstreams: int | None,
+) -> None:
     """Serve exchanges on this host until told to stop.
 
     SIGTERM begins a planned stop; SIGHUP reads the settings file again.
@@ -88,6 +110,13 @@
     settings = read_settings_file(path)
     if listen is not None:
         settings = replace(settings, front=listen)
+    if settings.duties is not None:
+        duties = replace(
+            settings.duties,
+            order_mode=OrderMode(orders),
+            most_upstreams=most_upstreams,
+        )
+        settings = replace(settings, duties=duties)
     destination = LogFile(None, sys.stdout, MAX_LINES_PER_SECOND)
     destination.open()
     try:
--- a/src/rudderpass/host/_duties.py
+++ b/src/rudderpass/host/_duties.py
@@ -6,7 +6,7 @@
 import time
 import traceback
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import Protocol
 
@@ -48,7 +48,7 @@
     encode_duty_holder,
     encode_settled_usage,
 )
-from rudderpass.host._settings import DutySettings
+from rudderpass.host._settings import DutySettings, OrderMode
 
 HOLDER_KEY = "holder"
 USAGE_KEY = "usage"
@@ -140,8 +140,12 @@
         self._book = UsageBook()
         self._reports_usage = settings.reports_usage
         rule = ReportRule(settings.late)
-        reports = UsageReports(rule, self._clock, self._book, now)
-        self._orders = ScaleOrders() if settings.orders_upstreams else None
+        reports = self._reports = UsageReports(rule, self._clock, self._book, now)
+        makes_orders = settings.order_mode is not OrderMode.OFF
+        makes_orders = makes_orders and settings.orders_upstreams
+        self._orders = ScaleOrders() if makes_orders else None
+        self._is_dry_run = settings.order_mode is OrderMode.DRY_RUN
+        self._most_upstreams = settings.most_upstreams
         self._keeper = DutyKeeper(
             holder,
             Holding(holder, settings.holding, now),
@@ -162,6 +166,21 @@
         """The token with which this host holds the duties; None if it does not."""
         return self._keeper.token
 
+    @property
+    def reports_waiting(self) -> int:
+        """How many usage reports are settled and have not reached the platform."""
+        return self._reports.waiting if self.holds else 0
+
+    @property
+    def upstreams_wanted(self) -> int:
+        """How many upstreams this host wants, as the holder of the duties."""
+        return self._orders.wanted if self.holds and self._orders is not None else 0
+
+    @property
+    def order_price(self) -> float:
+        """What the upstreams wanted cost in one second, by the declared prices."""
+        return self._orders.price if self.holds and self._orders is not None else 0.0
+
     @property
     def holds(self) -> bool:
         """Whether this host holds the duties."""
@@ -222,6 +241,9 @@
     def _survey(
         self, service: PoolId, traits: ScalingTraits, now: float
     ) -> ScaledService:
+        if self._most_upstreams is not None:
+            most = min(traits.most, max(traits.least, self._most_upstreams))
+            traits = replace(traits, most=most)
         listed = self._core.directory.listed.values()
         upstreams = [r.entry for r in listed if r.entry.service == service]
         busy = count_busy(self._core.loads, service, upstreams, now)
@@ -307,24 +329,39 @@
     @_perform.register
     def _(self, action: SendOrder) -> None:
         subject = action.subject
-        result = self._access.platform.order_upstreams(
-            self._name, action.token, subject, action.count
-        )
-        kind = "spot" if subject.is_spot else "usual"
+        result, word = CallResult.DONE, "not made, a dry run"
+        if not self._is_dry_run:
+            result = self._access.platform.order_upstreams(
+                self._name, action.token, subject, action.count
+            )
+            word = result.value
+        kind = "cheap" if subject.is_spot else "usual"
+        with self._guard:
+            inputs = self._describe_order(subject)
         log(
             "duty",
             f"{action.count} {kind} upstreams of {subject.service}"
-            f" in {subject.zone}: {result.value}.",
+            f" in {subject.zone}: {word}.",
             service=subject.service,
             zone=subject.zone,
             spot=subject.is_spot,
             count=action.count,
             token=action.token,
             result=result.name.lower(),
+            **inputs,
         )
         with self._guard:
             self._keeper.note_order(action, result, _clock.now())
 
+    def _describe_order(self, subject: ScaleSubject) -> dict[str, float]:
+        """Return what an order was decided by; to be called under the guard."""
+        assert self._orders is not None
+        return {
+            "seen": self._orders.seen(subject),
+            "peak_busy": round(self._orders.peak(subject.service), 2),
+            "list_age": round(self._core.directory.list_age(_clock.now()), 3),
+        }
+
     def _append(self, end: int, key: str, value: bytes) -> bool:
         try:
             is_written = self._access.store.append_at(
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -372,6 +372,7 @@
     def _read_gauges(self) -> HostGauges:
         with self._guard:
             config = self._directory.config
+            duties = self._duties
             return HostGauges(
                 active=self._app.active,
                 config_version=0 if config is None else config.version,
@@ -387,5 +388,9 @@
                 streams_passed_over=self._core.streams_passed_over,
                 suspect_requests=self._core.quarantine.suspect_count,
                 quarantined_requests=len(self._core.quarantine.quarantined),
+                duty_token=0 if duties is None else duties.token or 0,
+                usage_reports_waiting=0 if duties is None else duties.reports_waiting,
+                upstreams_wanted=0 if duties is None else duties.upstreams_wanted,
+                upstreams_wanted_price=0.0 if duties is None else duties.order_price,
                 log_lines_dropped=self._dropped_lines(),
             )
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -38,6 +38,10 @@
     streams_passed_over: int
     suspect_requests: int
     quarantined_requests: int
+    duty_token: int
+    usage_reports_waiting: int
+    upstreams_wanted: int
+    upstreams_wanted_price: float
     log_lines_dropped: int
 
 
--- a/src/rudderpass/host/_settings.py
+++ b/src/rudderpass/host/_settings.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from rudderpass._ids import AvailabilityZone
 from rudderpass.duties import HoldingRule
 from rudderpass.exchange import BudgetRule
 
 
+class OrderMode(Enum):
+    """Whether a host that holds the duties orders upstreams."""
+
+    ON = "on"
+    DRY_RUN = "dry-run"
+    OFF = "off"
+
+
 @dataclass(frozen=True)
 class DutySettings:
     """The duties that one host at a time has. Times are seconds.
@@ -17,6 +26,9 @@
     :param reports_usage: whether usage is reported.
     :param orders_upstreams: whether upstreams are ordered.
     :param holding: how the duties change hands.
+    :param order_mode: whether the operators want orders to be made.
+    :param most_upstreams: in each availability zone, the operators' own bound; None
+        where the configuration's is enough.
     :param window: length of a usage report's window.
     :param late: after the end of a window until its report is due.
     """
@@ -27,6 +39,8 @@
     holding: HoldingRule
     window: float = 5.0
     late: float = 10.0
+    order_mode: OrderMode = OrderMode.ON
+    most_upstreams: int | None = None
 
 
 @dataclass(frozen=True)
--- a/tests/host/test_command.py
+++ b/tests/host/test_command.py
@@ -39,6 +39,20 @@
     assert "Traceback" not in result.output
 
 
+@pytest.mark.parametrize(
+    ("flag", "value", "reason"),
+    [
+        ("--orders", "sometimes", "'dry-run'"),
+        ("--most-upstreams", "0", "x>=1"),
+        ("--most-upstreams", "many", "valid integer"),
+    ],
+)
+def test_a_wrong_flag_is_named(flag: str, value: str, reason: str) -> None:
+    result = CliRunner().invoke(main, ["host", "--settings", "x", flag, value])
+    assert result.exit_code == 2
+    assert flag in result.output and reason in result.output
+
+
 @pytest.mark.parametrize(
     ("arguments", "found"),
     [
--- a/tests/host/test_host.py
+++ b/tests/host/test_host.py
@@ -33,7 +33,12 @@
         time.sleep(0.01)
 
 
-def config(version: int, *keys: str, engine: bool = False) -> bytes:
+def config(
+    version: int,
+    *keys: str,
+    engine: bool = False,
+    scaling: dict[str, object] | None = None,
+) -> bytes:
     route = {
         "name": "r",
         "host": "shop.example",
@@ -48,6 +53,8 @@
     service: dict[str, object] = {"name": "desk", "maxConnections": 9}
     if engine:
         service["engine"] = traits
+    if scaling is not None:
+        service["scaling"] = scaling
     value = {
         "version": version,
         "routes": [route],
@@ -79,8 +86,15 @@
         self.upstream = Upstream(answer())
         self.hosts: list[ExchangeHost] = []
 
-    def publish(self, version: int, *keys: str, engine: bool = False) -> None:
-        self.store.put(CONFIG_TOPIC, "config", config(version, *keys, engine=engine))
+    def publish(
+        self,
+        version: int,
+        *keys: str,
+        engine: bool = False,
+        scaling: dict[str, object] | None = None,
+    ) -> None:
+        value = config(version, *keys, engine=engine, scaling=scaling)
+        self.store.put(CONFIG_TOPIC, "config", value)
 
     def register(self, state: str = "ready") -> None:
         value = registration(self.upstream.address, state)
--- a/tests/platform/cloud.py
+++ b/tests/platform/cloud.py
@@ -10,6 +10,8 @@
 
 from rudderpass.webserver import HttpServer, ServerLimits
 
+REPORT_PATH = "/usage-reports"
+
 
 @dataclass(frozen=True)
 class CloudCall:
@@ -58,11 +60,29 @@
         """
         told: dict[int, dict[str, int]] = {}
         for call in self.done:
-            if call.path == "/usage-reports":
+            if call.path == REPORT_PATH:
                 window, counts = call.body["window"], call.body["counts"]
                 assert told.setdefault(window, counts) == counts
         return told
 
+    def find_breaches(self) -> list[str]:
+        """Return which promises on duties were broken."""
+        found = []
+        told: dict[int, dict[str, int]] = {}
+        users: dict[tuple[object, ...], str] = {}
+        with self._lock:
+            calls = list(self.calls)
+        for call in calls:
+            key = (*call.subject, call.token)
+            if users.setdefault(key, call.holder) != call.holder:
+                found.append(f"ONE: token {call.token} was sent by two hosts")
+            if call.path != REPORT_PATH or call.status != 200:
+                continue
+            window, counts = call.body["window"], call.body["counts"]
+            if told.setdefault(window, counts) != counts:
+                found.append(f"ONE: window {window} was told with two sets of counts")
+        return found
+
     def _app(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -17,6 +17,7 @@
 
 from rudderpass.exchange import BudgetRule
 from rudderpass.platform import CONFIG_TOPIC, SETTINGS_VARIABLE, UPSTREAMS_TOPIC
+from tests.platform.cloud import CloudStand
 from tests.platform.store import StandInStore
 from tests.soak.proxy import LinkFault, Proxy
 from tests.soak.upstreams import RunBook, SoakUpstream
@@ -59,8 +60,16 @@
 retryWindowS = {retry_window}
 retrySlack = {retry_slack}
 retryAfterS = 10
+leaseMs = 3000
+thawSlackMs = 300
+fencingRequired = true
+reportWindowS = 2
+usageLateS = 4
 [platform]
 address = "{store}"
+[cloud]
+address = "{cloud}"
+duties = ["usage_report"]
 """
 
 
@@ -76,6 +85,7 @@
     zone: str
     folder: Path
     store_link: Proxy
+    cloud_link: Proxy
     process: subprocess.Popen[bytes] | None = None
     incarnation: int = 0
     lock: threading.Lock = field(default_factory=threading.Lock)
@@ -104,6 +114,7 @@
             retry_window=RETRIES.window,
             retry_slack=RETRIES.slack,
             store=self.store_link.address,
+            cloud=self.cloud_link.address,
         )
         (self.folder / "settings.toml").write_text(text)
 
@@ -180,6 +191,7 @@
         self.crashes: list[EngineCrash] = []
         self._started = 0
         self.store = StandInStore()
+        self.cloud = CloudStand()
         self.book = RunBook()
         self.version = 0
         self.published: list[tuple[int, float]] = []
@@ -195,6 +207,7 @@
                 f"hall-{number}",
                 folder / f"host-{number}",
                 Proxy(self.store.address),
+                Proxy(self.cloud.address),
             )
             for number in range(1, HOSTS + 1)
         ]
@@ -285,7 +298,9 @@
     def heal(self) -> None:
         """End all that is wrong with links and store."""
         self.store.status = 0
-        for link in [*self.links.values(), *(host.store_link for host in self.hosts)]:
+        self.cloud.status = 200
+        own = [link for h in self.hosts for link in (h.store_link, h.cloud_link)]
+        for link in [*self.links.values(), *own]:
             link.set_fault(LinkFault.NONE)
 
     def close(self) -> None:
@@ -297,11 +312,13 @@
             host.send(signal.SIGKILL)
             host.wait(5.0)
             host.store_link.close()
+            host.cloud_link.close()
         for link in self.links.values():
             link.close()
         for upstream in self.upstreams.values():
             upstream.crash()
         self.store.close()
+        self.cloud.close()
 
 
 def make_config(version: int) -> dict[str, object]:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -72,6 +72,11 @@
     def run(self, seconds: float) -> None:
         """Inject faults for so long; return once the last one is over."""
         until = time.monotonic() + seconds
+        duty_faults = threading.Thread(
+            target=self._break_duties, args=(until,), daemon=True
+        )
+        duty_faults.start()
+        self._threads.append(duty_faults)
         while time.monotonic() < until:
             kind = self._rng.choice(self._kinds)
             lasts = self._rng.uniform(0.1, LONGEST_SECONDS)
@@ -180,6 +185,23 @@
         host.store_link.set_fault(LinkFault.NONE)
         self._end(span)
 
+    # The platform's API for duties, on a schedule of its own.
+
+    def _break_duties(self, until: float) -> None:
+        rng = random.Random(f"duties {self.seed}")
+        while time.monotonic() < until:
+            time.sleep(rng.expovariate(1 / (2 * GAP_SECONDS)))
+            lasts = rng.uniform(0.1, LONGEST_SECONDS / 2)
+            if rng.random() < 0.4:
+                self.deployment.cloud.status = rng.choice((429, 500, 503))
+                time.sleep(lasts)
+                self.deployment.cloud.status = 200
+                continue
+            link = rng.choice(self.deployment.hosts).cloud_link
+            link.set_fault(rng.choice(list(LinkFault)))
+            time.sleep(lasts)
+            link.set_fault(LinkFault.NONE)
+
     def _pick_fault(self) -> LinkFault:
         return self._rng.choice([fault for fault in LinkFault if fault.value != "none"])
 
