Let a holder without peers read the log once a second, not at each look

Read in the code, then a test: a holder that hears no peer doubts itself, and read the log at each of its four looks a second. What the log said counts as a peer's word now.

--- a/src/rudderpass/duties/_holding.py
+++ b/src/rudderpass/duties/_holding.py
@@ -61,6 +61,7 @@
         self._acts_from = now
         self._looked = now
         self._confirmed = now
+        self._read_at = now
         self._in_doubt = False
 
     @property
@@ -139,7 +140,11 @@
         :param last_heard: when any peer was heard last; None where there is none.
         """
         stood_still = now - self._looked > STANDSTILL_SECONDS
-        is_alone = last_heard is not None and now - last_heard > ALONE_SECONDS
+        # What the log said a moment ago is as good as a peer's word.
+        is_alone = (
+            last_heard is not None
+            and now - max(last_heard, self._read_at) > ALONE_SECONDS
+        )
         self._looked = now
         if stood_still or is_alone:
             self._in_doubt = True
@@ -165,7 +170,7 @@
     def _take_own(self, token: FencingToken, now: float) -> None:
         is_first = self._token is None
         self._token = self._known = token
-        self._confirmed = self._looked = now
+        self._confirmed = self._looked = self._read_at = now
         self._in_doubt = False
         if is_first and not self._rule.is_fenced:
             # The one before must have stopped by itself, as nothing refuses its calls.
--- a/tests/duties/test_keeper.py
+++ b/tests/duties/test_keeper.py
@@ -2,11 +2,22 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from rudderpass._ids import NodeId
 from rudderpass.duties import ScaleSubject
-from tests.duties.world import EPOCH, LATE, SERVICE, WINDOW, ZONE, DutyWorld, HostStand
+from tests.duties.world import (
+    EPOCH,
+    LATE,
+    RULE,
+    SERVICE,
+    WINDOW,
+    ZONE,
+    DutyWorld,
+    HostStand,
+)
 
 HANDOVER_SECONDS = 3.0
 """Within so long after the loss of its holder a duty is to be done again."""
@@ -232,3 +243,30 @@
         names |= {host.name for host in world.holders}
     assert names and old.name not in names
     assert world.find_breaches() == []
+
+
+def test_where_nothing_is_fenced_the_next_holder_waits_the_lease_out() -> None:
+    world = DutyWorld(5, rule=replace(RULE, is_fenced=False))
+    world.run(10.0)
+    (old,) = world.holders
+    old.hears_peers = False
+    cut_at = world.now
+    world.run(12.0)
+    by_host: dict[NodeId, list[float]] = {}
+    for call in world.platform.done:
+        if call.at > cut_at:
+            by_host.setdefault(call.host, []).append(call.at)
+    new = next(host for host in world.holders if host is not old)
+    assert max(by_host.get(old.name, [cut_at])) < min(by_host[new.name])
+
+
+def test_a_holder_without_peers_reads_the_log_once_a_second_at_most() -> None:
+    world = DutyWorld(2)
+    world.run(4.0)
+    for host in world.hosts.values():
+        host.hears_peers = False
+        host.hears_store = host in world.holders
+    calls = world.log.calls
+    world.run(20.0)
+    assert len(world.holders) == 1
+    assert world.log.calls - calls <= 20.0 + 20.0 / WINDOW + 1
--- a/tests/duties/world.py
+++ b/tests/duties/world.py
@@ -142,7 +142,7 @@
 class HostStand:
     """One start of one host."""
 
-    def __init__(self, name: NodeId, start: int, now: float) -> None:
+    def __init__(self, name: NodeId, start: int, now: float, rule: HoldingRule) -> None:
         self.name = name
         own = DutyHolder(name, str(start))
         clock = WindowClock(WINDOW, now, EPOCH + now)
@@ -151,7 +151,7 @@
         self.orders = ScaleOrders()
         self.keeper = DutyKeeper(
             own,
-            Holding(own, RULE, now),
+            Holding(own, rule, now),
             UsageReports(ReportRule(LATE), clock, self.book, now),
             self.orders,
         )
@@ -173,11 +173,14 @@
     :param loss: share of the calls and datagrams that get no answer.
     """
 
-    def __init__(self, hosts: int, seed: int = 1, loss: float = 0.0) -> None:
+    def __init__(
+        self, hosts: int, seed: int = 1, loss: float = 0.0, rule: HoldingRule = RULE
+    ) -> None:
         self.now = 0.0
         self.log = LogStand()
         self.platform = PlatformStand()
         self.loss = loss
+        self._rule = rule
         self.begun: dict[int, int] = {}
         self._rng = random.Random(seed)
         self._starts = 0
@@ -189,7 +192,7 @@
     def start(self, name: NodeId) -> None:
         """Start a host, or start it again: it knows nothing of before."""
         self._starts += 1
-        self.hosts[name] = HostStand(name, self._starts, self.now)
+        self.hosts[name] = HostStand(name, self._starts, self.now, self._rule)
 
     @property
     def holders(self) -> list[HostStand]:
