--- a/src/rudderpass/duties/_holding.py
+++ b/src/rudderpass/duties/_holding.py
@@ -118,9 +118,15 @@
             return False
         return True
 
-    def note_claimed(self, token: FencingToken, now: float) -> None:
-        """Take note that this host's claim stands in the log."""
+    def note_claimed(self, token: FencingToken, now: float) -> bool:
+        """Take note that this host's claim stands in the log.
+
+        Tell whether it still counts: a newer one may have been heard meanwhile.
+        """
+        if token < self._known:
+            return False
         self._take_own(token, now)
+        return True
 
     def lose(self, now: float) -> bool:
         """Take note that this host does not hold the duties any more; return True."""
--- a/tests/duties/test_keeper.py
+++ b/tests/duties/test_keeper.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from rudderpass._ids import NodeId
-from rudderpass.duties import ScaleSubject
+from rudderpass._ids import FencingToken, NodeId
+from rudderpass.duties import DutyNews, ReadLog, ScaleSubject, Surroundings, WriteClaim
 from tests.duties.world import (
     EPOCH,
     LATE,
@@ -270,3 +270,44 @@
     world.run(20.0)
     assert len(world.holders) == 1
     assert world.log.calls - calls <= 20.0 + 20.0 / WINDOW + 1
+
+
+def take_over(world: DutyWorld) -> tuple[HostStand, WriteClaim]:
+    """Return a host whose claim is on its way, as its holder has gone silent."""
+    old = world.holders[0]
+    old.is_up = False
+    host = next(h for h in world.hosts.values() if h is not old)
+    around = Surroundings([host.name], world.now, 0)
+    now = world.now + 5.0
+    assert host.keeper.next_action(around, now) == ReadLog()
+    host.keeper.note_log(world.log.read(), now)
+    claim = host.keeper.next_action(around, now)
+    assert isinstance(claim, WriteClaim)
+    return host, claim
+
+
+def test_what_is_heard_while_a_claim_is_on_its_way_changes_no_settled_window(
+    world: DutyWorld,
+) -> None:
+    world.run(20.0, lambda: begin_everywhere(world))
+    host, claim = take_over(world)
+    now = world.now + 5.1
+    host.keeper.hear(DutyNews(FencingToken(1), holds=True), False, now)
+    assert host.keeper.next_action(Surroundings([], now, 0), now) is None
+    assert world.log.append(claim.end, claim.holder)
+    host.keeper.note_claimed(claim, now)
+    settled = world.log.read().usage
+    assert settled is not None
+    assert host.keeper.news.settled_before == settled.next_window
+
+
+def test_a_claim_that_was_passed_while_on_its_way_does_not_count(
+    world: DutyWorld,
+) -> None:
+    host, claim = take_over(world)
+    assert world.log.append(claim.end, claim.holder)
+    newer = FencingToken(claim.end + 9)
+    host.keeper.hear(DutyNews(newer, holds=True), False, world.now + 5.1)
+    host.keeper.note_claimed(claim, world.now + 5.2)
+    assert host.keeper.token is None
+    assert host.keeper.news.token == newer
