--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -4,8 +4,7 @@
 
 import http.client
 import math
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from http import HTTPStatus
 
 from rudderpass import _clock
@@ -16,6 +15,16 @@
     UpstreamError,
     UpstreamReplaced,
 )
+from rudderpass.exchange._answers import (
+    Passed,
+    UpstreamFailed,
+    describe_error,
+    is_closed,
+    is_cut,
+    make_stale,
+    pass_answer,
+    read_body,
+)
 from rudderpass.exchange._assignment import Accepted, Assignment
 from rudderpass.exchange._connections import UpstreamConnection
 from rudderpass.exchange._dialect import SendFacts
@@ -34,24 +43,6 @@
 this long after the time limit."""
 
 
-class UpstreamFailed(UpstreamError):
-    """An upstream's own failure, which may be passed on if nothing better comes."""
-
-    def __init__(self, head: AnswerHead, body: bytes, peer: str) -> None:
-        super().__init__(f"answered {head.status}", sent=True, step="answer", peer=peer)
-        self.head = head
-        self.body = body
-
-
-@dataclass(frozen=True)
-class Passed:
-    """An answer that the caller has, or gets as ``body``."""
-
-    ending: Ending
-    status: int
-    body: Iterable[bytes]
-
-
 class Send:
     """Sends one request to one upstream and passes the answer on.
 
@@ -183,9 +174,11 @@
             return connection.read_head()
         except (OSError, http.client.HTTPException) as error:
             reason = connection.write_error or error
-            if connection.is_reused and _is_closed(reason):
-                raise _stale(connection) from error
-            raise self._failed(f"no answer: {_describe(reason)}", reason) from error
+            if connection.is_reused and is_closed(reason):
+                raise make_stale(connection) from error
+            raise self._failed(
+                f"no answer: {describe_error(reason)}", reason
+            ) from error
 
     def _await_answer(self, connection: UpstreamConnection) -> None:
         """Wait for an answer that may be given up for another upstream.
@@ -223,7 +216,7 @@
         if head.kind is AnswerKind.FAILURE:
             if head.status < HTTPStatus.INTERNAL_SERVER_ERROR and not is_streaming:
                 return  # Another upstream would say the same.
-            body = _read_body(response, connection.address)
+            body = read_body(response, connection.address)
             self._progress.note_begun(self._accepted.team, self._assigned.sent)
             raise UpstreamFailed(head, body, connection.address)
         refused = head.kind is not AnswerKind.FOREIGN
@@ -248,7 +241,7 @@
         head: AnswerHead,
     ) -> Passed:
         connection.set_timeout(self._time_left)
-        body = _read_body(response, connection.address)
+        body = read_body(response, connection.address)
         self._progress.note_first_answer()
         self._progress.note_begun(self._accepted.team, self._assigned.sent)
         self._keep(connection, response, head)
@@ -296,7 +289,7 @@
         try:
             return response.read1(_READ_BYTES)
         except (OSError, http.client.HTTPException, ValueError) as error:
-            text = f"the stream broke: {_describe(error)}"
+            text = f"the stream broke: {describe_error(error)}"
             raise self._failed(text, error) from error
 
     def _pass_events(self, data: bytes) -> None:
@@ -340,7 +333,7 @@
             self._parts.core.note_end(self._assigned, succeeded, _clock.now())
 
     def _failed(self, text: str, cause: BaseException | None = None) -> UpstreamError:
-        if cause is not None and _is_cut(cause):
+        if cause is not None and is_cut(cause):
             return self._cut(text)
         peer = self._assigned.address
         return UpstreamError(text, sent=True, step="answer", peer=peer)
@@ -348,55 +341,3 @@
     def _cut(self, text: str) -> ConnectionCut:
         peer = self._assigned.address
         return ConnectionCut(text, sent=True, step="answer", peer=peer)
-
-
-def pass_answer(
-    begin_answer: Callable[[str, list[tuple[str, str]]], object],
-    head: AnswerHead,
-    body: bytes,
-    ending: Ending,
-) -> Passed:
-    """Pass an upstream's whole answer on."""
-    headers = [*head.headers, ("Content-Length", str(len(body)))]
-    begin_answer(f"{head.status} {head.reason}", headers)
-    return Passed(ending, head.status, [body])
-
-
-def _stale(connection: UpstreamConnection) -> StaleConnection:
-    """Return the error for a kept connection that brought no answer at all.
-
-    The work may have run all the same, so it counts as an attempt; but it says nothing
-    of the upstream, which may be asked again.
-    """
-    text = "a kept connection was closed"
-    return StaleConnection(text, sent=True, step="answer", peer=connection.address)
-
-
-def _is_closed(error: BaseException) -> bool:
-    """Tell whether a connection ended without a byte of an answer."""
-    return isinstance(
-        error,
-        (http.client.RemoteDisconnected, ConnectionResetError, BrokenPipeError),
-    )
-
-
-def _is_cut(error: BaseException) -> bool:
-    """Tell whether a connection ended, before an answer or within one."""
-    return _is_closed(error) or isinstance(error, http.client.IncompleteRead)
-
-
-def _describe(error: BaseException) -> str:
-    return f"{type(error).__name__} {error}".strip()
-
-
-def _read_body(response: http.client.HTTPResponse, peer: str) -> bytes:
-    """Read an answer's whole body.
-
-    :raises UpstreamError: when it ends early.
-    """
-    try:
-        return response.read()
-    except (OSError, http.client.HTTPException, ValueError) as error:
-        text = f"the answer was cut: {_describe(error)}"
-        error_type = ConnectionCut if _is_cut(error) else UpstreamError
-        raise error_type(text, sent=True, step="read", peer=peer) from error
--- a/src/rudderpass/host/_duties.py
+++ b/src/rudderpass/host/_duties.py
@@ -5,20 +5,18 @@
 import threading
 import time
 import traceback
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, replace
+from collections.abc import Callable
+from dataclasses import replace
 from functools import singledispatchmethod
-from typing import Protocol
 
 from rudderpass import _clock
 from rudderpass._ids import FencingToken, NodeId, PoolId, TeamId
-from rudderpass.directory import KeyedPage, ScalingTraits
+from rudderpass.directory import ScalingTraits
 from rudderpass.duties import (
     Action,
     CallResult,
     DutyHolder,
     DutyKeeper,
-    DutyLog,
     DutyNews,
     Holding,
     HostUsage,
@@ -34,25 +32,21 @@
     UsageCounter,
     UsageReports,
     WindowClock,
-    WindowUsage,
     WriteClaim,
     WriteUsage,
 )
-from rudderpass.errors import PeerError, PlatformError
+from rudderpass.errors import PlatformError
 from rudderpass.eventlog import log
 from rudderpass.exchange import ExchangeCore, count_busy
-from rudderpass.gossip import (
-    Beat,
-    decode_duty_holder,
-    decode_settled_usage,
-    encode_duty_holder,
-    encode_settled_usage,
+from rudderpass.gossip import Beat, encode_duty_holder, encode_settled_usage
+from rudderpass.host._duty_access import (
+    HOLDER_KEY,
+    USAGE_KEY,
+    DutyAccess,
+    read_duty_log,
 )
 from rudderpass.host._settings import DutySettings, OrderMode
 
-HOLDER_KEY = "holder"
-USAGE_KEY = "usage"
-
 TELL_SECONDS = 1.0
 """Between two datagrams with a host's counts; a killed host loses what it counted since
 the last one."""
@@ -60,48 +54,6 @@
 _MS = 1000
 
 
-class DutyStore(Protocol):
-    """The platform's store as the duties use it."""
-
-    def read_newest(self, topic: str) -> KeyedPage:
-        """Return the newest record of each key of a topic.
-
-        :raises PlatformError: when the store does not answer.
-        """
-
-    def append_at(self, topic: str, end: int, key: str, value: bytes) -> bool:
-        """Write a record if the topic still ends at ``end``; tell whether it was.
-
-        :raises PlatformError: when nobody knows.
-        """
-
-
-class DutyPlatform(Protocol):
-    """The calls to the platform that only the holder of the duties makes."""
-
-    def report_usage(
-        self, holder: str, token: FencingToken, usage: WindowUsage
-    ) -> CallResult:
-        """Report a window's usage."""
-
-    def order_upstreams(
-        self, holder: str, token: FencingToken, subject: ScaleSubject, count: int
-    ) -> CallResult:
-        """Order a number of upstreams."""
-
-
-@dataclass(frozen=True)
-class DutyAccess:
-    """What an adapter brings for the duties.
-
-    :param topic: of the log of the duties in the store.
-    """
-
-    store: DutyStore
-    topic: str
-    platform: DutyPlatform
-
-
 class HostDuties:
     """Counts, listens, and makes the calls whenever this host holds the duties.
 
@@ -292,7 +244,7 @@
             self._note_log_failed(False, error)
             return
         with self._guard:
-            self._keeper.note_log(_read_log(page), _clock.now())
+            self._keeper.note_log(read_duty_log(page), _clock.now())
 
     @_perform.register
     def _(self, action: WriteClaim) -> None:
@@ -386,26 +338,3 @@
             return
         word = "lost" if token is None else f"held with token {token}"
         log("duty", f"the duties are {word}.", token=token, before=held)
-
-
-def _read_log(page: KeyedPage) -> DutyLog:
-    """Return what the records of the log of the duties say."""
-    records: Mapping[str, tuple[int, bytes]] = {
-        record.key: (record.offset, record.value)
-        for record in page.records
-        if record.value is not None
-    }
-    claim = records.get(HOLDER_KEY)
-    settled = records.get(USAGE_KEY)
-    try:
-        return DutyLog(
-            page.end,
-            None if claim is None else decode_duty_holder(claim[1]),
-            FencingToken(0 if claim is None else claim[0] + 1),
-            None if settled is None else decode_settled_usage(settled[1]),
-        )
-    except PeerError as error:
-        # Nothing is known of such a record, so it is nobody's claim.
-        log("duty", f"a record cannot be read, {error.show()}.")
-        token = FencingToken(0 if claim is None else claim[0] + 1)
-        return DutyLog(page.end, None, token)
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -27,7 +27,8 @@
     UpstreamConnections,
 )
 from rudderpass.host._admin import make_metrics_server, make_ready_server
-from rudderpass.host._duties import DutyAccess, HostDuties
+from rudderpass.host._duties import HostDuties
+from rudderpass.host._duty_access import DutyAccess
 from rudderpass.host._metrics import HostGauges, HostMetrics
 from rudderpass.host._peers import PeerTalk
 from rudderpass.host._quarantine import QuarantineControl
