Let whoever heard the store lately gather counts and take the duties over

Cause, from the moments of all tellings: hosts of a small deployment hear the store every 2.5 s and say so for 1.7 s of these; counts went only to those that said so just then, and another one took over. Ruled out: lost datagrams, late ticks (one telling a second at each host). Now whoever heard it in the last 6 s gathers and may take over. Also: until anything was settled, windows that are heard late are still taken.

--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -198,8 +198,12 @@
 
     def is_current(self, now: float) -> bool:
         """Tell whether others may rely on what this host hears."""
+        return self.has_heard(now, CURRENT_SECONDS)
+
+    def has_heard(self, now: float, within: float) -> bool:
+        """Tell whether the store has answered on every topic within some seconds."""
         return self.is_active and all(
-            now - self._answered.get(topic.topic, float("-inf")) <= CURRENT_SECONDS
+            now - self._answered.get(topic.topic, float("-inf")) <= within
             for topic in self._topics
         )
 
--- a/src/rudderpass/duties/_reports.py
+++ b/src/rudderpass/duties/_reports.py
@@ -56,6 +56,7 @@
         self._book = book
         self._listening_since = listening_since
         self._next_window: int | None = None
+        self._is_first = False
         self._unsent: dict[int, WindowUsage] = {}
         self._next_try = float("-inf")
 
@@ -75,8 +76,8 @@
         if settled is None:
             # Nothing was ever reported, so no host counted before these did.
             self._listening_since = float("-inf")
-            current = self._clock.window_at(now)
-            self._next_window = min(self._book.windows, default=current)
+            self._is_first = True
+            self._next_window = self._clock.window_at(now)
             return
         self.note_settled(settled)
 
@@ -89,6 +90,9 @@
         """
         if self._next_window is None:
             return None
+        if self._is_first:
+            # What other hosts had counted before may be heard only now.
+            self._next_window = min((self._next_window, *self._book.windows))
         window = self._next_window
         added: list[WindowUsage] = []
         while self._is_settled(window, hosts, now):
@@ -104,6 +108,7 @@
 
     def note_settled(self, settled: SettledUsage) -> None:
         """Take note of what the log holds: from now on it does not change."""
+        self._is_first = False
         self._next_window = settled.next_window
         self._book.forget_before(settled.next_window)
         self._unsent = {usage.window: usage for usage in settled.windows}
--- a/src/rudderpass/gossip/__init__.py
+++ b/src/rudderpass/gossip/__init__.py
@@ -17,7 +17,11 @@
     encode_settled_usage as encode_settled_usage,
 )
 from rudderpass.gossip._following import FollowRule as FollowRule
-from rudderpass.gossip._mesh import NAMING_BEATS as NAMING_BEATS, Mesh as Mesh
+from rudderpass.gossip._mesh import (
+    CANDIDATE_SECONDS as CANDIDATE_SECONDS,
+    NAMING_BEATS as NAMING_BEATS,
+    Mesh as Mesh,
+)
 from rudderpass.gossip._relaying import (
     RELAY_FROM as RELAY_FROM,
     Relaying as Relaying,
--- a/src/rudderpass/gossip/_following.py
+++ b/src/rudderpass/gossip/_following.py
@@ -69,15 +69,16 @@
             return False
         if not self.is_large(now):
             return True
-        if self.count_sources_before(now) >= FOLLOWERS:
+        sources = self._mesh.sources(now)
+        if self._count_before(sources) >= FOLLOWERS:
             return False
         if not self.is_starting(now):
             return True
         return self._count_before(self._mesh.known) < STARTERS
 
-    def count_sources_before(self, now: float) -> int:
-        """Return how many of the peers that hear the store come before this host."""
-        return self._count_before(self._mesh.sources(now))
+    def count_candidates_before(self, now: float) -> int:
+        """Return how many of those that may take over the duties come before it."""
+        return self._count_before(self._mesh.candidates(now))
 
     def _count_before(self, names: list[NodeId]) -> int:
         own = _rank(self._own)
--- a/src/rudderpass/gossip/_mesh.py
+++ b/src/rudderpass/gossip/_mesh.py
@@ -19,6 +19,10 @@
 """A host that follows the store for others is replaced when it was not heard for so
 long. It beats twice a second, and news must be in force within 2 to 3 s."""
 
+CANDIDATE_SECONDS = 6.0
+"""A peer that heard the store so lately may take over the duties. Hosts of a small
+deployment hear it every 2.5 s, so that whoever heard it in the last second changes."""
+
 FANOUT = 100
 """Peers told in one beat; with more hosts, each beat goes to some drawn at random. What
 few hear of is unknown to the others, which have prompts read again."""
@@ -56,6 +60,7 @@
 
     :ivar heard: when it spoke last, to this host or to a relay.
     :ivar heard_directly: when it spoke last to this host.
+    :ivar followed: when it last said that it hears the platform's store.
     """
 
     heard: float = float("-inf")
@@ -67,6 +72,7 @@
     stopping: bool = False
     warm: bool = False
     following: bool = False
+    followed: float = float("-inf")
     holds_duties: bool = False
 
     def learn(
@@ -81,6 +87,8 @@
         self.stopping = told.stopping
         self.warm = told.warm
         self.following = told.following
+        if told.following:
+            self.followed = heard
 
 
 class Mesh:
@@ -225,15 +233,20 @@
         """Return the peers that hear the store by themselves, as their beats say."""
         return [name for name in self._peers if self._is_source(name, now)]
 
-    def gatherers(self, now: float) -> list[NodeId]:
-        """Return the peers that hold the duties or may take them over."""
+    def candidates(self, now: float) -> list[NodeId]:
+        """Return the peers that may take over the duties."""
         return [
             name
-            for name, peer in self._peers.items()
-            if self._is_source(name, now)
-            or (peer.holds_duties and self._is_live(peer, now))
+            for name in self.live(now)
+            if now - self._peers[name].followed <= CANDIDATE_SECONDS
+            and not self._peers[name].stopping
         ]
 
+    def gatherers(self, now: float) -> list[NodeId]:
+        """Return the peers that hold the duties or may take them over."""
+        holders = {name for name in self.live(now) if self._peers[name].holds_duties}
+        return sorted(holders.union(self.candidates(now)))
+
     @property
     def last_heard(self) -> float | None:
         """When any peer spoke last to this host; None where none has."""
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -13,7 +13,14 @@
 from rudderpass.errors import PeerError
 from rudderpass.eventlog import log
 from rudderpass.exchange import ExchangeCore, SentPrompt
-from rudderpass.gossip import RELAY_FROM, Beat, FollowRule, GossipTransport, Mesh
+from rudderpass.gossip import (
+    CANDIDATE_SECONDS,
+    RELAY_FROM,
+    Beat,
+    FollowRule,
+    GossipTransport,
+    Mesh,
+)
 from rudderpass.host._duties import HostDuties
 from rudderpass.host._telling import Telling
 
@@ -161,12 +168,14 @@
 
     def survey(self, now: float) -> Surroundings:
         """Return what the duties' holder must know; to be called under the guard."""
-        is_current = self._follower is not None and self._follower.is_current(now)
-        is_candidate = is_current and not self._core.is_stopping
+        hears = self._follower is not None and self._follower.has_heard(
+            now, CANDIDATE_SECONDS
+        )
+        is_candidate = hears and not self._core.is_stopping
         return Surroundings(
             (self.address, *self._mesh.live(now)),
             self._mesh.last_heard,
-            self._rule.count_sources_before(now) if is_candidate else None,
+            self._rule.count_candidates_before(now) if is_candidate else None,
         )
 
     def do_due(self, now: float) -> None:
--- a/tests/gossip/test_mesh.py
+++ b/tests/gossip/test_mesh.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from typing import Any
 
-from rudderpass._ids import NodeId
+from rudderpass._ids import FencingToken, NodeId
+from rudderpass.duties import DutyNews
 from rudderpass.gossip import Beat, Mesh
 
 OWN = NodeId("10.0.0.1:1")
@@ -109,3 +111,28 @@
     mesh.take_beat(beat(PEERS[1], config_offset=0), 0.0)
     assert mesh.has_informed(0.1)
     assert not mesh.has_informed(3.1)
+
+
+def test_whoever_heard_the_store_lately_may_take_over_the_duties() -> None:
+    mesh = make_mesh()
+    hears, deaf, holder, stopping = PEERS[:4]
+    for second in range(8):
+        # The first hears the store every 2.5 s, and says so for a part of them.
+        hears_now = second in (0, 2)
+        told = DutyNews(FencingToken(1))
+        for peer in (hears, deaf, holder, stopping):
+            news = replace(told, holds=peer == holder)
+            mesh.take_beat(
+                beat(
+                    peer,
+                    stopping=peer == stopping,
+                    following=peer in (hears, stopping) and hears_now,
+                    duty=news,
+                ),
+                float(second),
+            )
+        if second == 3:
+            assert mesh.candidates(3.0) == [hears]
+            assert mesh.gatherers(3.0) == sorted([hears, holder])
+    assert mesh.candidates(9.0) == []
+    assert mesh.gatherers(9.0) == [holder]
