--- a/src/rudderpass/platform/_records.py
+++ b/src/rudderpass/platform/_records.py
@@ -120,7 +120,7 @@
         item.min,
         item.max,
         item.boot_s,
-        {AvailabilityZone(zone): price for zone, price in item.zone_prices.items()},
+        {AvailabilityZone(z): price for z, price in (item.zone_prices or {}).items()},
         item.spot_price,
     )
 
--- a/src/rudderpass/platform/_schemas.py
+++ b/src/rudderpass/platform/_schemas.py
@@ -130,7 +130,7 @@
     min: _Count
     max: _Count
     boot_s: _Number
-    zone_prices: dict[str, _Number]
+    zone_prices: dict[str, _Number] | None = None
     spot_price: _Number | None = None
 
     def __post_init__(self) -> None:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -234,3 +234,62 @@
     with pytest.raises(UnusableRecord) as raised:
         decode_upstream("i-1", data)
     assert raised.value.reason is reason
+
+
+SCALING: dict[str, Any] = {
+    "min": 1,
+    "max": 30,
+    "bootS": 4.0,
+    "spotPrice": 0.18,
+    "zonePrices": {"nasr-hall": 0.85, "maadi-hall": 1.2},
+}
+
+
+def with_scaling(scaling: dict[str, Any]) -> bytes:
+    service = {**CONFIG["services"][0], "scaling": scaling}
+    return json.dumps({**CONFIG, "services": [service]}).encode()
+
+
+def test_a_service_whose_upstreams_can_be_ordered_is_read() -> None:
+    traits = decode_config(with_scaling(SCALING)).services[0].scaling
+    assert traits is not None
+    assert (traits.least, traits.most, traits.boot) == (1, 30, 4.0)
+    assert dict(traits.zone_prices) == SCALING["zonePrices"]
+    assert traits.spot_price == 0.18
+    plain = decode_config(json.dumps(CONFIG).encode()).services[0]
+    assert plain.scaling is None
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"min": 31}, "scaling: min 31 is above max 30"),
+        ({"min": -1}, "scaling.min"),
+        ({"max": "30"}, "scaling.max"),
+        ({"bootS": None}, "scaling.bootS"),
+        ({"zonePrices": {"nasr-hall": -1}}, "scaling.zonePrices"),
+        ({"spotPrice": "cheap"}, "scaling.spotPrice"),
+    ],
+)
+def test_wrong_scaling_is_named(changes: dict[str, Any], field: str) -> None:
+    with pytest.raises(UnusableRecord) as caught:
+        decode_config(with_scaling({**SCALING, **changes}))
+    assert field in caught.value.show()
+
+
+@pytest.mark.parametrize("is_spot", [True, False, None])
+def test_an_upstream_says_whether_it_may_be_taken_away(is_spot: bool | None) -> None:
+    entry = {
+        "service": "one",
+        "address": "10.0.0.1:80",
+        "zone": "hall-a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "sequence": 1,
+        "coldRemainingMs": 0,
+    }
+    if is_spot is not None:
+        entry["spot"] = is_spot
+    found = decode_upstream("u1", json.dumps(entry).encode())
+    assert found.is_spot is bool(is_spot)
