Swap upstreams one for one, and order from a list that rests

Cause: the swap held on to the wanted number, not to the number there was. Now each cheap one that serves replaces another, a tenth may be missing only in a zone that is full, and a new holder waits until the list has not changed for 1 s (4 s at most).

--- a/src/rudderpass/duties/_scaling.py
+++ b/src/rudderpass/duties/_scaling.py
@@ -11,7 +11,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from rudderpass._ids import AvailabilityZone, PoolId
@@ -37,9 +38,14 @@
 CHEAP_SHARE = 0.5
 """Upstreams that may be taken away are preferred up to this share of the price."""
 
-SWAP_SHARE = 0.1
-"""Share of a zone's upstreams that may be missing while cheap ones replace others: in
-a zone that is full, some must go before the next can come."""
+STEADY_SECONDS = 1.0
+PATIENCE_SECONDS = 4.0
+"""A new holder orders once the list of upstreams has not changed for the first, or
+after the second: upstreams that start with the deployment register one by one."""
+
+FULL_SHARE = 0.1
+"""Share of the upstreams of a full zone that may be missing while cheap ones replace
+others: some must go before the next can come."""
 
 
 @dataclass(frozen=True)
@@ -85,12 +91,17 @@
 
 
 def plan_upstreams(
-    scaled: ScaledService, peak: PeakWork, now: float
+    scaled: ScaledService,
+    peak: PeakWork,
+    held: Mapping[ScaleSubject, int],
+    now: float,
 ) -> dict[ScaleSubject, int]:
     """Return the next numbers on the way to the wanted ones.
 
     While the largest work is not known, none are given back, and cheap upstreams are
     had as far as the bounds allow.
+
+    :param held: the most upstreams of each kind that were seen.
     """
     traits = scaled.traits
     zones = sorted(traits.zone_prices) or sorted({e.zone for e in scaled.upstreams})
@@ -106,29 +117,32 @@
         if not peak.is_known(now):
             least = traits.most if is_cheap else max(least, len(here))
         total = min(traits.most, max(least, each))
-        wanted |= _plan_zone(scaled, zone, here, total, is_cheap)
+        if is_cheap:
+            wanted |= _plan_swap(scaled, zone, here, total, held)
+        else:
+            wanted[ScaleSubject(scaled.service, zone, False)] = total
     return wanted
 
 
-def _plan_zone(
+def _plan_swap(
     scaled: ScaledService,
     zone: AvailabilityZone,
     here: Sequence[RegisteredUpstream],
     total: int,
-    is_cheap: bool,
+    held: Mapping[ScaleSubject, int],
 ) -> dict[ScaleSubject, int]:
-    """Return the next numbers of one zone.
+    """Return the next numbers of a zone whose upstreams cheap ones are to replace.
 
-    One upstream stays that nothing takes away. The others of its kind are given back as
-    those that replace them serve.
+    One stays that nothing takes away. Each other one is given back when a cheap one
+    serves in its place.
     """
     usual_subject = ScaleSubject(scaled.service, zone, False)
-    if not is_cheap:
-        return {usual_subject: total}
     spot_here = sum(entry.is_spot for entry in here)
     usual_here = len(here) - spot_here
-    missing = total - spot_here - math.ceil(SWAP_SHARE * total)
-    usual = max(1, min(usual_here, missing))
+    needed = min(total, held.get(usual_subject, 0)) - spot_here
+    if len(here) >= scaled.traits.most:
+        needed = min(needed, usual_here - math.ceil(FULL_SHARE * total))
+    usual = max(1, min(usual_here, needed))
     room = scaled.traits.most - max(usual, usual_here)
     spot_subject = ScaleSubject(scaled.service, zone, True)
     return {usual_subject: usual, spot_subject: max(0, min(total - 1, room))}
@@ -154,6 +168,9 @@
         self._tried: dict[ScaleSubject, float] = {}
         self._boot: dict[PoolId, float] = {}
         self._peaks: dict[PoolId, PeakWork] = {}
+        self._held: dict[ScaleSubject, int] = {}
+        self._began: float | None = None
+        self._changed = 0.0
         self._prices: dict[ScaleSubject, float] = {}
 
     @property
@@ -183,27 +200,27 @@
         self._ordered.clear()
         self._tried.clear()
         self._peaks.clear()
+        self._held.clear()
+        self._began = None
 
     def look(self, services: Sequence[ScaledService], now: float) -> None:
         """Take what is there now, and work out what is wanted."""
+        self._count(services, now)
         self._wanted.clear()
-        self._seen.clear()
         for scaled in services:
             peak = self._peaks.setdefault(scaled.service, PeakWork(now))
             peak.note(scaled.busy, now)
             self._boot[scaled.service] = scaled.traits.boot
-            wanted = plan_upstreams(scaled, peak, now)
+            wanted = plan_upstreams(scaled, peak, self._held, now)
             self._wanted.update(wanted)
             self._prices.update(
                 {subject: find_price(scaled.traits, subject) for subject in wanted}
             )
-            for entry in scaled.upstreams:
-                if not entry.leaving:
-                    subject = ScaleSubject(entry.service, entry.zone, entry.is_spot)
-                    self._seen[subject] = self._seen.get(subject, 0) + 1
 
     def find_order(self, now: float) -> tuple[ScaleSubject, int] | None:
         """Return the order that is to be made now; more upstreams come first."""
+        if self._began is None or not self._is_steady(now):
+            return None
         due = [
             (count - self._seen.get(subject, 0), subject, count)
             for subject, count in self._wanted.items()
@@ -224,6 +241,28 @@
         else:
             self._ordered.pop(subject, None)
 
+    def _count(self, services: Sequence[ScaledService], now: float) -> None:
+        """Count the upstreams that are there, leaving ones left out."""
+        seen = Counter(
+            ScaleSubject(entry.service, entry.zone, entry.is_spot)
+            for scaled in services
+            for entry in scaled.upstreams
+            if not entry.leaving
+        )
+        if self._began is None:
+            self._began = now
+        if self._seen != seen:
+            self._changed = now
+        self._seen = dict(seen)
+        for subject, count in seen.items():
+            self._held[subject] = max(count, self._held.get(subject, 0))
+
+    def _is_steady(self, now: float) -> bool:
+        """Tell whether what is seen is all that is there, as far as can be told."""
+        assert self._began is not None
+        is_old = now - self._began >= PATIENCE_SECONDS
+        return is_old or now - max(self._began, self._changed) >= STEADY_SECONDS
+
     def _is_due(self, subject: ScaleSubject, count: int, now: float) -> bool:
         waited = now - self._tried.get(subject, -math.inf)
         ordered = self._ordered.get(subject)
