--- a/tests/duties/test_scaling.py
+++ b/tests/duties/test_scaling.py
@@ -160,6 +160,20 @@
     assert fleet.count(is_spot=True) == 0
 
 
+def test_those_that_crash_are_not_given_back() -> None:
+    fleet = Fleet(DEAR, each=15)
+    fleet.busy = 20.0
+    fleet.run(20.0)
+    ordered = fleet.count(is_spot=False)
+    for subject in list(fleet.here):
+        fleet.here[subject] -= 5
+    fleet.log.clear()
+    fleet.busy = 0.0
+    fleet.run(30.0)
+    assert all(3 * count >= ordered for _, _, count in fleet.log)
+    assert fleet.count(is_spot=False) == ordered
+
+
 def test_a_list_that_still_grows_is_waited_for() -> None:
     """Upstreams that start with the deployment register one by one."""
     orders = ScaleOrders()
