--- a/src/rudderpass/duties/_holding.py
+++ b/src/rudderpass/duties/_holding.py
@@ -74,19 +74,20 @@
         """The newest token that this host knows of; 0 before the first."""
         return self._known
 
-    def hear(self, news: DutyNews, is_stopping: bool, now: float) -> bool:
-        """Take what a peer tells; tell whether this host has lost the duties by it."""
+    def hear(self, news: DutyNews, is_stopping: bool, now: float) -> None:
+        """Take what a peer tells; a newer token ends this host's own holding.
+
+        :param is_stopping: whether the peer stops in order; then nobody waits for it.
+        """
         if news.token < self._known:
-            return False
-        if news.token > self._known:
-            self._known = news.token
+            return
+        if news.token > self._known or news.holds:
             self._heard = now
-        if not news.holds:
-            return self._is_passed and self.lose(now)
-        self._heard = now
-        if is_stopping:
+        if news.holds and is_stopping:
             self._heard = now - TAKEOVER_SECONDS
-        return self._is_passed and self.lose(now)
+        self._known = news.token
+        if self._token is not None and self._token < news.token:
+            self.lose(now)
 
     def is_due(self, place: int, now: float) -> bool:
         """Tell whether this host is to claim the duties.
@@ -128,13 +129,11 @@
         self._take_own(token, now)
         return True
 
-    def lose(self, now: float) -> bool:
-        """Take note that this host does not hold the duties any more; return True."""
+    def lose(self, now: float) -> None:
+        """Take note that this host does not hold the duties any more."""
         self._token = None
         self._heard = now
-        slack = self._rule.lease + self._rule.thaw_slack
-        self._barred_until = now + slack
-        return True
+        self._barred_until = now + self._rule.lease + self._rule.thaw_slack
 
     def doubt(self) -> None:
         """Have the log read before anything else is done as the holder."""
@@ -169,10 +168,6 @@
         is_holder = self._token is not None and now >= self._acts_from
         return is_holder and not self._in_doubt
 
-    @property
-    def _is_passed(self) -> bool:
-        return self._token is not None and self._token < self._known
-
     def _take_own(self, token: FencingToken, now: float) -> None:
         is_first = self._token is None
         self._token = self._known = token
--- a/tests/duties/test_random.py
+++ b/tests/duties/test_random.py
@@ -124,10 +124,9 @@
 
 
 def test_catches_a_broken_keeper_that_takes_lost_duties_back_at_once() -> None:
-    def lose(self: Holding, now: float) -> bool:
+    def lose(self: Holding, now: float) -> None:
         self._token = None
         self._heard = now - 60.0
-        return True
 
     with mock.patch.object(Holding, "lose", lose):
         assert any("within a lease" in line for line in find_breaches_of_many())
