--- a/tests/soak/test_poison.py
+++ b/tests/soak/test_poison.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from tests.soak.deployment import HOSTS
 from tests.soak.poison import PoisonPlay, served_share
 from tests.soak.upstreams import FATAL_BODY, LATE_FATAL_BODY
 
@@ -44,6 +45,8 @@
     assert verdict.fatal_crashes <= FEW_CRASHES
     assert served_share(verdict.innocent) >= SERVED, "an innocent body suffers"
     assert served_share(verdict.others) >= SERVED
+    if kill_after is not None:
+        assert len(verdict.back) == HOSTS, "every host serves again"
     assert len(verdict.quarantined) == 1, "this request and no other"
     assert verdict.breaches == ()
 
