Tell no window anew whose settled usage cannot be read

Read in the code: a claim or a usage record that cannot be read made the host forget both. Now each is read by itself; an unreadable claim keeps its token, and after unreadable usage (a newer release's, say) the reports begin with the next window. Ruled out: holding no duties at all then, since nobody would ever mend it. Tests: four, of which the two on unreadable records fail on the code before (it could not be imported; by reading, both records were dropped together).

--- a/src/rudderpass/duties/__init__.py
+++ b/src/rudderpass/duties/__init__.py
@@ -12,6 +12,7 @@
     WriteUsage as WriteUsage,
 )
 from rudderpass.duties._messages import (
+    UNREADABLE_USAGE as UNREADABLE_USAGE,
     CallResult as CallResult,
     DutyHolder as DutyHolder,
     DutyLog as DutyLog,
--- a/src/rudderpass/duties/_messages.py
+++ b/src/rudderpass/duties/_messages.py
@@ -54,6 +54,10 @@
     windows: tuple[WindowUsage, ...]
 
 
+UNREADABLE_USAGE = SettledUsage(-1, ())
+"""Stands for settled usage that a host cannot read, such as a newer release's."""
+
+
 @dataclass(frozen=True)
 class DutyHolder:
     """One start of a host that holds the duties."""
--- a/src/rudderpass/duties/_reports.py
+++ b/src/rudderpass/duties/_reports.py
@@ -11,7 +11,12 @@
 from dataclasses import dataclass
 
 from rudderpass._ids import NodeId
-from rudderpass.duties._messages import CallResult, SettledUsage, WindowUsage
+from rudderpass.duties._messages import (
+    UNREADABLE_USAGE,
+    CallResult,
+    SettledUsage,
+    WindowUsage,
+)
 from rudderpass.duties._usage import CLOSING_SECONDS, UsageBook
 from rudderpass.duties._windows import WindowClock
 
@@ -79,6 +84,9 @@
             self._is_first = True
             self._next_window = self._clock.window_at(now)
             return
+        if settled == UNREADABLE_USAGE:
+            # Any window that has begun may have been told, with counts not known here.
+            settled = SettledUsage(self._clock.window_at(now) + 1, ())
         self.note_settled(settled)
 
     def find_settlement(
--- a/src/rudderpass/duties/_scaling.py
+++ b/src/rudderpass/duties/_scaling.py
@@ -4,7 +4,7 @@
 an upstream that is ordered for them serves: whatever is to serve them must be there
 before. So the numbers follow the largest work of a long while, not that of the moment.
 Cheap upstreams that may be taken away at any time are preferred where two of them cost
-less than one of the others, in all availability zones alike, since what takes them
+no more than one of the others, in all availability zones alike, since what takes them
 takes all of a zone.
 """
 
@@ -36,7 +36,8 @@
 busier hold up one another's streams, and a burst of three times the usual fits."""
 
 CHEAP_SHARE = 0.5
-"""Upstreams that may be taken away are preferred up to this share of the price."""
+"""Upstreams that may be taken away are preferred up to this share of the price: with
+two zones, twice as many are had, so that one zone's may go."""
 
 STEADY_SECONDS = 1.0
 PATIENCE_SECONDS = 4.0
--- a/src/rudderpass/host/_duty_access.py
+++ b/src/rudderpass/host/_duty_access.py
@@ -8,7 +8,15 @@
 
 from rudderpass._ids import FencingToken
 from rudderpass.directory import KeyedPage
-from rudderpass.duties import CallResult, DutyLog, ScaleSubject, WindowUsage
+from rudderpass.duties import (
+    UNREADABLE_USAGE,
+    CallResult,
+    DutyHolder,
+    DutyLog,
+    ScaleSubject,
+    SettledUsage,
+    WindowUsage,
+)
 from rudderpass.errors import PeerError
 from rudderpass.eventlog import log
 from rudderpass.gossip import decode_duty_holder, decode_settled_usage
@@ -68,15 +76,28 @@
     }
     claim = records.get(HOLDER_KEY)
     settled = records.get(USAGE_KEY)
+    return DutyLog(
+        page.end,
+        None if claim is None else _read_holder(claim[1]),
+        FencingToken(0 if claim is None else claim[0] + 1),
+        None if settled is None else _read_usage(settled[1]),
+    )
+
+
+def _read_holder(data: bytes) -> DutyHolder | None:
+    """Return who claimed the duties; None, nobody alive, for an unreadable claim."""
     try:
-        return DutyLog(
-            page.end,
-            None if claim is None else decode_duty_holder(claim[1]),
-            FencingToken(0 if claim is None else claim[0] + 1),
-            None if settled is None else decode_settled_usage(settled[1]),
-        )
+        return decode_duty_holder(data)
+    except PeerError as error:
+        log("duty", f"a claim cannot be read, {error.show()}.", error=error.show())
+        return None
+
+
+def _read_usage(data: bytes) -> SettledUsage:
+    try:
+        return decode_settled_usage(data)
     except PeerError as error:
-        # Nothing is known of such a record, so it is nobody's claim.
-        log("duty", f"a record cannot be read, {error.show()}.")
-        token = FencingToken(0 if claim is None else claim[0] + 1)
-        return DutyLog(page.end, None, token)
+        log(
+            "duty", f"settled usage cannot be read, {error.show()}.", error=error.show()
+        )
+        return UNREADABLE_USAGE
--- /dev/null
+++ b/tests/host/test_duty_access.py
@@ -0,0 +1,60 @@
+"""The log of the duties as a host reads it, whatever stands there."""
+
+from __future__ import annotations
+
+from rudderpass._ids import NodeId, TeamId
+from rudderpass.directory import KeyedPage, KeyedRecord
+from rudderpass.duties import (
+    UNREADABLE_USAGE,
+    DutyHolder,
+    SettledUsage,
+    UsageBook,
+    UsageCounter,
+    UsageReports,
+    WindowClock,
+    WindowUsage,
+)
+from rudderpass.duties._reports import ReportRule
+from rudderpass.gossip import encode_duty_holder, encode_settled_usage
+from rudderpass.host._duty_access import HOLDER_KEY, USAGE_KEY, read_duty_log
+
+HOLDER = DutyHolder(NodeId("10.0.0.1:7000"), "1-1")
+USAGE = SettledUsage(8, (WindowUsage(7, {TeamId("crew"): 3}),))
+
+
+def page(claim: bytes | None, usage: bytes | None) -> KeyedPage:
+    records = [KeyedRecord(4, HOLDER_KEY, claim), KeyedRecord(6, USAGE_KEY, usage)]
+    return KeyedPage(tuple(records), 7)
+
+
+def test_the_newest_claim_and_usage_are_read() -> None:
+    log = read_duty_log(page(encode_duty_holder(HOLDER), encode_settled_usage(USAGE)))
+    assert (log.end, log.holder, log.token, log.usage) == (7, HOLDER, 5, USAGE)
+
+
+def test_an_empty_log_has_no_holder() -> None:
+    log = read_duty_log(KeyedPage((), 0))
+    assert (log.end, log.holder, log.token, log.usage) == (0, None, 0, None)
+
+
+def test_an_unreadable_claim_keeps_its_token_and_the_usage() -> None:
+    log = read_duty_log(page(b"\xff\xff", encode_settled_usage(USAGE)))
+    assert (log.holder, log.token, log.usage) == (None, 5, USAGE)
+
+
+def test_windows_that_may_have_been_told_are_not_told_anew() -> None:
+    log = read_duty_log(page(encode_duty_holder(HOLDER), b"\xff\xff"))
+    assert log.holder == HOLDER
+    assert log.usage == UNREADABLE_USAGE
+    clock, book = WindowClock(5.0, 0.0, 0.0), UsageBook()
+    counter = UsageCounter(clock, 0)
+    for moment in (1.0, 6.0, 11.0):
+        counter.note_begun(TeamId("crew"), moment)
+    book.take(HOLDER.host, counter.describe(7.0))
+    reports = UsageReports(ReportRule(10.0), clock, book, 0.0)
+    reports.begin(log.usage, 7.0)
+    assert reports.find_settlement([HOLDER.host], 9.0) is None
+    book.take(HOLDER.host, counter.describe(16.5))
+    settled = reports.find_settlement([HOLDER.host], 16.5)
+    assert settled is not None
+    assert [usage.window for usage in settled.windows] == [2]
