Make no evidence of an upstream that is there already

Cause, by a profile of 120 hosts in virtual time with 1,200 upstreams: a choice weighs all upstreams, and each look at what was seen of one made an object and threw it away: 2.0 of 15.9 s.

--- a/src/rudderpass/exchange/_choice.py
+++ b/src/rudderpass/exchange/_choice.py
@@ -99,7 +99,10 @@
 
     def evidence_of(self, upstream: UpstreamId) -> UpstreamEvidence:
         """Return what was seen of an upstream."""
-        return self.evidence.setdefault(upstream, UpstreamEvidence())
+        known = self.evidence.get(upstream)
+        if known is None:
+            known = self.evidence[upstream] = UpstreamEvidence()
+        return known
 
 
 def choose_upstream(
