Report the upstream rate limits that a host receives

Adds observability only: no decision uses the limits yet.

Read the Server-Limit header of each answer (invalid values count as no limit), store the limit per upstream, log a `limit` line when the reported limit changes, and count the upstreams with a limit in the gauge upstreams_rate_limited. An answer to a request that was sent before the limit was received does not remove it.

--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -22,7 +22,8 @@
 from rudderpass.exchange._load import LoadBook, ToldWork, request_load
 from rudderpass.exchange._overload import find_return
 from rudderpass.exchange._prefixes import PrefixMemory
-from rudderpass.exchange._request import ExchangeRequest
+from rudderpass.exchange._rate_limits import RateLimits
+from rudderpass.exchange._request import AnswerHead, ExchangeRequest
 from rudderpass.exchange._slots import HoldTimes, SlotTerms
 from rudderpass.exchange._weights import SERVICE_SECONDS
 from rudderpass.learning import StreamSample
@@ -82,6 +83,7 @@
         self._budget = SharedRetryBudget(rule, restarted_at)
         self._quarantine = QuarantineBook()
         self._crashes = CrashEvidence(directory, self._knowledge, self._quarantine)
+        self._rate_limits = RateLimits()
         self._count_hosts = count_hosts
         self._begun: dict[UpstreamId, dict[int, float]] = {}
         self._stopping = False
@@ -104,6 +106,11 @@
         """The requests that may crash upstreams."""
         return self._quarantine
 
+    @property
+    def rate_limits(self) -> RateLimits:
+        """The rate limits that upstreams currently report."""
+        return self._rate_limits
+
     @property
     def caches(self) -> CacheBook:
         """What the upstreams' caches are believed to hold."""
@@ -280,6 +287,12 @@
             if tier >= accepted.tier
         )
 
+    def note_head(self, assignment: Assignment, head: AnswerHead, now: float) -> bool:
+        """Record an answer's head; return whether the rate limit changed."""
+        return self._rate_limits.note_answer(
+            assignment.upstream, head.rate_limit, assignment.sent, now
+        )
+
     def note_answering(self, assignment: Assignment, now: float) -> None:
         """Take note that an upstream's answer has begun."""
         if assignment.is_answering:
@@ -375,6 +388,7 @@
             self._knowledge.prefixes.forget_upstream(entry.upstream)
             self._forecasts.forget_upstream(entry.upstream)
             self._crashes.note_gone(entry.upstream, now)
+            self._rate_limits.forget_upstream(entry.upstream)
         self._crashes.disprove(now)
         self._forget_unlisted()
         self._caches.forget_old(now)
--- a/src/rudderpass/exchange/_lines.py
+++ b/src/rudderpass/exchange/_lines.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from rudderpass import _clock
-from rudderpass._ids import Fingerprint
+from rudderpass._ids import Fingerprint, UpstreamId
 from rudderpass.errors import ConnectionCut, NobodyListens, UpstreamError
 from rudderpass.eventlog import log, round_age
 from rudderpass.exchange._assignment import Accepted, Assignment, Refused
@@ -119,6 +119,13 @@
     )
 
 
+def log_rate_limit(upstream: UpstreamId, rate: float | None) -> None:
+    """Log that an upstream's rate limit was set, changed or removed."""
+    state = "removed" if rate is None else f"set to {rate:g} requests per second"
+    text = f"Rate limit of {upstream} {state}."
+    log("limit", text, upstream=upstream, rate=rate)
+
+
 def log_answer(
     request: ExchangeRequest, end: ExchangeEnd, status: int, cause: str
 ) -> None:
--- a/src/rudderpass/exchange/_request.py
+++ b/src/rudderpass/exchange/_request.py
@@ -91,6 +91,8 @@
 
     :param headers: end-to-end headers, to be passed on unchanged.
     :param keep_alive: seconds that the connection may rest; 0 closes it.
+    :param rate_limit: requests per second that the upstream accepts from all hosts
+        combined; None if it reports no limit.
     """
 
     kind: AnswerKind
@@ -99,3 +101,4 @@
     headers: Headers
     is_stream: bool
     keep_alive: float
+    rate_limit: float | None = None
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -29,7 +29,7 @@
 from rudderpass.exchange._connections import UpstreamConnection
 from rudderpass.exchange._dialect import SendFacts
 from rudderpass.exchange._events import EventError
-from rudderpass.exchange._lines import log_pause
+from rudderpass.exchange._lines import log_pause, log_rate_limit
 from rudderpass.exchange._progress import Ending, Progress
 from rudderpass.exchange._request import AnswerHead, AnswerKind
 from rudderpass.learning import StreamSample
@@ -110,6 +110,7 @@
             response.getheaders(),
             self._progress.request.request_id,
         )
+        self._note_head(head)
         self._check(head, response, connection)
         if head.is_stream:
             return self._pass_stream(connection, response, head)
@@ -321,6 +322,16 @@
         else:
             self._parts.connections.keep(connection, head.keep_alive)
 
+    def _note_head(self, head: AnswerHead) -> None:
+        """Record the head if the answer comes from the assigned upstream."""
+        if head.kind in (AnswerKind.FOREIGN, AnswerKind.OTHER_UPSTREAM):
+            return
+        with self._parts.guard:
+            core = self._parts.core
+            limit_changed = core.note_head(self._assigned, head, _clock.now())
+        if limit_changed:
+            log_rate_limit(self._assigned.upstream, head.rate_limit)
+
     def _note_refusal(self, error: UpstreamError) -> None:
         with self._parts.guard:
             if isinstance(error, UpstreamReplaced):
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -389,6 +389,7 @@
                 streams_passed_over=self._core.streams_passed_over,
                 suspect_requests=self._core.quarantine.suspect_count,
                 quarantined_requests=len(self._core.quarantine.quarantined),
+                upstreams_rate_limited=len(self._core.rate_limits.rates),
                 duty_token=0 if duties is None else duties.token or 0,
                 usage_reports_waiting=0 if duties is None else duties.reports_waiting,
                 upstreams_wanted=0 if duties is None else duties.upstreams_wanted,
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -38,6 +38,7 @@
     streams_passed_over: int
     suspect_requests: int
     quarantined_requests: int
+    upstreams_rate_limited: int
     duty_token: int
     usage_reports_waiting: int
     upstreams_wanted: int
--- a/src/rudderpass/platform/_dialect.py
+++ b/src/rudderpass/platform/_dialect.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Any
@@ -24,6 +25,7 @@
     NOT_RUN,
     PROMPT_PARTS,
     PROOF,
+    RATE_LIMIT,
     REQUEST_ID,
     TEAM,
     TIER,
@@ -135,6 +137,7 @@
             is_stream=status == HTTPStatus.OK
             and content_type.startswith(_EVENT_STREAM),
             keep_alive=_read_keep_alive(fields.get("keep-alive", "")),
+            rate_limit=_read_rate_limit(fields.get(RATE_LIMIT.lower())),
         )
 
     def write_refusal(
@@ -249,6 +252,15 @@
     return DEFAULT_KEEP_ALIVE_SECONDS
 
 
+def _read_rate_limit(value: str | None) -> float | None:
+    """Return the limit in requests per second; None if missing or invalid."""
+    try:
+        rate = float(value or "")
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0.0 else None
+
+
 def _phrase(status: int) -> str:
     try:
         return HTTPStatus(status).phrase
--- a/src/rudderpass/platform/_headers.py
+++ b/src/rudderpass/platform/_headers.py
@@ -31,6 +31,7 @@
 NOT_RUN = "X-Not-Executed"
 ANSWERING_UPSTREAM = "X-Instance-Id"
 ANSWER_VERSIONS = "X-Weight-Versions"
+RATE_LIMIT = "Server-Limit"
 
 
 class Owner(Enum):
@@ -67,6 +68,7 @@
     NOT_RUN: Owner.UPSTREAM,
     ANSWERING_UPSTREAM: Owner.UPSTREAM,
     ANSWER_VERSIONS: Owner.UPSTREAM,
+    RATE_LIMIT: Owner.UPSTREAM,
 }
 
 _NOT_FROM_CALLERS = frozenset(
--- a/tests/exchange/test_serve.py
+++ b/tests/exchange/test_serve.py
@@ -455,3 +455,15 @@
     told = {name: sent[name] for name in ("prompt", "output", "under_way", "slots")}
     assert told == {"prompt": 100, "output": 12, "under_way": 0, "slots": 8}
     assert (sent["route_tier"], sent["team_tier"]) == (2, None)
+
+
+def test_a_rate_limit_is_logged_when_it_changes(make_world: MakeWorld) -> None:
+    limited = answer(b"whole", "200 OK", "Server-Limit: 50")
+    world = make_world(IDEMPOTENT, limited)
+    with logged() as lines:
+        for number in range(2):
+            world.ask(f"r{number}").read()
+        world.upstreams[0].behaviour = answer()
+        world.ask("r2").read()
+    changes = [line for line in lines if line["message_type"] == "limit"]
+    assert [line["rate"] for line in changes] == [50.0, None]
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -177,3 +177,25 @@
     assert ("Retry-After", "0.400") in DIALECT.write_refusal("r1", 0.4)
     names = [name for name, _ in DIALECT.write_refusal("r1", None)]
     assert "Retry-After" not in names
+
+
+@pytest.mark.parametrize(
+    ("value", "rate"),
+    [
+        ("1", 1.0),
+        ("0.25", 0.25),
+        ("0", 0.0),
+        ("", None),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("many", None),
+    ],
+)
+def test_the_rate_limit_header_is_parsed(value: str, rate: float | None) -> None:
+    headers = [("X-Request-Id", "r1"), ("Server-Limit", value)]
+    assert DIALECT.read_answer(200, "OK", headers, REQUEST).rate_limit == rate
+
+
+def test_an_answer_without_the_header_has_no_rate_limit() -> None:
+    assert DIALECT.read_answer(200, "OK", [], REQUEST).rate_limit is None
