Enforce upstream rate limits jointly across all hosts

Cause: no host applied the limit. Ruled out as the whole cause: each host enforcing the limit on its own. In the violating windows six of eight hosts sent requests, most of them no more than 1 per second, so enforcing the limit per host would not be enough.

A limit in any answer is now sent to the peers with its age. Of the live hosts, as many as the rate plus three share it, chosen by rendezvous hashing; each meters its share with a token bucket that starts empty. This bounds the requests in 4 s to 5 times the rate plus 3, where 6 times the rate plus 5 are allowed. An upstream whose share is used up is not a candidate; if none is left, the request is refused with a retry time. A limit that no answer confirms doubles every second after 5 s and is forgotten after 15 s. An upstream that reports 0 gets one request every ten seconds.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -84,6 +84,13 @@
   5: optional i32 trial_ms /* since a copy was sent on trial */
 }
 
+/* A rate limit reported by an upstream. */
+struct RateLimit {
+  1: string upstream
+  2: i32 age_ms /* since a host received the limit, or its removal */
+  3: optional double rate /* requests per second; absent if the limit was removed */
+}
+
 /* What a host keeps of itself in the platform's log, under its address. */
 struct HostRecord {
   1: string zone
@@ -138,6 +145,7 @@
   18: optional bool holds_duties
   19: optional i64 usage_settled /* the windows before it need not be told any more */
   20: optional HostUsage usage
+  21: optional list<RateLimit> rate_limits
 }
 
 /* All that the sender believes to be kept in caches. */
--- a/src/rudderpass/exchange/__init__.py
+++ b/src/rudderpass/exchange/__init__.py
@@ -33,6 +33,7 @@
     EventSplitter as EventSplitter,
 )
 from rudderpass.exchange._evidence import UpstreamEvidence as UpstreamEvidence
+from rudderpass.exchange._lines import log_rate_limit as log_rate_limit
 from rudderpass.exchange._load import (
     Load as Load,
     LoadBook as LoadBook,
@@ -46,6 +47,11 @@
     ExchangeEnd as ExchangeEnd,
     ExchangeParts as ExchangeParts,
 )
+from rudderpass.exchange._rate_limits import (
+    HostRank as HostRank,
+    RateLimitNews as RateLimitNews,
+    RateLimits as RateLimits,
+)
 from rudderpass.exchange._request import (
     AnswerHead as AnswerHead,
     AnswerKind as AnswerKind,
--- a/src/rudderpass/exchange/_acceptance.py
+++ b/src/rudderpass/exchange/_acceptance.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
+from rudderpass._ids import UpstreamId
 from rudderpass.directory import ExchangeConfig, rank_urgency
 from rudderpass.exchange._assignment import Accepted, RefusalReason, Refused
+from rudderpass.exchange._overload import LONGEST_RETURN_SHARE
+from rudderpass.exchange._rate_limits import RateLimits
 from rudderpass.exchange._request import ExchangeRequest
 
 NO_CONFIG_RETRY_SECONDS = 2.0
@@ -13,6 +18,10 @@
 the store. Callers wait a third of the time they have left at most, and are refused for
 good when they come back too soon."""
 
+OTHER_HOST_RETRY_SECONDS = 0.1
+"""Retry time if this host has no share of the upstreams' rate limits; the retry may
+reach a host that has one."""
+
 
 def accept_request(
     config: ExchangeConfig | None, request: ExchangeRequest, now: float
@@ -40,3 +49,19 @@
         config.version,
         team_tier,
     )
+
+
+def refuse_unassigned(
+    limits: RateLimits, limited: Collection[UpstreamId], accepted: Accepted, now: float
+) -> Refused:
+    """Refuse a request that no upstream can take now.
+
+    :param limited: upstreams that are ruled out only by their rate limits.
+    """
+    if not limited:
+        return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_SECONDS)
+    wait = limits.shortest_wait(limited, now)
+    if wait is None:
+        return Refused(RefusalReason.RATE_LIMITED, OTHER_HOST_RETRY_SECONDS)
+    max_wait = LONGEST_RETURN_SHARE * (accepted.deadline - now)
+    return Refused(RefusalReason.RATE_LIMITED, max(0.0, min(wait, max_wait)))
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -6,7 +6,7 @@
 
 from rudderpass._ids import AvailabilityZone, Fingerprint, NodeId, PoolId, UpstreamId
 from rudderpass.directory import Directory, RegisteredUpstream
-from rudderpass.exchange._acceptance import NO_UPSTREAM_RETRY_SECONDS, accept_request
+from rudderpass.exchange._acceptance import accept_request, refuse_unassigned
 from rudderpass.exchange._assignment import (
     Accepted,
     Assignment,
@@ -22,7 +22,7 @@
 from rudderpass.exchange._load import LoadBook, ToldWork, request_load
 from rudderpass.exchange._overload import find_return
 from rudderpass.exchange._prefixes import PrefixMemory
-from rudderpass.exchange._rate_limits import RateLimits
+from rudderpass.exchange._rate_limits import HostRank, RateLimits
 from rudderpass.exchange._request import AnswerHead, ExchangeRequest
 from rudderpass.exchange._slots import HoldTimes, SlotTerms
 from rudderpass.exchange._weights import SERVICE_SECONDS
@@ -58,6 +58,7 @@
     :param count_hosts: returns how many hosts share that allowance.
     :param restarted_at: when this host started again; None at the first start of the
         whole deployment.
+    :param rank_host: returns this host's rank for an upstream's rate limit.
     :ivar is_warm: whether it knows what the upstreams keep in their caches.
 
     Not thread-safe: the host's lock guards it.
@@ -73,6 +74,7 @@
         reread_window: float,
         count_hosts: Callable[[], int],
         restarted_at: float | None = None,
+        rank_host: Callable[[UpstreamId, float], HostRank] | None = None,
     ) -> None:
         self._directory = directory
         self._knowledge = Knowledge(zone, PrefixMemory(), {}, reread_window)
@@ -83,7 +85,7 @@
         self._budget = SharedRetryBudget(rule, restarted_at)
         self._quarantine = QuarantineBook()
         self._crashes = CrashEvidence(directory, self._knowledge, self._quarantine)
-        self._rate_limits = RateLimits()
+        self._rate_limits = RateLimits(rank_host)
         self._count_hosts = count_hosts
         self._begun: dict[UpstreamId, dict[int, float]] = {}
         self._stopping = False
@@ -190,13 +192,16 @@
         self._directory.expire(now)
         upstreams = self._directory.serving(accepted.service)
         harms = self._forecasts.harms(accepted, upstreams, now)
+        exhausted = self._rate_limits.find_exhausted(
+            [entry.upstream for entry in upstreams], now
+        )
         choice = choose_upstream(
             request,
             harms,
             self._forecasts.demand(accepted.service, upstreams, now),
             accepted.route.target_latency,
             upstreams,
-            excluded,
+            exhausted.union(excluded),
             self._loads.totals(now),
             self._knowledge,
             self._directory.find_engine(accepted.service),
@@ -207,7 +212,8 @@
             choice = isolate_choice(choice, isolate)
         chosen = choice.chosen
         if chosen is None:
-            return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_SECONDS)
+            limited = exhausted.difference(excluded)
+            return refuse_unassigned(self._rate_limits, limited, accepted, now)
         if not excluded:
             come_back = find_return(
                 request.request_id,
@@ -219,6 +225,7 @@
             if come_back is not None:
                 return Refused(RefusalReason.OVERLOAD, come_back)
         upstream = chosen.upstream.upstream
+        self._rate_limits.spend(upstream, now)
         rank = accepted.tier if request.parts else None
         load = request_load(chosen.unread_tokens, harms.tightness, rank)
         self._loads.begin(upstream, load)
@@ -243,6 +250,7 @@
             self._directory.upstreams_end,
             self._directory.list_age(now),
             chosen.copy_from,
+            rate_limited=len(exhausted),
         )
 
     def takes_work(self, assignment: Assignment, now: float) -> bool:
@@ -390,6 +398,7 @@
             self._crashes.note_gone(entry.upstream, now)
             self._rate_limits.forget_upstream(entry.upstream)
         self._crashes.disprove(now)
+        self._rate_limits.tick(now)
         self._forget_unlisted()
         self._caches.forget_old(now)
         return gone
--- a/src/rudderpass/exchange/_lines.py
+++ b/src/rudderpass/exchange/_lines.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from rudderpass import _clock
-from rudderpass._ids import Fingerprint, UpstreamId
+from rudderpass._ids import Fingerprint, NodeId, UpstreamId
 from rudderpass.errors import ConnectionCut, NobodyListens, UpstreamError
 from rudderpass.eventlog import log, round_age
 from rudderpass.exchange._assignment import Accepted, Assignment, Refused
@@ -60,6 +60,7 @@
         reread=choice.chosen.reread_tokens if choice.chosen else 0,
         candidates=shown,
         candidate_count=len(choice.candidates),
+        rate_limited=assigned.rate_limited,
         ruled_out=list(choice.ruled_out[:SHOWN_CANDIDATES]),
         config_version=accepted.config_version,
         list_offset=assigned.list_offset,
@@ -119,11 +120,16 @@
     )
 
 
-def log_rate_limit(upstream: UpstreamId, rate: float | None) -> None:
-    """Log that an upstream's rate limit was set, changed or removed."""
+def log_rate_limit(
+    upstream: UpstreamId, rate: float | None, peer: NodeId | None = None
+) -> None:
+    """Log that an upstream's rate limit was set, changed or removed.
+
+    :param peer: the peer that reported it; None if an answer from the upstream did.
+    """
     state = "removed" if rate is None else f"set to {rate:g} requests per second"
     text = f"Rate limit of {upstream} {state}."
-    log("limit", text, upstream=upstream, rate=rate)
+    log("limit", text, upstream=upstream, rate=rate, peer=peer)
 
 
 def log_answer(
--- a/src/rudderpass/exchange/_rate_limits.py
+++ b/src/rudderpass/exchange/_rate_limits.py
@@ -1,40 +1,123 @@
-"""Rate limits that upstreams report, each shared by all hosts."""
+"""Upstream rate limits, enforced jointly by all hosts.
+
+A limit is split among a few hosts, chosen per upstream by rendezvous hashing. Each of
+them meters its share with a token bucket. A bucket holds at least one token, so
+splitting a limit among all hosts of a large fleet would allow a burst of one request
+per host.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass
+import heapq
+from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import dataclass, field
 
 from rudderpass._ids import UpstreamId
 
+BURST_SECONDS = 1.0
+"""Capacity of a token bucket, in seconds of the host's share; at least one token."""
+
+EXTRA_SENDERS = 3
+"""A limit is shared by this many hosts more than its requests per second. More senders
+use more of the limit but allow a larger burst, since each bucket holds a token."""
+
+STALE_SECONDS = 5.0
+"""A limit that no answer has confirmed for this long doubles every second, since an
+upstream that receives no requests cannot report a change."""
+
+FORGET_SECONDS = 15.0
+"""A limit that no answer has confirmed for this long is forgotten."""
+
+MIN_RATE = 0.1
+"""Lowest rate applied, in requests per second. An upstream that reports 0 must still be
+sent a request now and then, since only its answers can report a higher limit."""
+
+RETELL_SECONDS = 1.0
+"""Interval at which each limit is sent to the peers again, since datagrams get lost."""
+
+MIN_RENEWAL_SECONDS = 0.25
+"""An unchanged limit from a peer must be newer by this much to refresh the stored one.
+Ages omit the network delay, so hosts could otherwise keep a limit alive by repeating
+it to each other."""
+
+RERANK_SECONDS = 0.5
+"""How long a rank is cached; ranking a large fleet for each request is expensive."""
+
+MAX_TOLD = 32
+"""Maximum number of limits in one beat."""
+
+
+@dataclass(frozen=True)
+class HostRank:
+    """A host's position in the rendezvous order of the hosts for an upstream.
+
+    :param rank: 0 for the first host.
+    :param host_count: number of ranked hosts.
+    """
+
+    rank: int = 0
+    host_count: int = 1
+
+
+@dataclass(frozen=True)
+class RateLimitNews:
+    """An upstream's rate limit, as sent to peers.
+
+    :param rate: requests per second; None if the limit was removed.
+    :param age: seconds since the limit was received or removed.
+    """
+
+    upstream: UpstreamId
+    rate: float | None
+    age: float
+
 
 @dataclass
 class _RateLimit:
-    """The rate limit that an upstream last reported.
+    """The limit last reported by an upstream, and this host's token bucket for it.
 
-    :param rate: requests per second.
-    :param received_at: when the limit was last received.
+    :param rate: requests per second; None if the limit was removed.
+    :param received_at: when the limit was last reported, or removed.
+    :param refilled_at: when the bucket was last refilled.
+    :param tokens: requests that this host may send now.
+    :param told_at: when the limit was last sent to peers.
+    :param host_rank: this host's rank for the upstream.
+    :param ranked_at: when the rank was computed.
     """
 
-    rate: float
+    rate: float | None
     received_at: float
+    refilled_at: float
+    tokens: float = 0.0
+    told_at: float = float("-inf")
+    host_rank: HostRank = field(default_factory=HostRank)
+    ranked_at: float = float("-inf")
 
 
 class RateLimits:
-    """Keeps the latest rate limit reported by each upstream.
+    """Keeps the latest rate limit of each upstream and this host's share of it.
+
+    :param rank_host: returns this host's rank for an upstream.
 
     Not thread-safe: the host's lock guards it.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, rank_host: Callable[[UpstreamId, float], HostRank] | None = None
+    ) -> None:
+        self._rank_host = rank_host or (lambda upstream, now: HostRank())
         self._limits: dict[UpstreamId, _RateLimit] = {}
 
     @property
     def rates(self) -> Mapping[UpstreamId, float]:
         """The current limits by upstream, in requests per second."""
-        return {upstream: limit.rate for upstream, limit in self._limits.items()}
+        return {
+            upstream: limit.rate
+            for upstream, limit in self._limits.items()
+            if limit.rate is not None
+        }
 
     def note_answer(
         self, upstream: UpstreamId, rate: float | None, sent: float, now: float
@@ -46,13 +129,151 @@
         """
         current = self._limits.get(upstream)
         if rate is not None:
-            self._limits[upstream] = _RateLimit(rate, now)
-            return current is None or current.rate != rate
-        if current is None or sent < current.received_at:
+            return self._set(upstream, rate, now, now)
+        if current is None or current.rate is None or sent < current.received_at:
             return False
-        del self._limits[upstream]
-        return True
+        return self._set(upstream, None, sent, now)
+
+    def find_exhausted(
+        self, upstreams: Iterable[UpstreamId], now: float
+    ) -> frozenset[UpstreamId]:
+        """Return the upstreams for which this host has no token now."""
+        if not self._limits:
+            return frozenset()
+        return frozenset(
+            upstream for upstream in upstreams if not self._admits(upstream, now)
+        )
+
+    def spend(self, upstream: UpstreamId, now: float) -> None:
+        """Take a token for a request that is sent to an upstream."""
+        limit = self._limits.get(upstream)
+        if limit is not None and limit.rate is not None:
+            self._refill(upstream, limit, now)
+            limit.tokens -= 1.0
+
+    def shortest_wait(
+        self, upstreams: Collection[UpstreamId], now: float
+    ) -> float | None:
+        """Return the seconds until this host may send to one of the upstreams.
+
+        :returns: None if it has no share of any of their limits.
+        """
+        waits = [self._wait_seconds(upstream, now) for upstream in upstreams]
+        return min((wait for wait in waits if wait is not None), default=None)
+
+    def take(
+        self, news: Iterable[RateLimitNews], now: float
+    ) -> list[tuple[UpstreamId, float | None]]:
+        """Merge limits from a peer; return the upstreams and rates that changed."""
+        changed = []
+        for item in news:
+            received_at = now - item.age
+            if self._is_newer(item, received_at) and self._set(
+                item.upstream, item.rate, received_at, now
+            ):
+                changed.append((item.upstream, item.rate))
+        return changed
+
+    def tell(self, now: float) -> tuple[RateLimitNews, ...]:
+        """Return the limits to send in the next beat."""
+        due = [
+            (limit.told_at, upstream, limit)
+            for upstream, limit in self._limits.items()
+            if now - limit.told_at >= RETELL_SECONDS
+        ]
+        told = heapq.nsmallest(MAX_TOLD, due, key=lambda item: item[:2])
+        for _, _, limit in told:
+            limit.told_at = now
+        return tuple(_describe(upstream, limit, now) for _, upstream, limit in told)
+
+    def describe(self, now: float) -> tuple[RateLimitNews, ...]:
+        """Return the newest limits, for a peer that may have none of them."""
+        newest = heapq.nlargest(
+            MAX_TOLD,
+            self._limits.items(),
+            key=lambda item: (item[1].received_at, item[0]),
+        )
+        return tuple(_describe(upstream, limit, now) for upstream, limit in newest)
+
+    def tick(self, now: float) -> None:
+        """Refill the token buckets and forget expired limits."""
+        for upstream, limit in list(self._limits.items()):
+            if now - limit.received_at >= FORGET_SECONDS:
+                del self._limits[upstream]
+            elif limit.rate is not None:
+                self._refill(upstream, limit, now)
 
     def forget_upstream(self, upstream: UpstreamId) -> None:
         """Remove the limit of an upstream that is no longer listed."""
         self._limits.pop(upstream, None)
+
+    def _is_newer(self, news: RateLimitNews, received_at: float) -> bool:
+        if news.age >= FORGET_SECONDS:
+            return False
+        current = self._limits.get(news.upstream)
+        if current is None:
+            return True
+        margin = MIN_RENEWAL_SECONDS if current.rate == news.rate else 0.0
+        return received_at > current.received_at + margin
+
+    def _set(
+        self, upstream: UpstreamId, rate: float | None, received_at: float, now: float
+    ) -> bool:
+        """Set a limit, or remove it; return whether the rate changed."""
+        current = self._limits.get(upstream)
+        if current is None:
+            self._limits[upstream] = _RateLimit(rate, received_at, refilled_at=now)
+            return rate is not None
+        has_changed = current.rate != rate
+        if has_changed:
+            current.told_at = float("-inf")
+        if current.rate is None:
+            current.tokens = 0.0
+            current.refilled_at = now
+        current.rate = rate
+        current.received_at = received_at
+        return has_changed
+
+    def _admits(self, upstream: UpstreamId, now: float) -> bool:
+        wait = self._wait_seconds(upstream, now)
+        return wait is not None and wait <= 0.0
+
+    def _wait_seconds(self, upstream: UpstreamId, now: float) -> float | None:
+        limit = self._limits.get(upstream)
+        if limit is None or limit.rate is None:
+            return 0.0
+        rate = self._refill(upstream, limit, now)
+        if rate <= 0.0:
+            return None
+        return max(0.0, 1.0 - limit.tokens) / rate
+
+    def _refill(self, upstream: UpstreamId, limit: _RateLimit, now: float) -> float:
+        """Add the tokens accrued since the last refill; return this host's rate."""
+        rate, capacity = self._share(upstream, limit, now)
+        accrued = limit.tokens + rate * max(0.0, now - limit.refilled_at)
+        limit.tokens = min(capacity, accrued)
+        limit.refilled_at = now
+        return rate
+
+    def _share(
+        self, upstream: UpstreamId, limit: _RateLimit, now: float
+    ) -> tuple[float, float]:
+        """Return the refill rate and the capacity of this host's token bucket."""
+        rate = _current_rate(limit, now)
+        if now - limit.ranked_at >= RERANK_SECONDS:
+            limit.host_rank = self._rank_host(upstream, now)
+            limit.ranked_at = now
+        senders = min(limit.host_rank.host_count, int(rate) + EXTRA_SENDERS)
+        if limit.host_rank.rank >= senders:
+            return 0.0, 0.0
+        return rate / senders, max(1.0, BURST_SECONDS * rate / senders)
+
+
+def _current_rate(limit: _RateLimit, now: float) -> float:
+    """Return the requests per second that all hosts together may send now."""
+    stale = min(FORGET_SECONDS, now - limit.received_at) - STALE_SECONDS
+    return max(MIN_RATE, limit.rate or 0.0) * float(2.0 ** max(0.0, stale))
+
+
+def _describe(upstream: UpstreamId, limit: _RateLimit, now: float) -> RateLimitNews:
+    return RateLimitNews(upstream, limit.rate, max(0.0, now - limit.received_at))
--- a/src/rudderpass/gossip/_codec.py
+++ b/src/rudderpass/gossip/_codec.py
@@ -19,10 +19,18 @@
 from rudderpass.directory import URGENCY_RANKS, DirectoryState, KeyedRecord
 from rudderpass.duties import DutyNews, HostUsage
 from rudderpass.errors import PeerError
-from rudderpass.exchange import Load, PartId, PromptPart, Reading, SentPrompt
+from rudderpass.exchange import (
+    Load,
+    PartId,
+    PromptPart,
+    RateLimitNews,
+    Reading,
+    SentPrompt,
+)
 from rudderpass.gossip._digest import Digest, Member
 from rudderpass.gossip._duties import usage_from_wire, usage_to_wire
 from rudderpass.gossip._gen.wire import ttypes as wire
+from rudderpass.gossip._rate_limits import rate_limit_from_wire, rate_limit_to_wire
 from rudderpass.gossip._suspects import suspect_from_wire, suspect_to_wire
 from rudderpass.gossip._wire import MAX_I32, given
 from rudderpass.learning import StreamSample
@@ -74,6 +82,7 @@
     :param suspects: requests that may crash upstreams.
     :param duty: what it knows of the holder of the duties, where there are any.
     :param usage: what it has counted for the usage reports.
+    :param rate_limits: rate limits reported by upstreams.
     """
 
     sender: NodeId
@@ -94,6 +103,7 @@
     suspects: tuple[SuspectNews, ...] = ()
     duty: DutyNews | None = None
     usage: HostUsage | None = None
+    rate_limits: tuple[RateLimitNews, ...] = ()
 
 
 def encode_beat(beat: Beat) -> bytes:
@@ -120,6 +130,7 @@
             None if beat.duty is None else beat.duty.holds or None,
             None if beat.duty is None else beat.duty.settled_before or None,
             None if beat.usage is None else usage_to_wire(beat.usage),
+            [rate_limit_to_wire(limit) for limit in beat.rate_limits] or None,
         )
     )
     return data if len(data) < MIN_DEFLATED_BYTES else _deflate(data)
@@ -153,6 +164,7 @@
             tuple(suspect_from_wire(item) for item in raw.suspects or ()),
             _duty_from_wire(raw),
             None if raw.usage is None else usage_from_wire(raw.usage),
+            tuple(rate_limit_from_wire(item) for item in raw.rate_limits or ()),
         )
     except TypeError as error:
         raise PeerError(f"incomplete beat: {error}", step="decode") from error
--- a/src/rudderpass/gossip/_gen/wire/ttypes.py
+++ b/src/rudderpass/gossip/_gen/wire/ttypes.py
@@ -1126,6 +1126,98 @@
         return not (self == other)
 
 
+class RateLimit(object):
+    """
+    Attributes:
+     - upstream
+     - age_ms
+     - rate
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'age_ms',
+        'rate',
+    )
+
+
+    def __init__(self, upstream=None, age_ms=None, rate=None,):
+        self.upstream = upstream
+        self.age_ms = age_ms
+        self.rate = rate
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RateLimit')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 3)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HostRecord(object):
     """
     Attributes:
@@ -1609,6 +1701,7 @@
      - holds_duties
      - usage_settled
      - usage
+     - rate_limits
 
     """
 
@@ -1632,10 +1725,11 @@
         'holds_duties',
         'usage_settled',
         'usage',
+        'rate_limits',
     )
 
 
-    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None,):
+    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None,):
         self.config_offset = config_offset
         self.upstreams_end = upstreams_end
         self.stopping = stopping
@@ -1655,6 +1749,7 @@
         self.holds_duties = holds_duties
         self.usage_settled = usage_settled
         self.usage = usage
+        self.rate_limits = rate_limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1797,6 +1892,17 @@
                     self.usage.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.LIST:
+                    self.rate_limits = []
+                    (_etype125, _size122) = iprot.readListBegin()
+                    for _i126 in range(_size122):
+                        _elem127 = RateLimit()
+                        _elem127.read(iprot)
+                        self.rate_limits.append(_elem127)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1822,22 +1928,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter122 in self.loads:
-                iter122.write(oprot)
+            for iter128 in self.loads:
+                iter128.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter123 in self.prompts:
-                iter123.write(oprot)
+            for iter129 in self.prompts:
+                iter129.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.peers))
-            for iter124 in self.peers:
-                oprot.writeString(iter124.encode('utf-8') if sys.version_info[0] == 2 else iter124)
+            for iter130 in self.peers:
+                oprot.writeString(iter130.encode('utf-8') if sys.version_info[0] == 2 else iter130)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.warm is not None:
@@ -1851,15 +1957,15 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter125 in self.streams:
-                iter125.write(oprot)
+            for iter131 in self.streams:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reading is not None:
             oprot.writeFieldBegin('reading', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.reading))
-            for iter126 in self.reading:
-                iter126.write(oprot)
+            for iter132 in self.reading:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.zone is not None:
@@ -1881,8 +1987,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter127 in self.suspects:
-                iter127.write(oprot)
+            for iter133 in self.suspects:
+                iter133.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.duty_token is not None:
@@ -1901,6 +2007,13 @@
             oprot.writeFieldBegin('usage', TType.STRUCT, 20)
             self.usage.write(oprot)
             oprot.writeFieldEnd()
+        if self.rate_limits is not None:
+            oprot.writeFieldBegin('rate_limits', TType.LIST, 21)
+            oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
+            for iter134 in self.rate_limits:
+                iter134.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1953,11 +2066,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = SentPrompt()
-                        _elem133.read(iprot)
-                        self.prompts.append(_elem133)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = SentPrompt()
+                        _elem140.read(iprot)
+                        self.prompts.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1974,8 +2087,8 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter134 in self.prompts:
-                iter134.write(oprot)
+            for iter141 in self.prompts:
+                iter141.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2140,11 +2253,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = KeyedRecord()
-                        _elem140.read(iprot)
-                        self.upstreams.append(_elem140)
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = KeyedRecord()
+                        _elem147.read(iprot)
+                        self.upstreams.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2156,11 +2269,11 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.ending_ms = {}
-                    (_ktype142, _vtype143, _size141) = iprot.readMapBegin()
-                    for _i145 in range(_size141):
-                        _key146 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val147 = iprot.readI32()
-                        self.ending_ms[_key146] = _val147
+                    (_ktype149, _vtype150, _size148) = iprot.readMapBegin()
+                    for _i152 in range(_size148):
+                        _key153 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val154 = iprot.readI32()
+                        self.ending_ms[_key153] = _val154
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2186,8 +2299,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter148 in self.upstreams:
-                iter148.write(oprot)
+            for iter155 in self.upstreams:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_end is not None:
@@ -2197,9 +2310,9 @@
         if self.ending_ms is not None:
             oprot.writeFieldBegin('ending_ms', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.ending_ms))
-            for kiter149, viter150 in self.ending_ms.items():
-                oprot.writeString(kiter149.encode('utf-8') if sys.version_info[0] == 2 else kiter149)
-                oprot.writeI32(viter150)
+            for kiter156, viter157 in self.ending_ms.items():
+                oprot.writeString(kiter156.encode('utf-8') if sys.version_info[0] == 2 else kiter156)
+                oprot.writeI32(viter157)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.changes_from is not None:
@@ -2309,6 +2422,13 @@
     (4, TType.I32, 'served_ms', None, None, ),  # 4
     (5, TType.I32, 'trial_ms', None, None, ),  # 5
 )
+all_structs.append(RateLimit)
+RateLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'rate', None, None, ),  # 3
+)
 all_structs.append(HostRecord)
 HostRecord.thrift_spec = (
     None,  # 0
@@ -2364,6 +2484,7 @@
     (18, TType.BOOL, 'holds_duties', None, None, ),  # 18
     (19, TType.I64, 'usage_settled', None, None, ),  # 19
     (20, TType.STRUCT, 'usage', [HostUsage, None], None, ),  # 20
+    (21, TType.LIST, 'rate_limits', (TType.STRUCT, [RateLimit, None], False), None, ),  # 21
 )
 all_structs.append(Prompts)
 Prompts.thrift_spec = (
--- a/src/rudderpass/gossip/_mesh.py
+++ b/src/rudderpass/gossip/_mesh.py
@@ -8,8 +8,10 @@
 from dataclasses import dataclass
 
 from rudderpass._ids import AvailabilityZone, NodeId
+from rudderpass.exchange import HostRank
 from rudderpass.gossip._codec import Beat
 from rudderpass.gossip._digest import Digest, Member
+from rudderpass.gossip._hashing import hash_host
 
 LIVE_SECONDS = 3.0
 """A peer not heard for so long is taken as gone; beats come every half second, and two
@@ -193,6 +195,17 @@
             return max(MIN_HOSTS, self._heard_count + 1)
         return spending + 1
 
+    def rank_host(self, key: str, now: float) -> HostRank:
+        """Return this host's rendezvous rank among the hosts that are not stopping."""
+        live = self.live(now)
+        serving = [name for name in live if not self._peers[name].stopping]
+        if len(live) * 2 < self._heard_count:
+            # This host is probably isolated, and the peers still use their shares.
+            serving = [n for n, peer in self._peers.items() if peer.heard > -math.inf]
+        own = hash_host(key, self._own)
+        rank = sum(hash_host(key, name) > own for name in serving)
+        return HostRank(rank, len(serving) + 1)
+
     @property
     def _heard_count(self) -> int:
         return sum(peer.heard > float("-inf") for peer in self._peers.values())
--- a/src/rudderpass/gossip/_relaying.py
+++ b/src/rudderpass/gossip/_relaying.py
@@ -14,10 +14,9 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-import xxhash
-
 from rudderpass._ids import AvailabilityZone, NodeId
 from rudderpass.exchange import RETELL_SECONDS, SentPrompt
+from rudderpass.gossip._hashing import hash_host
 from rudderpass.gossip._mesh import Mesh
 from rudderpass.learning import StreamSample
 
@@ -183,14 +182,10 @@
         slowest links of the users carry 600 kB a second.
         """
         link = self._link_mbps if host == self._own else self._mesh.link_mbps(host)
-        point = (_hash("relay", host) + 1) / 2**64
+        point = (hash_host("relay", host) + 1) / 2**64
         return -math.log(point) / max(1, link) ** 2
 
 
 def choose_server(host: NodeId, relays: Sequence[NodeId]) -> NodeId:
     """Return which of its zone's relays tells a host of all."""
-    return max(relays, key=lambda relay: _hash(relay, host))
-
-
-def _hash(key: str, host: NodeId) -> int:
-    return xxhash.xxh64_intdigest(f"{key} {host}".encode())
+    return max(relays, key=lambda relay: hash_host(relay, host))
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -95,6 +95,7 @@
             settings.reread_window,
             lambda: self._peers.mesh.count_hosts(_clock.now()),
             None if settings.is_first_start else _clock.now(),
+            lambda upstream, now: self._peers.mesh.rank_host(upstream, now),
         )
         self._peers = PeerTalk(
             settings.peer,
--- a/src/rudderpass/host/_telling.py
+++ b/src/rudderpass/host/_telling.py
@@ -11,7 +11,13 @@
 
 from rudderpass._ids import AvailabilityZone, NodeId
 from rudderpass.duties import DutyNews, HostUsage
-from rudderpass.exchange import ExchangeCore, SentPrompt, ToldWork
+from rudderpass.exchange import (
+    ExchangeCore,
+    RateLimitNews,
+    SentPrompt,
+    ToldWork,
+    log_rate_limit,
+)
 from rudderpass.gossip import (
     NAMING_BEATS,
     Beat,
@@ -88,6 +94,7 @@
             now,
             has_work=not is_relayed,
             suspects=self._core.quarantine.describe_quarantined(now),
+            rate_limits=self._core.rate_limits.describe(now),
         )
 
     def tell_usage(self, usage: HostUsage, now: float) -> Beat:
@@ -106,12 +113,14 @@
         self._number += 1
         self._core.loads.note_told(self._number, now)
         suspects = self._core.quarantine.tell(now)
+        rate_limits = self._core.rate_limits.tell(now)
         beat = self._make_beat(
             now,
             suspects=suspects,
             prompts=tuple(self._core.caches.drain()),
             streams=tuple(self._core.drain_streams()),
             names_peers=self._number % NAMING_BEATS == 0,
+            rate_limits=rate_limits,
         )
         if not is_relayed:
             self._core.loads.is_relay = self._relaying.is_relay = False
@@ -127,7 +136,7 @@
         ]
         if self._relaying.is_relay:
             self._relaying.take(True, beat.prompts, beat.streams, now)
-            messages += self._compose_digests(relays, suspects, now)
+            messages += self._compose_digests(relays, suspects, rate_limits, now)
         return [message for message in messages if message.targets]
 
     def take(self, beat: Beat, now: float) -> bool:
@@ -140,6 +149,8 @@
             )
         self._core.take_news(beat.prompts, beat.streams, now)
         self._core.quarantine.take(beat.suspects, self._relaying.is_relay, now)
+        for upstream, rate in self._core.rate_limits.take(beat.rate_limits, now):
+            log_rate_limit(upstream, rate, beat.sender)
         if beat.digest is not None:
             self._take_digest(beat.digest, beat.zone, now)
         if self._relaying.is_relay:
@@ -190,7 +201,11 @@
         return duty is not None and duty.holds
 
     def _compose_digests(
-        self, relays: list[NodeId], suspects: tuple[SuspectNews, ...], now: float
+        self,
+        relays: list[NodeId],
+        suspects: tuple[SuspectNews, ...],
+        rate_limits: tuple[RateLimitNews, ...],
+        now: float,
     ) -> list[Message]:
         hosts = [
             host
@@ -209,6 +224,7 @@
             prompts=prompts,
             streams=streams,
             digest=Digest(False, {self._zone: members}, work.loads, work.reading),
+            rate_limits=rate_limits,
         )
         prompts, streams = self._relaying.for_zone.drain()
         work = self._core.loads.sum_all(now)
@@ -219,6 +235,7 @@
             prompts=prompts,
             streams=streams,
             digest=Digest(True, named, work.loads, work.reading),
+            rate_limits=rate_limits,
         )
         return [
             Message(for_relays, self._relaying.choose_others(now)),
@@ -276,6 +293,7 @@
         has_work: bool = True,
         suspects: tuple[SuspectNews, ...] = (),
         usage: HostUsage | None = None,
+        rate_limits: tuple[RateLimitNews, ...] = (),
     ) -> Beat:
         tells_work = has_work and digest is None
         directory = self._core.directory
@@ -299,4 +317,5 @@
             suspects,
             self._read_duty(),
             usage,
+            rate_limits,
         )
--- a/tests/gossip/test_mesh.py
+++ b/tests/gossip/test_mesh.py
@@ -136,3 +136,28 @@
             assert mesh.gatherers(3.0) == sorted([hears, holder])
     assert mesh.candidates(9.0) == []
     assert mesh.gatherers(9.0) == [holder]
+
+
+def test_hosts_agree_on_their_ranks() -> None:
+    hosts = [OWN, *PEERS]
+    ranks = []
+    for own in hosts:
+        mesh = Mesh(own, random.Random(1))
+        for peer in hosts:
+            if peer != own:
+                mesh.take_beat(beat(peer), 0.0)
+        host_rank = mesh.rank_host("u1", 1.0)
+        assert host_rank.host_count == len(hosts)
+        ranks.append(host_rank.rank)
+    assert sorted(ranks) == list(range(len(hosts)))
+
+
+def test_a_stopping_host_has_no_rank_and_an_isolated_one_keeps_its_own() -> None:
+    mesh = make_mesh()
+    for peer in PEERS:
+        mesh.take_beat(beat(peer), 0.0)
+    before = mesh.rank_host("u1", 1.0)
+    assert mesh.rank_host("u1", 9.0) == before, "no peer is live: host is isolated"
+    for peer in PEERS:
+        mesh.take_beat(beat(peer, stopping=peer == PEERS[0]), 10.0)
+    assert mesh.rank_host("u1", 10.0).host_count == len(PEERS)
--- a/tests/gossip/test_mutated.py
+++ b/tests/gossip/test_mutated.py
@@ -10,7 +10,7 @@
 from rudderpass._ids import NodeId, PoolId, UpstreamId, UpstreamName
 from rudderpass.directory import DirectoryState, KeyedRecord
 from rudderpass.errors import PeerError
-from rudderpass.exchange import Load, Reading, SentPrompt
+from rudderpass.exchange import Load, RateLimitNews, Reading, SentPrompt
 from rudderpass.gossip import (
     Beat,
     Digest,
@@ -55,6 +55,7 @@
             {UPSTREAM: Load(9, 4000, 1.5, (1, 8), (500, 3500))},
             {PoolId("engines"): Reading(9000.0, 1000.0)},
         ),
+        rate_limits=(RateLimitNews(UPSTREAM, 1.5, 0.25),),
         suspects=(news_of(BAD, crash("u1", 2.0), crash("u2", 1.0)), news_of(GOOD)),
     )
 )
