Log when upstreams report leaving or send Retry-After

Observability only: no decision uses these values yet.

Hosts now read the Server-Leaving and Retry-After headers of an answer. A host logs `leaving` the first time that an upstream reports it, unless its list already shows the upstream as leaving or no longer has it. The `attempt` line of a failed send has the field `retry_after`.

--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -118,6 +118,10 @@
         self.expire(now)
         return self._upstreams.is_ending(upstream)
 
+    def note_leaving(self, upstream: UpstreamId) -> bool:
+        """Record that an upstream reported leaving; return whether this is new."""
+        return self._upstreams.note_leaving(upstream)
+
     def list_age(self, now: float) -> float:
         """Return how many seconds ago the list of upstreams was known to be true.
 
--- a/src/rudderpass/directory/_upstreams.py
+++ b/src/rudderpass/directory/_upstreams.py
@@ -73,6 +73,7 @@
         self._records: dict[UpstreamId, UpstreamRecord] = {}
         self._starts: dict[UpstreamName, UpstreamId] = {}
         self._ending: dict[UpstreamId, float] = {}
+        self._reported_leaving: set[UpstreamId] = set()
         self._gone: list[RegisteredUpstream] = []
         self._end = 0
 
@@ -166,6 +167,16 @@
         """Tell whether an upstream leaves, has left, or is about to be forgotten."""
         return upstream in self._ending or not self.takes_work(upstream)
 
+    def note_leaving(self, upstream: UpstreamId) -> bool:
+        """Record that an upstream reported leaving; return whether this is new.
+
+        It is not new if the list already shows the upstream as leaving or lacks it.
+        """
+        if not self.takes_work(upstream) or upstream in self._reported_leaving:
+            return False
+        self._reported_leaving.add(upstream)
+        return True
+
     def ending(self, now: float) -> list[tuple[UpstreamName, float]]:
         """Return upstreams about to be forgotten, and in how many seconds."""
         return [
@@ -188,4 +199,5 @@
         entry = self._records.pop(upstream).entry
         self._starts.pop(entry.name)
         self._ending.pop(upstream, None)
+        self._reported_leaving.discard(upstream)
         self._gone.append(entry)
--- a/src/rudderpass/errors.py
+++ b/src/rudderpass/errors.py
@@ -104,6 +104,8 @@
 
     :param sent: whether any byte of the request may have left this host.
     :param refused: whether the upstream itself said that it did not run it.
+    :param retry_after: seconds that the upstream asked to wait before further requests;
+        None if it sent no valid value.
 
     .. versionadded:: 0.1
     """
@@ -114,12 +116,14 @@
         *,
         sent: bool,
         refused: bool = False,
+        retry_after: float | None = None,
         step: str | None = None,
         peer: str | None = None,
     ) -> None:
         super().__init__(message, step=step, peer=peer)
         self.sent = sent
         self.refused = refused
+        self.retry_after = retry_after
 
 
 class UpstreamReplaced(UpstreamError):
--- a/src/rudderpass/exchange/_lines.py
+++ b/src/rudderpass/exchange/_lines.py
@@ -91,6 +91,7 @@
         error=error.show(),
         sent=error.sent,
         refused=error.refused,
+        retry_after=error.retry_after,
         sends=sends,
         next=step.value,
         repeats_left=None if repeat is None else round(repeat.left, 2),
@@ -132,6 +133,11 @@
     log("limit", text, upstream=upstream, rate=rate, peer=peer)
 
 
+def log_leaving(upstream: UpstreamId) -> None:
+    """Log that an upstream reported in an answer that it is leaving."""
+    log("leaving", f"{upstream} reports that it is leaving.", upstream=upstream)
+
+
 def log_answer(
     request: ExchangeRequest, end: ExchangeEnd, status: int, cause: str
 ) -> None:
--- a/src/rudderpass/exchange/_request.py
+++ b/src/rudderpass/exchange/_request.py
@@ -93,6 +93,9 @@
     :param keep_alive: seconds that the connection may rest; 0 closes it.
     :param rate_limit: requests per second that the upstream accepts from all hosts
         combined; None if it reports no limit.
+    :param is_leaving: whether the upstream reports that it is leaving.
+    :param retry_after: seconds that the upstream asked this host to wait before further
+        requests; None if it sent no valid value.
     """
 
     kind: AnswerKind
@@ -102,3 +105,5 @@
     is_stream: bool
     keep_alive: float
     rate_limit: float | None = None
+    is_leaving: bool = False
+    retry_after: float | None = None
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -29,7 +29,7 @@
 from rudderpass.exchange._connections import UpstreamConnection
 from rudderpass.exchange._dialect import SendFacts
 from rudderpass.exchange._events import EventError
-from rudderpass.exchange._lines import log_pause, log_rate_limit
+from rudderpass.exchange._lines import log_leaving, log_pause, log_rate_limit
 from rudderpass.exchange._progress import Ending, Progress
 from rudderpass.exchange._request import AnswerHead, AnswerKind
 from rudderpass.learning import StreamSample
@@ -232,7 +232,12 @@
         )
         text = f"{head.kind.value}, status {head.status}"
         raise error_type(
-            text, sent=True, refused=refused, step="answer", peer=connection.address
+            text,
+            sent=True,
+            refused=refused,
+            retry_after=head.retry_after,
+            step="answer",
+            peer=connection.address,
         )
 
     def _pass_whole(
@@ -329,8 +334,13 @@
         with self._parts.guard:
             core = self._parts.core
             limit_changed = core.note_head(self._assigned, head, _clock.now())
+            newly_leaving = head.is_leaving and core.directory.note_leaving(
+                self._assigned.upstream
+            )
         if limit_changed:
             log_rate_limit(self._assigned.upstream, head.rate_limit)
+        if newly_leaving:
+            log_leaving(self._assigned.upstream)
 
     def _note_refusal(self, error: UpstreamError) -> None:
         with self._parts.guard:
--- a/src/rudderpass/platform/_dialect.py
+++ b/src/rudderpass/platform/_dialect.py
@@ -22,11 +22,13 @@
     COPY_FROM,
     CREDENTIAL,
     LAST_EVENT,
+    LEAVING,
     NOT_RUN,
     PROMPT_PARTS,
     PROOF,
     RATE_LIMIT,
     REQUEST_ID,
+    RETRY_AFTER,
     TEAM,
     TIER,
     TIME_LIMIT_MS,
@@ -64,6 +66,7 @@
 model. A longer one would pass the bounds of what hosts tell one another."""
 
 _METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
+_TRUE = "1"
 _EVENT_STREAM = "text/event-stream"
 _MS = 1000.0
 
@@ -137,7 +140,9 @@
             is_stream=status == HTTPStatus.OK
             and content_type.startswith(_EVENT_STREAM),
             keep_alive=_read_keep_alive(fields.get("keep-alive", "")),
-            rate_limit=_read_rate_limit(fields.get(RATE_LIMIT.lower())),
+            rate_limit=_read_nonnegative(fields.get(RATE_LIMIT.lower())),
+            is_leaving=fields.get(LEAVING.lower()) == _TRUE,
+            retry_after=_read_nonnegative(fields.get(RETRY_AFTER.lower())),
         )
 
     def write_refusal(
@@ -148,7 +153,7 @@
         if request_id is not None:
             headers.append((REQUEST_ID, request_id))
         if retry_after is not None:
-            headers.append(("Retry-After", f"{retry_after:.3f}"))
+            headers.append((RETRY_AFTER, f"{retry_after:.3f}"))
         return tuple(headers)
 
 
@@ -252,13 +257,13 @@
     return DEFAULT_KEEP_ALIVE_SECONDS
 
 
-def _read_rate_limit(value: str | None) -> float | None:
-    """Return the limit in requests per second; None if missing or invalid."""
+def _read_nonnegative(value: str | None) -> float | None:
+    """Return a finite, non-negative number; None if missing or invalid."""
     try:
-        rate = float(value or "")
+        number = float(value or "")
     except ValueError:
         return None
-    return rate if math.isfinite(rate) and rate >= 0.0 else None
+    return number if math.isfinite(number) and number >= 0.0 else None
 
 
 def _phrase(status: int) -> str:
--- a/src/rudderpass/platform/_headers.py
+++ b/src/rudderpass/platform/_headers.py
@@ -32,6 +32,8 @@
 ANSWERING_UPSTREAM = "X-Instance-Id"
 ANSWER_VERSIONS = "X-Weight-Versions"
 RATE_LIMIT = "Server-Limit"
+LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 
 
 class Owner(Enum):
@@ -69,6 +71,7 @@
     ANSWERING_UPSTREAM: Owner.UPSTREAM,
     ANSWER_VERSIONS: Owner.UPSTREAM,
     RATE_LIMIT: Owner.UPSTREAM,
+    LEAVING: Owner.UPSTREAM,
 }
 
 _NOT_FROM_CALLERS = frozenset(
--- a/tests/exchange/test_serve.py
+++ b/tests/exchange/test_serve.py
@@ -468,3 +468,17 @@
         world.ask("r2").read()
     changes = [line for line in lines if line["message_type"] == "limit"]
     assert [line["rate"] for line in changes] == [5000.0, None]
+
+
+def test_leaving_and_retry_after_are_logged(make_world: MakeWorld) -> None:
+    refusal = raw(
+        b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
+        b"Retry-After: 2.5\r\nContent-Length: 0\r\n\r\n"
+    )
+    world = make_world(IDEMPOTENT, refusal, answer())
+    with logged() as lines:
+        world.ask().read()
+    leaving = [line["upstream"] for line in lines if line["message_type"] == "leaving"]
+    attempts = [line for line in lines if line["message_type"] == "attempt"]
+    retry_after = [line["retry_after"] for line in attempts]
+    assert (leaving, retry_after) == (["u1"], [2.5])
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -199,3 +199,20 @@
 
 def test_an_answer_without_the_header_has_no_rate_limit() -> None:
     assert DIALECT.read_answer(200, "OK", [], REQUEST).rate_limit is None
+
+
+@pytest.mark.parametrize(
+    ("headers", "is_leaving", "retry_after"),
+    [
+        ([("Server-Leaving", "1")], True, None),
+        ([("Server-Leaving", "0")], False, None),
+        ([("Retry-After", "2.5")], False, 2.5),
+        ([("Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT")], False, None),
+        ([], False, None),
+    ],
+)
+def test_the_leaving_and_retry_after_headers_are_parsed(
+    headers: list[tuple[str, str]], is_leaving: bool, retry_after: float | None
+) -> None:
+    head = DIALECT.read_answer(503, "", [("X-Not-Executed", "1"), *headers], REQUEST)
+    assert (head.is_leaving, head.retry_after) == (is_leaving, retry_after)
