Honour Retry-After on upstreams' 503 responses

Cause: the value was read nowhere. A host avoided an upstream that had refused a request for 0.3 s, whatever it asked for, and then ranked it as the least busy. Ruled out: a stored Retry-After that was lost (none was stored), and requests already in flight when the response came (the sends were chosen 0.6 s and more after it).

A 503 with Retry-After now rules out its upstream at this host for that long, 60 s at most. The longest value applies, and a success does not end it. Unlike the pause after other refusals, it also holds if no other upstream is left: the request is then refused at once, with the shortest wait across Retry-After and rate limits. Each send checks again before it writes. Peers are not told, since the upstream asks each host for itself.

Rename the refusal reason RATE_LIMITED to THROTTLED and the field rate_limited of the route log line to throttled, as they now cover both.

--- a/src/rudderpass/exchange/_acceptance.py
+++ b/src/rudderpass/exchange/_acceptance.py
@@ -4,11 +4,9 @@
 
 from collections.abc import Collection
 
-from rudderpass._ids import UpstreamId
 from rudderpass.directory import ExchangeConfig, rank_urgency
 from rudderpass.exchange._assignment import Accepted, RefusalReason, Refused
 from rudderpass.exchange._overload import LONGEST_RETURN_SHARE
-from rudderpass.exchange._rate_limits import RateLimits
 from rudderpass.exchange._request import ExchangeRequest
 
 NO_CONFIG_RETRY_SECONDS = 2.0
@@ -52,16 +50,17 @@
 
 
 def refuse_unassigned(
-    limits: RateLimits, limited: Collection[UpstreamId], accepted: Accepted, now: float
+    waits: Collection[float | None], accepted: Accepted, now: float
 ) -> Refused:
     """Refuse a request that no upstream can take now.
 
-    :param limited: upstreams that are ruled out only by their rate limits.
+    :param waits: seconds until this host may send to each upstream that is ruled out
+        only by its rate limit or Retry-After; None if it has no share of the limit.
     """
-    if not limited:
+    if not waits:
         return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_SECONDS)
-    wait = limits.shortest_wait(limited, now)
+    wait = min((wait for wait in waits if wait is not None), default=None)
     if wait is None:
-        return Refused(RefusalReason.RATE_LIMITED, OTHER_HOST_RETRY_SECONDS)
+        return Refused(RefusalReason.THROTTLED, OTHER_HOST_RETRY_SECONDS)
     max_wait = LONGEST_RETURN_SHARE * (accepted.deadline - now)
-    return Refused(RefusalReason.RATE_LIMITED, max(0.0, min(wait, max_wait)))
+    return Refused(RefusalReason.THROTTLED, max(0.0, min(wait, max_wait)))
--- a/src/rudderpass/exchange/_assignment.py
+++ b/src/rudderpass/exchange/_assignment.py
@@ -22,7 +22,7 @@
     NO_UPSTREAM = "no upstream to send it to"
     QUARANTINED = "upstreams crashed under this request"
     ON_TRIAL = "another copy of this request is on trial"
-    RATE_LIMITED = "the upstreams' rate limits are reached"
+    THROTTLED = "no upstream accepts a request from this host now"
     OVERLOAD = "no upstream can answer in time"
     SLEPT = "this host slept and asks for news"
     STOPPING = "this host is stopping"
@@ -64,7 +64,7 @@
     :param slot_wait: seconds that it was expected to wait for a slot of an engine.
     :param list_age: seconds since the list of upstreams was last known to be true.
     :param unread_tokens: prompt tokens that the upstream must read for it.
-    :param rate_limited: number of upstreams ruled out by their rate limits.
+    :param throttled: number of upstreams ruled out by a rate limit or Retry-After.
     :param answering_since: when the answer began; None before.
     """
 
@@ -84,7 +84,7 @@
     list_age: float
     copy_from: str | None = None
     answering_since: float | None = None
-    rate_limited: int = 0
+    throttled: int = 0
 
     @property
     def is_answering(self) -> bool:
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 
 from rudderpass._ids import AvailabilityZone, Fingerprint, NodeId, PoolId, UpstreamId
 from rudderpass.directory import Directory, RegisteredUpstream
@@ -192,16 +192,14 @@
         self._directory.expire(now)
         upstreams = self._directory.serving(accepted.service)
         harms = self._forecasts.harms(accepted, upstreams, now)
-        exhausted = self._rate_limits.find_exhausted(
-            [entry.upstream for entry in upstreams], now
-        )
+        throttled = self._find_throttled(upstreams, now)
         choice = choose_upstream(
             request,
             harms,
             self._forecasts.demand(accepted.service, upstreams, now),
             accepted.route.target_latency,
             upstreams,
-            exhausted.union(excluded),
+            throttled.keys() | set(excluded),
             self._loads.totals(now),
             self._knowledge,
             self._directory.find_engine(accepted.service),
@@ -212,8 +210,8 @@
             choice = isolate_choice(choice, isolate)
         chosen = choice.chosen
         if chosen is None:
-            limited = exhausted.difference(excluded)
-            return refuse_unassigned(self._rate_limits, limited, accepted, now)
+            waits = [throttled[name] for name in throttled.keys() - set(excluded)]
+            return refuse_unassigned(waits, accepted, now)
         if not excluded:
             come_back = find_return(
                 request.request_id,
@@ -250,15 +248,35 @@
             self._directory.upstreams_end,
             self._directory.list_age(now),
             chosen.copy_from,
-            rate_limited=len(exhausted),
+            throttled=len(throttled),
         )
 
     def takes_work(self, assignment: Assignment, now: float) -> bool:
         """Tell whether the upstream that was chosen still takes new work."""
         if self._doubting:
             return False
+        if self._knowledge.evidence_of(assignment.upstream).retry_after(now) > 0.0:
+            return False
         return self._directory.takes_work(assignment.upstream, now)
 
+    def _find_throttled(
+        self, upstreams: Sequence[RegisteredUpstream], now: float
+    ) -> dict[UpstreamId, float | None]:
+        """Return the upstreams ruled out by a rate limit or Retry-After.
+
+        :returns: the seconds until this host may send to each; None if it has no share
+            of the rate limit.
+        """
+        throttled = self._rate_limits.find_exhausted(
+            [entry.upstream for entry in upstreams], now
+        )
+        for entry in upstreams:
+            wait = self._knowledge.evidence_of(entry.upstream).retry_after(now)
+            limit_wait = throttled.get(entry.upstream, 0.0)
+            if wait > 0.0 and limit_wait is not None:
+                throttled[entry.upstream] = max(wait, limit_wait)
+        return throttled
+
     def take_repeat(self, service: PoolId, now: float) -> RepeatDecision:
         """Take one further send from the shared budget, if there is one."""
         return self._budget.spend(service, self._count_hosts(), now)
@@ -301,6 +319,9 @@
         """Record the upstream state in an answer's head; return what changed."""
         upstream = assignment.upstream
         changes = set()
+        if head.is_service_unavailable and head.retry_after is not None:
+            evidence = self._knowledge.evidence_of(upstream)
+            evidence.note_retry_after(head.retry_after, now)
         if head.is_leaving and self._directory.note_leaving(upstream):
             changes.add(HeadChange.LEAVING)
         if self._rate_limits.note_answer(
--- a/src/rudderpass/exchange/_evidence.py
+++ b/src/rudderpass/exchange/_evidence.py
@@ -23,6 +23,10 @@
 """An upstream that refused work is left alone so long. It refuses within milliseconds
 and so looks idle to all who go by work under way, and would draw a whole burst."""
 
+LONGEST_RETRY_AFTER_SECONDS = 60.0
+"""Upper bound of an upstream's Retry-After, so that an excessive value does not rule it
+out for good."""
+
 SPEED_SMOOTHING = 0.25
 """Weight of a new sample in the learned slowness."""
 
@@ -44,6 +48,7 @@
         self._successes = DecayingSum()
         self._unreachable_until = 0.0
         self._refuses_until = 0.0
+        self._retry_after_until = 0.0
         self._is_replaced = False
         self._pause = 0.0
         self._log_slowness = DecayingSum()
@@ -60,6 +65,10 @@
             return True
         return now < max(self._unreachable_until, self._refuses_until)
 
+    def retry_after(self, now: float) -> float:
+        """Return the seconds left of its Retry-After; 0 if none applies."""
+        return max(0.0, self._retry_after_until - now)
+
     def slowness(self, now: float) -> float:
         """Return how many times slower than expected it answers."""
         learned = self._log_slowness.read(now, SLOWNESS_HALF_LIFE)
@@ -87,6 +96,11 @@
         """Take note that it did not run a request, for want of room."""
         self._refuses_until = now + REFUSAL_PAUSE_SECONDS
 
+    def note_retry_after(self, seconds: float, now: float) -> None:
+        """Take note of a Retry-After; an earlier one that ends later still applies."""
+        until = now + min(seconds, LONGEST_RETRY_AFTER_SECONDS)
+        self._retry_after_until = max(self._retry_after_until, until)
+
     def note_replaced(self) -> None:
         """Take note that its address belongs to another upstream, for good."""
         self._is_replaced = True
--- a/src/rudderpass/exchange/_lines.py
+++ b/src/rudderpass/exchange/_lines.py
@@ -60,7 +60,7 @@
         reread=choice.chosen.reread_tokens if choice.chosen else 0,
         candidates=shown,
         candidate_count=len(choice.candidates),
-        rate_limited=assigned.rate_limited,
+        throttled=assigned.throttled,
         ruled_out=list(choice.ruled_out[:SHOWN_CANDIDATES]),
         config_version=accepted.config_version,
         list_offset=assigned.list_offset,
--- a/src/rudderpass/exchange/_rate_limits.py
+++ b/src/rudderpass/exchange/_rate_limits.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from rudderpass._ids import UpstreamId
@@ -136,13 +136,19 @@
 
     def find_exhausted(
         self, upstreams: Iterable[UpstreamId], now: float
-    ) -> frozenset[UpstreamId]:
-        """Return the upstreams for which this host has no token now."""
+    ) -> dict[UpstreamId, float | None]:
+        """Return the upstreams for which this host has no token now.
+
+        :returns: the seconds until it has one; None if it has no share of the limit.
+        """
         if not self._limits:
-            return frozenset()
-        return frozenset(
-            upstream for upstream in upstreams if not self._admits(upstream, now)
-        )
+            return {}
+        waits = {upstream: self._wait_seconds(upstream, now) for upstream in upstreams}
+        return {
+            upstream: wait
+            for upstream, wait in waits.items()
+            if wait is None or wait > 0.0
+        }
 
     def spend(self, upstream: UpstreamId, now: float) -> None:
         """Take a token for a request that is sent to an upstream."""
@@ -151,16 +157,6 @@
             self._refill(upstream, limit, now)
             limit.tokens -= 1.0
 
-    def shortest_wait(
-        self, upstreams: Collection[UpstreamId], now: float
-    ) -> float | None:
-        """Return the seconds until this host may send to one of the upstreams.
-
-        :returns: None if it has no share of any of their limits.
-        """
-        waits = [self._wait_seconds(upstream, now) for upstream in upstreams]
-        return min((wait for wait in waits if wait is not None), default=None)
-
     def take(
         self, news: Iterable[RateLimitNews], now: float
     ) -> list[tuple[UpstreamId, float | None]]:
@@ -234,10 +230,6 @@
         current.received_at = received_at
         return has_changed
 
-    def _admits(self, upstream: UpstreamId, now: float) -> bool:
-        wait = self._wait_seconds(upstream, now)
-        return wait is not None and wait <= 0.0
-
     def _wait_seconds(self, upstream: UpstreamId, now: float) -> float | None:
         limit = self._limits.get(upstream)
         if limit is None or limit.rate is None:
--- a/src/rudderpass/exchange/_request.py
+++ b/src/rudderpass/exchange/_request.py
@@ -114,3 +114,8 @@
     rate_limit: float | None = None
     is_leaving: bool = False
     retry_after: float | None = None
+
+    @property
+    def is_service_unavailable(self) -> bool:
+        """Whether the status is 503, which makes Retry-After apply to all requests."""
+        return self.status == HTTPStatus.SERVICE_UNAVAILABLE
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -138,7 +138,10 @@
             if self._parts.core.takes_work(self._assigned, _clock.now()):
                 return
         raise UpstreamError(
-            "left before the send", sent=False, step="connect", peer=connection.address
+            "takes no work any more",
+            sent=False,
+            step="connect",
+            peer=connection.address,
         )
 
     def _may_reuse(self) -> bool:
--- a/tests/exchange/test_evidence.py
+++ b/tests/exchange/test_evidence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from rudderpass.exchange import UpstreamEvidence
+from rudderpass.exchange._evidence import LONGEST_RETRY_AFTER_SECONDS
 
 
 def test_one_failure_is_doubt_and_many_are_proof() -> None:
@@ -68,3 +69,14 @@
     evidence.note_replaced()
     evidence.note_success(1.0)
     assert evidence.is_unavailable(1000.0)
+
+
+def test_the_longest_retry_after_applies_up_to_a_bound() -> None:
+    evidence = UpstreamEvidence()
+    evidence.note_retry_after(3.0, 10.0)
+    evidence.note_retry_after(1.0, 11.0)
+    evidence.note_success(11.5)
+    assert evidence.retry_after(12.0) == 1.0
+    assert evidence.retry_after(13.0) == 0.0
+    evidence.note_retry_after(1e9, 20.0)
+    assert evidence.retry_after(20.0) == LONGEST_RETRY_AFTER_SECONDS
--- a/tests/exchange/test_retry_after.py
+++ b/tests/exchange/test_retry_after.py
@@ -1,51 +1,60 @@
-"""An upstream that refuses with Retry-After gets no requests from the host so long."""
+"""An upstream that answers 503 gets no requests until its Retry-After has passed."""
 
 from __future__ import annotations
 
 import time
 
-from rudderpass.exchange import AnswerHead, AnswerKind, Assignment, ExchangeCore
+import pytest
+
+from rudderpass.exchange import (
+    AnswerHead,
+    AnswerKind,
+    Assignment,
+    ExchangeCore,
+    RefusalReason,
+    Refused,
+)
 from tests.directory.builders import make_route
-from tests.exchange.builders import assign, make_core, make_request
+from tests.exchange.builders import accept, assign, make_core, make_request
 from tests.exchange.test_serve import MakeWorld, make_world
 from tests.exchange.world import answer, raw
 
 __all__ = ["make_world"]
 
-REST_SECONDS = 3.0
+RETRY_AFTER_SECONDS = 3.0
 GRACE_SECONDS = 0.5
-"""After a refusal, until requests that were under way no longer count."""
+"""Time after a refusal in which requests already in flight are not counted."""
 
 ALLOWED_REQUESTS = 2
-"""Requests that an upstream tolerates from a host while it rests."""
+"""Requests that an upstream tolerates from a host before its Retry-After has passed."""
 
 
 def refuse_at(core: ExchangeCore, assigned: Assignment, now: float) -> None:
     head = AnswerHead(
-        AnswerKind.NOT_RUN, 503, "Busy", (), False, 0.0, retry_after=REST_SECONDS
+        AnswerKind.NOT_RUN, 503, "Busy", (), False, 0.0, retry_after=RETRY_AFTER_SECONDS
     )
     core.note_head(assigned, head, now)
     core.note_refused(assigned, now)
     core.note_end(assigned, None, now)
 
 
-def test_a_resting_upstream_gets_no_requests_until_its_retry_time() -> None:
+def test_an_upstream_gets_no_requests_until_its_retry_after_has_passed() -> None:
     core = make_core(upstreams=2)
-    resting = assign(core, make_request(), 0.0)
-    refuse_at(core, resting, 0.0)
+    refusing = assign(core, make_request(), 0.0)
+    refuse_at(core, refusing, 0.0)
     early, late = 0, 0
     for step in range(60):
         now = GRACE_SECONDS + 0.1 * step
         assigned = assign(core, make_request(), now)
         core.note_end(assigned, True, now)
-        if assigned.upstream == resting.upstream:
-            early += now < REST_SECONDS
-            late += now >= REST_SECONDS
+        if assigned.upstream == refusing.upstream:
+            early += now < RETRY_AFTER_SECONDS
+            late += now >= RETRY_AFTER_SECONDS
     assert early <= ALLOWED_REQUESTS
-    assert late > 0, "it gets requests again after its rest"
+    assert late > 0, "it gets requests again after its Retry-After"
 
 
-def test_an_answer_to_an_earlier_request_does_not_end_a_rest() -> None:
+def test_an_answer_to_an_earlier_request_does_not_end_retry_after() -> None:
     core = make_core(upstreams=1)
     earlier, refused = (assign(core, make_request(), 0.0) for _ in range(2))
     refuse_at(core, refused, 0.1)
@@ -54,13 +63,15 @@
     assert not core.takes_work(refused, 1.0)
 
 
-def test_requests_are_refused_while_all_upstreams_rest(make_world: MakeWorld) -> None:
-    tired = raw(
+def test_requests_are_refused_while_retry_after_rules_out_all_upstreams(
+    make_world: MakeWorld,
+) -> None:
+    busy = raw(
         b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nRetry-After: 2\r\n"
         b"Content-Length: 0\r\n\r\n",
         end=False,
     )
-    world = make_world(make_route(), tired, tired)
+    world = make_world(make_route(), busy, busy)
     assert world.ask("r0").status == 503
     until = time.monotonic() + 1.2
     while time.monotonic() < until:
@@ -71,15 +82,51 @@
     assert world.ran == [1, 1]
 
 
-def test_a_resting_upstream_is_passed_over_on_the_wire(make_world: MakeWorld) -> None:
-    tired = raw(
+def test_requests_over_sockets_avoid_an_upstream_that_sent_retry_after(
+    make_world: MakeWorld,
+) -> None:
+    busy = raw(
         b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nRetry-After: 2\r\n"
         b"Content-Length: 0\r\n\r\n",
         end=False,
     )
-    world = make_world(make_route(), tired, answer())
+    world = make_world(make_route(), busy, answer())
     until = time.monotonic() + 1.2
     while time.monotonic() < until:
         assert world.ask("r1").status == 200
         time.sleep(0.05)
     assert world.ran[0] == 1
+
+
+@pytest.mark.parametrize(
+    ("kind", "status", "applies"),
+    [
+        (AnswerKind.NOT_RUN, 503, True),
+        (AnswerKind.FAILURE, 503, True),
+        (AnswerKind.NOT_RUN, 429, False),
+        (AnswerKind.SUCCESS, 200, False),
+    ],
+)
+def test_retry_after_applies_only_to_a_503(
+    kind: AnswerKind, status: int, applies: bool
+) -> None:
+    core = make_core(upstreams=1)
+    assigned = assign(core, make_request(), 0.0)
+    head = AnswerHead(kind, status, "", (), False, 0.0, retry_after=RETRY_AFTER_SECONDS)
+    core.note_head(assigned, head, 0.0)
+    assert core.takes_work(assigned, 1.0) is not applies
+
+
+def test_a_refusal_names_the_shortest_retry_after_of_the_upstreams() -> None:
+    core = make_core(upstreams=2)
+    accepted = accept(core, make_request(), 0.0)
+    first = assign(core, make_request(), 0.0)
+    second = core.assign(make_request(), accepted, [first.upstream], 0.0)
+    assert isinstance(second, Assignment)
+    refuse_at(core, first, 0.0)
+    refuse_at(core, second, 0.5)
+    accepted = accept(core, make_request(), 2.4)
+    refused = core.assign(make_request(), accepted, (), 2.4)
+    assert isinstance(refused, Refused)
+    assert refused.reason is RefusalReason.THROTTLED
+    assert refused.retry_after == pytest.approx(0.6)
--- a/tests/host/test_rate_limits.py
+++ b/tests/host/test_rate_limits.py
@@ -147,9 +147,7 @@
     assert served >= 0.5 * 10.0 * sum(traffic.rates.values())
     for upstream, rate in traffic.rates.items():
         assert traffic.max_in_window(upstream, since) <= max_allowed(rate)
-    assert {refused.reason for refused in traffic.refusals} == {
-        RefusalReason.RATE_LIMITED
-    }
+    assert {refused.reason for refused in traffic.refusals} == {RefusalReason.THROTTLED}
     assert all(refused.retry_after is not None for refused in traffic.refusals)
 
 
