Test on real hosts that they respect limits reported by engines

The most used engine reports a rate limit of 1 request per second, reports leaving while its entry stays ready, or refuses requests with Retry-After: 1.5.

--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -116,6 +116,9 @@
     :param name: its id; a restart gets a new one.
     :param streams: whether it is an engine, whose answers are events.
     :param on_fatal: told of the engine that has read a fatal body; it is to crash it.
+    :ivar headers: additional header lines of its answers.
+    :ivar retry_after: Retry-After of the 503 sent to every request; None to serve them.
+    :ivar arrivals: arrival times of requests, on the monotonic clock.
     """
 
     def __init__(
@@ -129,6 +132,9 @@
         self.name = name
         self._on_fatal = on_fatal
         self.fault = UpstreamFault.NONE
+        self.headers: tuple[str, ...] = ()
+        self.retry_after: float | None = None
+        self.arrivals: list[float] = []
         self._streams = streams
         self._book = book
         self._rng = random.Random(f"{seed} {name}")
@@ -177,8 +183,13 @@
         if asked.headers.get("x-expect-instance", self.name) != self.name:
             _send(sock, "421 Misdirected", [f"X-Instance-Id: {self.name}"], b"")
             return
+        self.arrivals.append(asked.at)
+        if self.retry_after is not None:
+            head = ["X-Not-Executed: 1", f"Retry-After: {self.retry_after}"]
+            _send(sock, "503 Busy", [*head, *self.headers], b"")
+            return
         if not self._slots.acquire(blocking=False):
-            _send(sock, "503 Full", ["X-Not-Executed: 1"], b"")
+            _send(sock, "503 Full", ["X-Not-Executed: 1", *self.headers], b"")
             return
         digest = digest_of(asked.body)
         try:
@@ -217,6 +228,7 @@
         head = [
             f"X-Request-Id: {asked.request_id}",
             f"X-Response-Signature: {self.name}.{asked.request_id}",
+            *self.headers,
         ]
         if fault is UpstreamFault.SILENT:
             while sock.recv(1):
