--- a/src/rudderpass/exchange/_acceptance.py
+++ b/src/rudderpass/exchange/_acceptance.py
@@ -16,6 +16,13 @@
 the store. Callers wait a third of the time they have left at most, and are refused for
 good when they come back too soon."""
 
+SLEPT_RETRY_SECONDS = 0.3
+"""When to come back to a host that has just slept: another one serves at once, and this
+one does when the store or a peer has answered."""
+
+STOPPING_RETRY_SECONDS = 0.05
+"""When to come back to another host; at once, but for the new connection."""
+
 OTHER_HOST_RETRY_SECONDS = 0.1
 """Retry time if this host has no share of the upstreams' rate limits; the retry may
 reach a host that has one."""
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection
 
 from rudderpass._ids import AvailabilityZone, Fingerprint, NodeId, PoolId, UpstreamId
 from rudderpass.directory import Directory, RegisteredUpstream
-from rudderpass.exchange._acceptance import accept_request, refuse_unassigned
+from rudderpass.exchange._acceptance import (
+    SLEPT_RETRY_SECONDS,
+    STOPPING_RETRY_SECONDS,
+    accept_request,
+    refuse_unassigned,
+)
 from rudderpass.exchange._assignment import (
     Accepted,
     Assignment,
@@ -14,6 +19,7 @@
     Refused,
     SentPrompt,
 )
+from rudderpass.exchange._begun import BegunAnswers
 from rudderpass.exchange._budget import BudgetRule, RepeatDecision, SharedRetryBudget
 from rudderpass.exchange._caches import CacheBook
 from rudderpass.exchange._choice import Knowledge, choose_upstream, isolate_choice
@@ -21,29 +27,16 @@
 from rudderpass.exchange._forecast import Forecasts
 from rudderpass.exchange._load import LoadBook, ToldWork, request_load
 from rudderpass.exchange._overload import find_return
+from rudderpass.exchange._patience import find_patience
 from rudderpass.exchange._prefixes import PrefixMemory
 from rudderpass.exchange._rate_limits import HostRank, RateLimits
 from rudderpass.exchange._request import AnswerHead, ExchangeRequest, HeadChange
 from rudderpass.exchange._slots import HoldTimes, SlotTerms
+from rudderpass.exchange._throttling import Throttling
 from rudderpass.exchange._weights import SERVICE_SECONDS
 from rudderpass.learning import StreamSample
 from rudderpass.quarantine import QuarantineBook
 
-SLEPT_RETRY_SECONDS = 0.3
-"""When to come back to a host that has just slept: another one serves at once, and this
-one does when the store or a peer has answered."""
-
-STOPPING_RETRY_SECONDS = 0.05
-"""When to come back to another host; at once, but for the new connection."""
-
-PATIENCE_TARGET_SHARE = 0.6
-"""Share of the latency target after which an answer that has not begun is given up for
-another upstream, where the work may be repeated: a second send can then still be in
-time. Of a desk with 45 ms of work 1 answer in 100 takes longer than 0.6 of 200 ms."""
-
-PATIENCE_EXPECTED_FACTOR = 4.0
-"""An upstream that is expected to be slow is waited for so many times longer."""
-
 MIN_EXPECTED_SECONDS = 0.05
 """Below this an expected time says too little to learn a speed from."""
 
@@ -85,9 +78,9 @@
         self._budget = SharedRetryBudget(rule, restarted_at)
         self._quarantine = QuarantineBook()
         self._crashes = CrashEvidence(directory, self._knowledge, self._quarantine)
-        self._rate_limits = RateLimits(rank_host)
+        self._throttling = Throttling(self._knowledge, rank_host)
         self._count_hosts = count_hosts
-        self._begun: dict[UpstreamId, dict[int, float]] = {}
+        self._begun = BegunAnswers()
         self._stopping = False
         self._refusing = False
         self._doubting = False
@@ -111,7 +104,7 @@
     @property
     def rate_limits(self) -> RateLimits:
         """The rate limits that upstreams currently report."""
-        return self._rate_limits
+        return self._throttling.rate_limits
 
     @property
     def caches(self) -> CacheBook:
@@ -192,7 +185,9 @@
         self._directory.expire(now)
         upstreams = self._directory.serving(accepted.service)
         harms = self._forecasts.harms(accepted, upstreams, now)
-        throttled = self._find_throttled(upstreams, now)
+        throttled = self._throttling.find_throttled(
+            [entry.upstream for entry in upstreams], now
+        )
         choice = choose_upstream(
             request,
             harms,
@@ -223,7 +218,7 @@
             if come_back is not None:
                 return Refused(RefusalReason.OVERLOAD, come_back)
         upstream = chosen.upstream.upstream
-        self._rate_limits.spend(upstream, now)
+        self.rate_limits.spend(upstream, now)
         rank = accepted.tier if request.parts else None
         load = request_load(chosen.unread_tokens, harms.tightness, rank)
         self._loads.begin(upstream, load)
@@ -255,28 +250,10 @@
         """Tell whether the upstream that was chosen still takes new work."""
         if self._doubting:
             return False
-        if self._knowledge.evidence_of(assignment.upstream).retry_after(now) > 0.0:
+        if self._throttling.has_active_retry_after(assignment.upstream, now):
             return False
         return self._directory.takes_work(assignment.upstream, now)
 
-    def _find_throttled(
-        self, upstreams: Sequence[RegisteredUpstream], now: float
-    ) -> dict[UpstreamId, float | None]:
-        """Return the upstreams ruled out by a rate limit or Retry-After.
-
-        :returns: the seconds until this host may send to each; None if it has no share
-            of the rate limit.
-        """
-        throttled = self._rate_limits.find_exhausted(
-            [entry.upstream for entry in upstreams], now
-        )
-        for entry in upstreams:
-            wait = self._knowledge.evidence_of(entry.upstream).retry_after(now)
-            limit_wait = throttled.get(entry.upstream, 0.0)
-            if wait > 0.0 and limit_wait is not None:
-                throttled[entry.upstream] = max(wait, limit_wait)
-        return throttled
-
     def take_repeat(self, service: PoolId, now: float) -> RepeatDecision:
         """Take one further send from the shared budget, if there is one."""
         return self._budget.spend(service, self._count_hosts(), now)
@@ -292,10 +269,7 @@
             return None
         if self._budget.left(accepted.service, self._count_hosts(), now) < 1.0:
             return None
-        return max(
-            PATIENCE_TARGET_SHARE * accepted.route.target_latency,
-            PATIENCE_EXPECTED_FACTOR * assignment.expected,
-        )
+        return find_patience(accepted.route.target_latency, assignment.expected)
 
     def is_lost(self, accepted: Accepted, assignment: Assignment) -> bool:
         """Tell whether an overdue answer is lost, not only late.
@@ -306,12 +280,7 @@
         """
         if not assignment.choice.is_engine:
             return True
-        begun = self._begun.get(assignment.upstream, {})
-        return any(
-            sent > assignment.sent
-            for tier, sent in begun.items()
-            if tier >= accepted.tier
-        )
+        return self._begun.has_answered_later_request(assignment, accepted.tier)
 
     def note_head(
         self, assignment: Assignment, head: AnswerHead, now: float
@@ -319,14 +288,9 @@
         """Record the upstream state in an answer's head; return what changed."""
         upstream = assignment.upstream
         changes = set()
-        if head.is_service_unavailable and head.retry_after is not None:
-            evidence = self._knowledge.evidence_of(upstream)
-            evidence.note_retry_after(head.retry_after, now)
         if head.is_leaving and self._directory.note_leaving(upstream):
             changes.add(HeadChange.LEAVING)
-        if self._rate_limits.note_answer(
-            upstream, head.rate_limit, assignment.sent, now
-        ):
+        if self._throttling.note_head(upstream, head, assignment.sent, now):
             changes.add(HeadChange.RATE_LIMIT)
         return changes
 
@@ -336,8 +300,7 @@
             return
         assignment.answering_since = now
         self._quarantine.note_alive(assignment.upstream, assignment.sent, now)
-        begun = self._begun.setdefault(assignment.upstream, {})
-        begun[assignment.tier] = max(begun.get(assignment.tier, 0.0), assignment.sent)
+        self._begun.note(assignment)
         self._loads.end(assignment.upstream, assignment.reading)
         if assignment.slot_wait > 0.0:
             return  # How long it waited for a slot says nothing of the speed.
@@ -425,9 +388,9 @@
             self._knowledge.prefixes.forget_upstream(entry.upstream)
             self._forecasts.forget_upstream(entry.upstream)
             self._crashes.note_gone(entry.upstream, now)
-            self._rate_limits.forget_upstream(entry.upstream)
+            self.rate_limits.forget_upstream(entry.upstream)
         self._crashes.disprove(now)
-        self._rate_limits.tick(now)
+        self.rate_limits.tick(now)
         self._forget_unlisted()
         self._caches.forget_old(now)
         return gone
@@ -435,6 +398,7 @@
     def _forget_unlisted(self) -> None:
         """Drop what is known of gone upstreams; their answers may end after them."""
         listed = self._directory.listed
-        for known in (self._knowledge.evidence, self._begun):
-            for upstream in [upstream for upstream in known if upstream not in listed]:
-                del known[upstream]
+        evidence = self._knowledge.evidence
+        for upstream in [upstream for upstream in evidence if upstream not in listed]:
+            del evidence[upstream]
+        self._begun.forget_unlisted(listed)
--- a/src/rudderpass/gossip/__init__.py
+++ b/src/rudderpass/gossip/__init__.py
@@ -1,7 +1,7 @@
 """Hosts tell one another what they know, so that none depends on the store alone."""
 
+from rudderpass.gossip._beat import Beat as Beat
 from rudderpass.gossip._codec import (
-    Beat as Beat,
     decode_beat as decode_beat,
     decode_prompts as decode_prompts,
     decode_state as decode_state,
--- a/src/rudderpass/gossip/_mesh.py
+++ b/src/rudderpass/gossip/_mesh.py
@@ -9,7 +9,7 @@
 
 from rudderpass._ids import AvailabilityZone, NodeId
 from rudderpass.exchange import HostRank
-from rudderpass.gossip._codec import Beat
+from rudderpass.gossip._beat import Beat
 from rudderpass.gossip._digest import Digest, Member
 from rudderpass.gossip._hashing import hash_host
 
--- a/src/rudderpass/gossip/_transport.py
+++ b/src/rudderpass/gossip/_transport.py
@@ -13,8 +13,8 @@
 from rudderpass.directory import DirectoryState
 from rudderpass.errors import PeerError
 from rudderpass.exchange import SentPrompt
+from rudderpass.gossip._beat import Beat
 from rudderpass.gossip._codec import (
-    Beat,
     decode_beat,
     decode_prompts,
     decode_state,
