Exclude replaced hosts from rate limit ranking

Only peers heard in the last 60 s are now counted. A host that has heard no peer for longer ranks only itself.

The new test failed before the change: with 20 peers, 15 of them silent for 100 s, 21 hosts were ranked instead of 6.

--- a/src/rudderpass/gossip/_mesh.py
+++ b/src/rudderpass/gossip/_mesh.py
@@ -17,6 +17,10 @@
 """A peer not heard for so long is taken as gone; beats come every half second, and two
 in a hundred are lost on bad days."""
 
+REPLACED_SECONDS = 60.0
+"""An isolated host ranks its silent peers for this long. After that they are treated as
+replaced, even if they are only unreachable."""
+
 SOURCE_SECONDS = 1.2
 """A host that follows the store for others is replaced when it was not heard for so
 long. It beats twice a second, and news must be in force within 2 to 3 s."""
@@ -199,9 +203,14 @@
         """Return this host's rendezvous rank among the hosts that are not stopping."""
         live = self.live(now)
         serving = [name for name in live if not self._peers[name].stopping]
-        if len(live) * 2 < self._heard_count:
+        recent = [
+            name
+            for name, peer in self._peers.items()
+            if now - peer.heard <= REPLACED_SECONDS
+        ]
+        if len(live) * 2 < len(recent):
             # This host is probably isolated, and the peers still use their shares.
-            serving = [n for n, peer in self._peers.items() if peer.heard > -math.inf]
+            serving = recent
         own = hash_host(key, self._own)
         rank = sum(hash_host(key, name) > own for name in serving)
         return HostRank(rank, len(serving) + 1)
--- a/tests/gossip/test_mesh.py
+++ b/tests/gossip/test_mesh.py
@@ -161,3 +161,13 @@
     for peer in PEERS:
         mesh.take_beat(beat(peer, stopping=peer == PEERS[0]), 10.0)
     assert mesh.rank_host("u1", 10.0).host_count == len(PEERS)
+
+
+def test_replaced_hosts_are_not_ranked() -> None:
+    # Long-silent peers must not make a host appear isolated.
+    mesh = make_mesh()
+    for peer in PEERS:
+        mesh.take_beat(beat(peer), 0.0)
+    for peer in PEERS[:5]:
+        mesh.take_beat(beat(peer), 100.0)
+    assert mesh.rank_host("u1", 100.0).host_count == 6
