--- a/src/rudderpass/exchange/_begun.py
+++ b/src/rudderpass/exchange/_begun.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
+from collections.abc import Collection, Container
 
 from rudderpass._ids import UpstreamId
 from rudderpass.exchange._assignment import Assignment
@@ -17,6 +17,11 @@
     def __init__(self) -> None:
         self._latest_sent: dict[UpstreamId, dict[int, float]] = {}
 
+    @property
+    def upstreams(self) -> Collection[UpstreamId]:
+        """The upstreams with a recorded answer."""
+        return self._latest_sent.keys()
+
     def note(self, assignment: Assignment) -> None:
         """Record that an answer has begun."""
         sent = self._latest_sent.setdefault(assignment.upstream, {})
--- a/tests/exchange/test_restarts.py
+++ b/tests/exchange/test_restarts.py
@@ -117,7 +117,7 @@
     core.note_answering(sent, 1.1)
     core.note_end(sent, False, 1.1)
     core.tick(1.2)
-    assert not core._knowledge.evidence and not core._begun
+    assert not core._knowledge.evidence and not core._begun.upstreams
 
 
 def test_the_order_of_answers_counts_within_one_start() -> None:
