Copy caches from throttled upstreams

But an upstream that was ruled out for requests was also ruled out as a source of copies, although a copy is not a request to it.

Upstreams that the request itself must not go to again are still no source.

The new test for Retry-After failed before the change: the other engine read the whole prompt. The test of an upstream that has just refused fails when the sources are not filtered.

--- a/src/rudderpass/exchange/_choice.py
+++ b/src/rudderpass/exchange/_choice.py
@@ -112,6 +112,7 @@
     target: float,
     upstreams: Sequence[RegisteredUpstream],
     excluded: Collection[UpstreamId],
+    throttled: Collection[UpstreamId],
     loads: Mapping[UpstreamId, Load],
     knowledge: Knowledge,
     engine: EngineTraits | None,
@@ -125,18 +126,22 @@
     :param target: the latency target, seconds.
     :param slots: how the request competes for an engine's slots.
     :param excluded: upstreams that this request must not go to again.
+    :param throttled: upstreams ruled out by a rate limit or Retry-After. Caches can
+        still be copied from them, because a copy is not a request.
 
     Upstreams that are unavailable are only taken when nothing else is left.
     """
-    usable = [entry for entry in upstreams if entry.upstream not in excluded]
-    available = [
+    not_excluded = [entry for entry in upstreams if entry.upstream not in excluded]
+    copy_sources = [
         entry
-        for entry in usable
+        for entry in not_excluded
         if not knowledge.evidence_of(entry.upstream).is_unavailable(now)
     ]
+    usable = [entry for entry in not_excluded if entry.upstream not in throttled]
+    available = [entry for entry in copy_sources if entry.upstream not in throttled]
     weighed = available or usable
     placement = Placement(request, harms, weighed, loads, demand)
-    source = _find_source(request, weighed, knowledge, engine, now)
+    source = _find_source(request, copy_sources or weighed, knowledge, engine, now)
     candidates = sorted(
         (
             _weigh(
--- a/tests/exchange/test_core.py
+++ b/tests/exchange/test_core.py
@@ -16,6 +16,8 @@
 )
 from rudderpass.exchange import (
     Accepted,
+    AnswerHead,
+    AnswerKind,
     ExchangeCore,
     Load,
     Reading,
@@ -178,18 +180,23 @@
     assert assign(core, make_request(parts=LONG), 0.3).upstream == held
 
 
-def test_a_cache_is_copied_from_a_loaded_upstream_where_engines_can() -> None:
+def make_core_with_cache_copying() -> ExchangeCore:
+    """Return a core with two upstreams whose engines can copy caches."""
     config = make_config()
     engine = EngineTraits(64, 100_000, 18_432, 22.5e9)
     services = (ServiceSpec(SERVICE, 100, engine),)
     config = type(config)(1, config.routes, services, config.teams)
-    core = ExchangeCore(
+    return ExchangeCore(
         make_upstream(1).zone,
         fill_directory(config, 2),
         RULE,
         REREAD_WINDOW,
         lambda: 1,
     )
+
+
+def test_a_cache_is_copied_from_a_loaded_upstream_where_engines_can() -> None:
+    core = make_core_with_cache_copying()
     holder = UpstreamId("u1")
     take_peer(core, NodeId("peer"), {}, [SentPrompt(holder, LONG)], 0.0)
     take_peer(core, NodeId("peer"), {holder: Load(4, 90_000)}, (), 2.0)
@@ -199,6 +206,31 @@
     assert sent.unread_tokens == 0
 
 
+def test_a_cache_is_copied_from_an_upstream_that_sent_retry_after() -> None:
+    core = make_core_with_cache_copying()
+    holder = assign(core, make_request(parts=LONG), 0.0)
+    core.note_answering(holder, 0.5)
+    core.note_end(holder, True, 0.6)
+    head = AnswerHead(AnswerKind.NOT_RUN, 503, "", (), False, 0.0, retry_after=3.0)
+    core.note_head(holder, head, 3.0)
+    sent = assign(core, make_request(parts=LONG), 3.1)
+    assert sent.upstream != holder.upstream
+    assert sent.copy_from == holder.address
+    assert sent.unread_tokens == 0
+
+
+def test_no_cache_is_copied_from_an_upstream_that_has_just_refused() -> None:
+    core = make_core_with_cache_copying()
+    holder = assign(core, make_request(parts=LONG), 0.0)
+    core.note_answering(holder, 0.5)
+    core.note_end(holder, True, 0.6)
+    head = AnswerHead(AnswerKind.NOT_RUN, 503, "", (), False, 0.0, retry_after=3.0)
+    core.note_head(holder, head, 3.0)
+    core.note_refused(holder, 3.0)
+    sent = assign(core, make_request(parts=LONG), 3.1)
+    assert sent.copy_from is None
+
+
 def test_without_copies_the_prompt_is_read_again_only_under_load() -> None:
     core = make_core(upstreams=2)
     holder = UpstreamId("u1")
