Wait for the answers of peers after a suspension before giving up on them

So it trusted its old beliefs ("serves again, by nobody", after 0.002 s), 6 ms before the peer answered its greeting. Ruled out: a beat from before the suspension that was taken for news.

The host now waits 0.3 s for such answers before it looks whether a peer can tell. The new test fails without the wait.

--- a/src/rudderpass/host/_waking.py
+++ b/src/rudderpass/host/_waking.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -18,6 +19,10 @@
 """Beats that arrive so soon after the sleep may have come before it, and have waited in
 the socket's queue."""
 
+ANSWER_SECONDS = 0.3
+"""How long peers have to answer a greeting. Right after a suspension no peer counts as
+live, so whether any can tell is known only then."""
+
 GIVE_UP_SECONDS = 3.0
 """After so long without news the host serves by what it knew: it is cut off, and that
 must not end its service."""
@@ -109,6 +114,7 @@
             self._sources.read_store()
         except PlatformError as error:
             log("host", "the store tells no news.", error=error.show())
+            time.sleep(ANSWER_SECONDS)
             with self._guard:
                 can_wait = self._sources.can_peers_tell(_clock.now())
             if not can_wait:
--- a/tests/host/test_suspension.py
+++ b/tests/host/test_suspension.py
@@ -10,13 +10,17 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from collections.abc import Callable, Iterator
 
 import pytest
 
+from rudderpass.errors import PlatformError
 from rudderpass.exchange import UpstreamConnections
 from rudderpass.host import ExchangeHost
+from rudderpass.host._waking import NewsSources, Waking
+from tests.exchange.builders import make_core
 from tests.exchange.test_serve import wait_for
 from tests.host.test_host import Deployment, deployment, read_gauge
 from tests.listener import Listener
@@ -153,6 +157,27 @@
     dead.close()
 
 
+def test_a_host_waits_for_the_answers_of_peers_when_the_store_fails_at_once(
+    suspend: Suspend,
+) -> None:
+    greeted: list[float] = []
+
+    def read_store() -> None:
+        raise PlatformError("status 503")
+
+    core = make_core()
+    sources = NewsSources(
+        read_store,
+        lambda now: greeted.append(time.monotonic()),
+        lambda now: time.monotonic() - greeted[0] > 0.1,
+    )
+    waking = Waking(core, threading.RLock(), threading.Event(), sources)
+    suspend()
+    waking.look()
+    time.sleep(0.6)
+    assert core.is_doubting
+
+
 def test_a_blink_changes_nothing(deployment: Deployment, suspend: Suspend) -> None:
     host = start(deployment)
     deployment.store.status = 503
