--- a/src/rudderpass/exchange/_patience.py
+++ b/src/rudderpass/exchange/_patience.py
@@ -5,7 +5,7 @@
 PATIENCE_TARGET_SHARE = 0.6
 """Share of the latency target after which an answer that has not begun is given up for
 another upstream, where the work may be repeated: a second send can then still be in
-time. Of a desk with 45 ms of work 1 answer in 100 takes longer than 0.6 of 200 ms."""
+time."""
 
 PATIENCE_EXPECTED_FACTOR = 4.0
 """An upstream that is expected to be slow is waited for so many times longer."""
