Log the era of the store, lost histories and passed-over records

A host logged nothing when the store answered 410 to the offset it reads on from, nothing of the offsets that the store holds, and nothing of records that it read and passed over.

Change: a line for each, bounded to one until the state changes, and two metrics.

--- a/src/rudderpass/_ids.py
+++ b/src/rudderpass/_ids.py
@@ -29,5 +29,9 @@
 """A configuration version: one more than the offset of the log record that created it,
 so that 0 is the empty configuration."""
 
+StoreEra = NewType("StoreEra", int)
+"""Rises by one each time the platform's store comes back from a copy. The copy may lack
+the newest records; their offsets are then given to other records."""
+
 FencingToken = NewType("FencingToken", int)
 """Increases with each change of a duty's holder; the platform rejects lower ones."""
--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -15,6 +15,7 @@
 from rudderpass.directory._follower import (
     STALE_AFTER_SECONDS as STALE_AFTER_SECONDS,
     Clock as Clock,
+    HistoryChange as HistoryChange,
     HistoryLost as HistoryLost,
     KeyedLog as KeyedLog,
     KeyedPage as KeyedPage,
--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -53,6 +53,7 @@
         self._config: ExchangeConfig | None = None
         self._config_record: KeyedRecord | None = None
         self._config_end = 0
+        self._passed_over: KeyedRecord | None = None
         self._upstreams = UpstreamList()
         self._retention = RetentionPolicy(drain_bound)
         self._has_list = False
@@ -155,8 +156,12 @@
         """Apply configuration records; the newest readable one becomes active."""
         changes: list[DirectoryChange] = []
         for record in records:
-            if record.key == self._config_key and record.offset > self.config_offset:
+            if record.key != self._config_key:
+                continue
+            if record.offset > self.config_offset:
                 changes += self._activate_config(record, source)
+            else:
+                changes += self._describe_passed_over(record, source)
         self._config_end = max(self._config_end, end)
         return changes
 
@@ -348,6 +353,16 @@
         text = f"configuration version {config.version} is in force"
         return [DirectoryChange(text, source, record.offset)]
 
+    def _describe_passed_over(
+        self, record: KeyedRecord, source: str
+    ) -> list[DirectoryChange]:
+        """Return a change to log for a record that is not applied, once for each."""
+        if record in (self._config_record, self._passed_over):
+            return []
+        self._passed_over = record
+        text = f"configuration record passed over, not after {self.config_offset}"
+        return [DirectoryChange(text, source, record.offset)]
+
     def _find_previous(self, record: UpstreamRecord) -> UpstreamRecord | None:
         return self._upstreams.find(record.entry.name)
 
--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from rudderpass import _clock
+from rudderpass._ids import StoreEra
 from rudderpass.directory._directory import Directory
 from rudderpass.directory._messages import DirectoryChange, KeyedRecord
 from rudderpass.errors import ConnectionLost, PlatformError
@@ -49,10 +50,12 @@
     """Records of a keyed topic.
 
     :param end: the offset after the newest record of the topic.
+    :param era: of the store when it responded.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    era: StoreEra = StoreEra(0)
 
 
 class KeyedLog(Protocol):
@@ -86,6 +89,18 @@
     silent_for: float
 
 
+@dataclass(frozen=True)
+class HistoryChange:
+    """The store lacks records that it had, or came back from a copy.
+
+    :param era: of the store; None if the response did not tell it.
+    """
+
+    topic: str
+    text: str
+    era: StoreEra | None = None
+
+
 @dataclass(frozen=True)
 class FollowedTopic:
     """How one topic's records reach the directory.
@@ -110,11 +125,13 @@
 
     :ivar is_listed: whether the complete list was read, so that changes suffice.
     :ivar is_responding: whether the last call was answered.
+    :ivar is_history_lost: whether records were missing at the last read of changes.
     :ivar backoff: seconds from the start of the next failing call to the one after it.
     """
 
     is_listed: bool = False
     is_responding: bool = False
+    is_history_lost: bool = False
     backoff: float = MIN_BACKOFF_SECONDS
 
 
@@ -140,6 +157,7 @@
     :param on_changes: called with the directory's changes after each read.
     :param on_reachability: called when the store becomes reachable or unreachable.
     :param clock: the monotonic clock by default.
+    :param on_history: called when the store's records do not continue those read.
 
     .. versionadded:: 0.2
     """
@@ -153,7 +171,11 @@
         on_changes: Callable[[list[DirectoryChange]], None],
         on_reachability: Callable[[ReachabilityChange], None],
         clock: Clock | None = None,
+        on_history: Callable[[HistoryChange], None] = lambda change: None,
     ) -> None:
+        self._on_history = on_history
+        self._eras: dict[str, StoreEra] = {}
+        self._histories_lost = 0
         self._clock = clock or Clock()
         self._store = store
         self._directory = directory
@@ -195,6 +217,16 @@
         """Whether the last call on every topic was answered."""
         return all(self._reachable.get(topic.topic, False) for topic in self._topics)
 
+    @property
+    def histories_lost(self) -> int:
+        """How often the store did not have the records that this host read on from."""
+        return self._histories_lost
+
+    @property
+    def era(self) -> StoreEra:
+        """The newest era of the store that this host was told; 0 before the first."""
+        return max(self._eras.values(), default=StoreEra(0))
+
     @property
     def is_active(self) -> bool:
         """Whether this host follows the store."""
@@ -258,8 +290,9 @@
         called_at = self._clock.now()
         try:
             as_of = self._read(topic, state)
-        except HistoryLost:
+        except HistoryLost as error:
             state.is_listed = False
+            self._record_history_lost(topic, state, error)
         except ConnectionLost as error:
             # The connection may have died long ago, without an outage of the store.
             state.is_responding = False
@@ -286,13 +319,16 @@
             state.is_listed = True
             return as_of
         # A store that may not respond is only sent calls that do not wait.
-        return self._read_changes(
+        as_of = self._read_changes(
             topic, self._poll_wait if state.is_responding else 0.0
         )
+        state.is_history_lost = False
+        return as_of
 
     def _read_newest(self, topic: FollowedTopic) -> float:
         called_at = self._clock.now()
         page = self._store.read_newest(topic.topic)
+        self._record_era(topic, page)
         with self._guard:
             changes = topic.apply_list(page)
         self._on_changes(changes)
@@ -311,6 +347,22 @@
         self._on_changes(changes)
         return as_of
 
+    def _record_era(self, topic: FollowedTopic, page: KeyedPage) -> None:
+        previous = self._eras.get(topic.topic)
+        self._eras[topic.topic] = page.era
+        if previous != page.era:
+            before = "" if previous is None else f", before {previous}"
+            text = f"{topic.topic} ends at {page.end} in era {page.era}{before}"
+            self._on_history(HistoryChange(topic.topic, text, page.era))
+
+    def _record_history_lost(
+        self, topic: FollowedTopic, state: _TopicState, error: HistoryLost
+    ) -> None:
+        self._histories_lost += 1
+        if not state.is_history_lost:
+            self._on_history(HistoryChange(topic.topic, error.show()))
+        state.is_history_lost = True
+
     def _record_unavailable(
         self, topic: FollowedTopic, called_at: float, error: Exception
     ) -> None:
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -15,6 +15,7 @@
     Decoders,
     Directory,
     DirectoryChange,
+    HistoryChange,
     ReachabilityChange,
     StoreFollower,
 )
@@ -156,6 +157,7 @@
             self._lock,
             self._record_store_update,
             self._record_reachability,
+            on_history=self._record_history,
         )
         self._suspension_recovery = SuspensionRecovery(
             self._core,
@@ -370,6 +372,9 @@
         if not change.is_reachable:
             self._release_waiting_requests()
 
+    def _record_history(self, change: HistoryChange) -> None:
+        log("store", f"{change.text}.", topic=change.topic, era=change.era)
+
     def _release_waiting_requests(self) -> None:
         """Release waiting requests if no live peer can provide a configuration."""
         with self._lock:
@@ -392,6 +397,8 @@
                 is_relay=self._peers.is_relay,
                 store_reachable=self._follower.is_reachable,
                 store_calls=self._platform.store.calls,
+                store_era=self._follower.era,
+                store_histories_lost=self._follower.histories_lost,
                 gossip_bytes=self._peers.transport.sent_bytes,
                 streams_passed_over=self._core.rejected_stream_samples,
                 suspect_requests=self._core.quarantine.suspect_count,
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -34,6 +34,8 @@
     is_relay: bool
     store_reachable: bool
     store_calls: int
+    store_era: int
+    store_histories_lost: int
     gossip_bytes: int
     streams_passed_over: int
     suspect_requests: int
--- a/src/rudderpass/platform/_store.py
+++ b/src/rudderpass/platform/_store.py
@@ -8,10 +8,12 @@
 import struct
 import threading
 import urllib.parse
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
 
+from rudderpass._ids import StoreEra
 from rudderpass._sockets import set_tcp_options
 from rudderpass.directory import HistoryLost, KeyedPage, KeyedRecord
 from rudderpass.errors import ConnectionLost, PlatformError
@@ -25,6 +27,9 @@
 DUTIES_TOPIC = "keyed.rudderpass-duties"
 """This router's own topic for the holder of the duties, and for settled usage."""
 
+ERA_HEADER = "Store-Era"
+"""Carried by every response; a store without it counts as one of era 0."""
+
 CONNECT_TIMEOUT_SECONDS = 0.8
 """The store usually responds in 4 ms; a host must quickly detect that it is cut off."""
 
@@ -65,14 +70,14 @@
             query = {"topic": topic, "part": "0"}
             if after is not None:
                 query["sinceRevision"] = after
-            body = self._call("GET", "/-/log-newest", query, CALL_TIMEOUT_SECONDS)
-            page = self._parse_newest(body)
+            response = self._call("GET", "/-/log-newest", query, CALL_TIMEOUT_SECONDS)
+            page = self._parse_newest(response.content)
             records += page.records
             # Records may be added between pages: only up to the first page's end is the
             # list complete.
             end = page.end if end is None else end
             if not page.is_truncated or not page.records:
-                return KeyedPage(tuple(records), end)
+                return KeyedPage(tuple(records), end, response.era)
             after = page.records[-1].key
 
     def read_from(self, topic: str, offset: int, wait: float) -> KeyedPage:
@@ -83,12 +88,12 @@
             "from": str(offset),
             "waitMs": str(int(wait * 1000)),
         }
-        body = self._call("GET", "/-/log-read", query, wait + CALL_TIMEOUT_SECONDS)
+        response = self._call("GET", "/-/log-read", query, wait + CALL_TIMEOUT_SECONDS)
         try:
-            records = _parse_records(body, offset)
+            records = _parse_records(response.content, offset)
         except (struct.error, ValueError) as error:
             raise self._make_error(f"unreadable records: {error}", "read") from error
-        return KeyedPage(tuple(records), offset + len(records))
+        return KeyedPage(tuple(records), offset + len(records), response.era)
 
     def append(self, topic: str, key: str, value: bytes) -> None:
         """Append a record, which becomes the newest of its key; idempotent."""
@@ -126,7 +131,7 @@
         query: dict[str, str],
         timeout: float,
         body: bytes | None = None,
-    ) -> bytes:
+    ) -> _Response:
         self.calls += 1
         is_reused = self._thread_state.connection is not None
         target = f"{path}?{urllib.parse.urlencode(query)}"
@@ -144,8 +149,10 @@
                 text = f"{text}, on a reused connection"
                 raise ConnectionLost(text, step=path, peer=self._address) from error
             raise PlatformError(text, step=path, peer=self._address) from error
+        era = _parse_era(response.getheader(ERA_HEADER))
         if response.status == HTTPStatus.GONE:
-            raise HistoryLost("records were compacted", step=path, peer=self._address)
+            text = f"store: no records {_describe(query)}, {content[:200]!r}, era {era}"
+            raise HistoryLost(text, step=path, peer=self._address)
         if response.status == HTTPStatus.PRECONDITION_FAILED:
             raise AppendConflict(
                 "the end of the topic has changed", step=path, peer=self._address
@@ -153,7 +160,7 @@
         if response.status != HTTPStatus.OK:
             self._disconnect()
             raise self._make_error(f"status {response.status}", path)
-        return content
+        return _Response(content, era)
 
     def _connect(self) -> http.client.HTTPConnection:
         connection = self._thread_state.connection
@@ -181,6 +188,20 @@
     """The topic does not end where an append expected it to; nothing was written."""
 
 
+@dataclass(frozen=True)
+class _Response:
+    content: bytes
+    era: StoreEra
+
+
+def _parse_era(value: str | None) -> StoreEra:
+    return StoreEra(int(value) if value is not None and value.isdecimal() else 0)
+
+
+def _describe(query: Mapping[str, str]) -> str:
+    return f"of {query['topic']} from offset {query.get('from')}"
+
+
 def _frame_record(key: str, value: bytes) -> bytes:
     """Encode a keyed record for an append."""
     name = key.encode()
