--- a/src/rudderpass/standins/_platform.py
+++ b/src/rudderpass/standins/_platform.py
@@ -80,6 +80,13 @@
             self._records_changed.notify_all()
             return offset
 
+    def restore(self, stream: str, length: int) -> None:
+        """Come back from a copy that holds only the first records of a stream."""
+        with self._records_changed:
+            log_stream = self._streams.setdefault(stream, _Stream())
+            del log_stream.records[max(0, length - log_stream.first) :]
+            self._records_changed.notify_all()
+
     def read(self, stream: str, offset: int, wait: float) -> LogPage:
         """Return records from ``offset`` on, after at most ``wait`` seconds."""
         deadline = time.monotonic() + wait
--- a/tests/directory/virtual.py
+++ b/tests/directory/virtual.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from rudderpass.directory import Clock, KeyedPage, KeyedRecord
+from rudderpass._ids import StoreEra
+from rudderpass.directory import Clock, HistoryLost, KeyedPage, KeyedRecord
 from rudderpass.errors import ConnectionLost, PlatformError
 
 RESPONSE_SECONDS = 0.004
@@ -109,43 +110,91 @@
     is_reused: bool
 
 
+@dataclass(frozen=True)
+class _Append:
+    """A record that appears at a time."""
+
+    at: float
+    topic: str
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True)
+class _Restore:
+    """The store comes back from a copy made at another time."""
+
+    at: float
+    copied_at: float
+
+
 @dataclass
 class VirtualStore:
-    """A store whose records appear at set times, and which has outages.
+    """A store whose records appear at set times, and which has outages and restores.
 
     Each thread has a connection of its own, as with the real client.
     """
 
     clock: VirtualClock
     outages: Iterable[Outage] = ()
-    topics: dict[str, list[tuple[float, KeyedRecord]]] = field(default_factory=dict)
     calls: int = 0
+    _events: list[_Append | _Restore] = field(default_factory=list)
     _connected: set[int] = field(default_factory=set)
 
     def put(self, topic: str, at: float, key: str, value: bytes | None) -> None:
-        """Add a record that appears at a time; call in the order of the times."""
-        records = self.topics.setdefault(topic, [])
-        records.append((at, KeyedRecord(len(records), key, value)))
+        """Add a record that appears at a time."""
+        self._add(_Append(at, topic, key, value))
+
+    def restore(self, at: float, copied_at: float) -> None:
+        """Restore the store at a time to what it held at an earlier time."""
+        self._add(_Restore(at, copied_at))
+
+    def _add(self, event: _Append | _Restore) -> None:
+        self._events.append(event)
+        self._events.sort(key=lambda event: event.at)
 
     def read_newest(self, topic: str) -> KeyedPage:
         """Return the newest record of each key."""
         call = self._begin()
         self._respond(call, call.began + RESPONSE_SECONDS, CALL_SECONDS)
-        visible = self._visible(topic)
+        now = self.clock.now()
+        visible = self.visible(topic, now)
         newest = {record.key: record for record in visible}
         kept = [record for record in newest.values() if record.value is not None]
-        return KeyedPage(tuple(kept), len(visible))
+        return KeyedPage(tuple(kept), len(visible), self.era(now))
 
     def read_from(self, topic: str, offset: int, wait: float) -> KeyedPage:
         """Return records from ``offset`` on, waiting for the first."""
         call = self._begin()
-        records = self.topics.get(topic, [])
-        arrivals = [at for at, record in records if record.offset >= offset]
         last = call.began + wait
-        ready = max(call.began, min([last, *arrivals]))
+        times = [call.began, *(e.at for e in self._events if call.began < e.at < last)]
+        ready = next((at for at in times if self._end(topic, at) != offset), last)
         self._respond(call, ready + RESPONSE_SECONDS, wait + CALL_SECONDS)
-        visible = self._visible(topic)
-        return KeyedPage(tuple(visible[offset:]), len(visible))
+        now = self.clock.now()
+        visible = self.visible(topic, now)
+        if offset > len(visible):
+            raise HistoryLost(f"{topic} ends at {len(visible)}, not {offset}")
+        return KeyedPage(tuple(visible[offset:]), len(visible), self.era(now))
+
+    def visible(self, topic: str, now: float) -> list[KeyedRecord]:
+        """Return the records of a topic at a time."""
+        records: list[KeyedRecord] = []
+        for event in self._events:
+            if event.at > now:
+                break
+            if isinstance(event, _Restore):
+                records = self.visible(topic, event.copied_at)
+            elif event.topic == topic:
+                records.append(KeyedRecord(len(records), event.key, event.value))
+        return records
+
+    def era(self, now: float) -> StoreEra:
+        """Return the era of the store at a time."""
+        restores = [e for e in self._events if isinstance(e, _Restore)]
+        return StoreEra(sum(event.at <= now for event in restores))
+
+    def _end(self, topic: str, now: float) -> int:
+        return len(self.visible(topic, now))
 
     def _begin(self) -> _Call:
         self.calls += 1
@@ -176,7 +225,3 @@
         if call.is_reused and not is_refused:
             raise ConnectionLost("no answer", step="read")
         raise PlatformError("no answer", step="read")
-
-    def _visible(self, topic: str) -> list[KeyedRecord]:
-        now = self.clock.now()
-        return [record for at, record in self.topics.get(topic, []) if at <= now]
--- a/tests/duties/simulation.py
+++ b/tests/duties/simulation.py
@@ -7,7 +7,14 @@
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
-from rudderpass._ids import AvailabilityZone, FencingToken, NodeId, PoolId, TeamId
+from rudderpass._ids import (
+    AvailabilityZone,
+    FencingToken,
+    NodeId,
+    PoolId,
+    StoreEra,
+    TeamId,
+)
 from rudderpass.directory import ScalingTraits
 from rudderpass.duties import (
     Action,
@@ -67,6 +74,12 @@
         self.records: list[DutyHolder | SettledUsage] = []
         self.delayed: list[DelayedAppend] = []
         self.calls = 0
+        self.era = StoreEra(0)
+
+    def restore(self, length: int) -> None:
+        """Come back from a copy that holds only the first records."""
+        del self.records[length:]
+        self.era = StoreEra(self.era + 1)
 
     def read(self) -> DutyLog:
         self.calls += 1
@@ -232,6 +245,11 @@
                 if reports.setdefault(window, counts) != counts:
                     found.append(f"two sets of counts for window {window}")
         senders: dict[tuple[FencingToken, CallTarget], NodeId] = {}
+        newest: dict[CallTarget, FencingToken] = {}
+        for call in self.platform.completed:
+            if call.token < newest.get(call.target, 0):
+                found.append(f"token {call.token} after {newest[call.target]}")
+            newest[call.target] = call.token
         for call in self.platform.received:
             key = (call.token, call.target)
             if senders.setdefault(key, call.host) != call.host:
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -21,17 +21,26 @@
     first: int = 0
     """Records below this offset were compacted."""
 
+    def copy(self) -> _Topic:
+        return _Topic(list(self.records), self.first)
+
+
+StoreCopy = dict[str, _Topic]
+"""The topics of a store at some moment, from which it can be restored."""
+
 
 class StandInStore:
     """Keeps records in memory; tests inject faults.
 
     :ivar status: unless it is 0, every call gets this status.
     :ivar page_size: entries in one page of a list.
+    :ivar era: sent in all responses; rises with each restore.
     """
 
     def __init__(self) -> None:
         self.status = 0
         self.page_size = 500
+        self.era = 0
         self.calls: list[str] = []
         self._topics: dict[str, _Topic] = {}
         self._changed = threading.Condition()
@@ -62,6 +71,22 @@
         with self._changed:
             return dict(self._topics.setdefault(topic, _Topic()).records)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to restore the store from later."""
+        with self._changed:
+            return {name: topic.copy() for name, topic in self._topics.items()}
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace all topics by a copy; waiting reads go on in the new era."""
+        with self._changed:
+            self._topics = {name: topic.copy() for name, topic in copy.items()}
+            self.era += 1
+            self._changed.notify_all()
+
+    def end(self, topic: str) -> int:
+        with self._changed:
+            return len(self._topics.setdefault(topic, _Topic()).records)
+
     def compact(self, topic: str) -> None:
         with self._changed:
             stored = self._topics.setdefault(topic, _Topic())
@@ -77,8 +102,11 @@
         query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"]))
         self.calls.append(environ["PATH_INFO"])
         body = environ["wsgi.input"].read()
-        status, content = self._handle(environ["PATH_INFO"], query, body)
-        start_response(f"{status} Status", [("Content-Length", str(len(content)))])
+        with self._changed:
+            status, content = self._handle(environ["PATH_INFO"], query, body)
+            era = str(self.era)
+        headers = [("Content-Length", str(len(content))), ("Store-Era", era)]
+        start_response(f"{status} Status", headers)
         return [content]
 
     def _handle(
@@ -96,7 +124,7 @@
             if not self._append(query["topic"], query.get("currentRev"), key, value):
                 return 412, b"{}"
             return 200, b"{}"
-        return self._read(topic, int(query["from"]), int(query["waitMs"]))
+        return self._read(query["topic"], int(query["from"]), int(query["waitMs"]))
 
     def _list(self, topic: _Topic, after: str | None) -> bytes:
         newest: dict[str, tuple[int, bytes]] = {}
@@ -121,19 +149,21 @@
         }
         return json.dumps(page).encode()
 
-    def _read(self, topic: _Topic, offset: int, wait_ms: int) -> tuple[int, bytes]:
+    def _read(self, name: str, offset: int, wait_ms: int) -> tuple[int, bytes]:
         deadline = time.monotonic() + wait_ms / 1000
         with self._changed:
-            while len(topic.records) <= offset and not self.status:
+            topic = self._topics.setdefault(name, _Topic())
+            while len(topic.records) == offset and not self.status:
                 remaining = deadline - time.monotonic()
                 if remaining <= 0:
                     break
                 self._changed.wait(min(remaining, 0.2))
-            if offset < topic.first:
-                return 410, b""
+                topic = self._topics.setdefault(name, _Topic())
+            if not topic.first <= offset <= len(topic.records):
+                return 410, json.dumps({"first": topic.first}).encode()
             body = struct.pack(">QQ", len(topic.records), topic.first)
             for key, value in topic.records[offset:]:
-                name = key.encode()
-                record = bytes([len(name)]) + name + value
+                encoded = key.encode()
+                record = bytes([len(encoded)]) + encoded + value
                 body += struct.pack(">I", len(record)) + record
             return 200, body
