Order configurations by version, and read on in the store's era

Cause: a host read on from the highest offset it had ever seen, and applied a record only above the offset of the one in force. A store that came back from a copy gives offsets out again: the host asked for one that did not exist (410), listed the topic, passed the listed version over for its lower offset, kept its position, and asked for the same offset again. With a copy that had become as long, it asked for what follows the records it had never seen.

Change: a position is an era and an offset, and a later era is newer at any offset. A read that is answered in another era is discarded and the topic is listed. Versions decide which configuration is in force: they rise whatever the store loses, so the list of a restored store neither brings back an older one nor hides a newer one.

Ruled out: rejected records (no line said so) and refusals (the other topic was read).

--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
-from rudderpass._ids import PoolId, UpstreamId, UpstreamName
+from rudderpass._ids import PoolId, StoreEra, UpstreamId, UpstreamName
 from rudderpass.directory._config import EngineTraits, ExchangeConfig
 from rudderpass.directory._messages import (
     DirectoryChange,
@@ -19,6 +19,7 @@
     describe_registration,
     describe_removal,
 )
+from rudderpass.directory._position import LOG_START, UNKNOWN_ERA, LogPosition
 from rudderpass.directory._reader import Decoders, RecordReader
 from rudderpass.directory._retention import DRAIN_BOUND_SECONDS, RetentionPolicy
 from rudderpass.directory._upstreams import (
@@ -52,7 +53,7 @@
         self._config_key = config_key
         self._config: ExchangeConfig | None = None
         self._config_record: KeyedRecord | None = None
-        self._config_end = 0
+        self._config_position = LOG_START
         self._passed_over: KeyedRecord | None = None
         self._upstreams = UpstreamList()
         self._retention = RetentionPolicy(drain_bound)
@@ -81,9 +82,9 @@
         return -1 if self._config_record is None else self._config_record.offset
 
     @property
-    def config_end(self) -> int:
-        """All configuration records below this offset have been processed."""
-        return self._config_end
+    def config_position(self) -> LogPosition:
+        """All configuration records before this position have been processed."""
+        return self._config_position
 
     @property
     def upstreams_end(self) -> int:
@@ -151,18 +152,23 @@
         self._retention.record_store_unavailable(called_at)
 
     def apply_config(
-        self, records: Iterable[KeyedRecord], end: int, source: str
+        self,
+        records: Iterable[KeyedRecord],
+        end: int,
+        source: str,
+        era: StoreEra = UNKNOWN_ERA,
     ) -> list[DirectoryChange]:
-        """Apply configuration records; the newest readable one becomes active."""
+        """Apply configuration records; the highest readable version becomes active.
+
+        Versions, unlike offsets, keep their order when the store lost records.
+
+        :param era: of the store that returned the records; unknown for a peer's.
+        """
         changes: list[DirectoryChange] = []
         for record in records:
-            if record.key != self._config_key:
-                continue
-            if record.offset > self.config_offset:
+            if record.key == self._config_key and record.value is not None:
                 changes += self._activate_config(record, source)
-            else:
-                changes += self._describe_passed_over(record, source)
-        self._config_end = max(self._config_end, end)
+        self._config_position = max(self._config_position, LogPosition(era, end))
         return changes
 
     def apply_upstream_changes(
@@ -341,26 +347,33 @@
     def _activate_config(
         self, record: KeyedRecord, source: str
     ) -> list[DirectoryChange]:
-        if record.value is None:
+        if (
+            self._config_record is not None
+            and record.value == self._config_record.value
+        ):
+            self._config_record = record
             return []
         config = self._reader.read_config(record, source)
         if isinstance(config, DirectoryChange):
             return [config]
         if self._config is not None and config.version <= self._config.version:
-            return []
+            return self._describe_passed_over(record, config, source)
         self._config = config
         self._config_record = record
         text = f"configuration version {config.version} is in force"
         return [DirectoryChange(text, source, record.offset)]
 
     def _describe_passed_over(
-        self, record: KeyedRecord, source: str
+        self, record: KeyedRecord, config: ExchangeConfig, source: str
     ) -> list[DirectoryChange]:
-        """Return a change to log for a record that is not applied, once for each."""
-        if record in (self._config_record, self._passed_over):
+        """Return a change to log for a version that is not applied, once for each."""
+        if record == self._passed_over or self._config is None:
             return []
         self._passed_over = record
-        text = f"configuration record passed over, not after {self.config_offset}"
+        text = (
+            f"configuration version {config.version} is passed over,"
+            f" version {self._config.version} is in force"
+        )
         return [DirectoryChange(text, source, record.offset)]
 
     def _find_previous(self, record: UpstreamRecord) -> UpstreamRecord | None:
--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -12,6 +12,7 @@
 from rudderpass._ids import StoreEra
 from rudderpass.directory._directory import Directory
 from rudderpass.directory._messages import DirectoryChange, KeyedRecord
+from rudderpass.directory._position import UNKNOWN_ERA, LogPosition
 from rudderpass.errors import ConnectionLost, PlatformError
 
 POLL_WAIT_SECONDS = 2.5
@@ -108,14 +109,14 @@
     :param apply_list: applies the newest record of each key.
     :param apply_changes: applies records in the log's order, and takes the time as of
         which they are complete.
-    :param next_offset: returns the offset to read from.
+    :param next_position: returns the position to read from.
     :param record_unavailable: takes the time of a call that the store did not answer.
     """
 
     topic: str
     apply_list: Callable[[KeyedPage], list[DirectoryChange]]
     apply_changes: Callable[[KeyedPage, float], list[DirectoryChange]]
-    next_offset: Callable[[], int]
+    next_position: Callable[[], LogPosition]
     record_unavailable: Callable[[float], None]
 
 
@@ -192,11 +193,9 @@
         self._topics = (
             FollowedTopic(
                 config_topic,
-                lambda page: directory.apply_config(page.records, page.end, "store"),
-                lambda page, as_of: directory.apply_config(
-                    page.records, page.end, "store"
-                ),
-                lambda: directory.config_end,
+                self._apply_config,
+                lambda page, as_of: self._apply_config(page),
+                lambda: directory.config_position,
                 lambda called_at: None,
             ),
             FollowedTopic(
@@ -207,7 +206,10 @@
                 lambda page, as_of: directory.apply_upstream_changes(
                     page.records, page.end, "store", self._clock.now(), as_of
                 ),
-                lambda: directory.upstreams_end,
+                lambda: LogPosition(
+                    self._eras.get(upstreams_topic, UNKNOWN_ERA),
+                    directory.upstreams_end,
+                ),
                 directory.record_store_unavailable,
             ),
         )
@@ -336,9 +338,12 @@
 
     def _read_changes(self, topic: FollowedTopic, wait: float) -> float:
         with self._guard:
-            offset = topic.next_offset()
+            position = topic.next_position()
         called_at = self._clock.now()
-        page = self._store.read_from(topic.topic, offset, wait)
+        page = self._store.read_from(topic.topic, position.offset, wait)
+        if page.era != position.era:
+            text = f"{topic.topic} is in era {page.era}, read on from {position}"
+            raise HistoryLost(text)
         as_of = self._clock.now()
         if as_of - called_at > wait + MAX_RESPONSE_SECONDS:
             as_of = called_at  # Suspended meanwhile; the response may be as old.
@@ -363,6 +368,9 @@
             self._on_history(HistoryChange(topic.topic, error.show()))
         state.is_history_lost = True
 
+    def _apply_config(self, page: KeyedPage) -> list[DirectoryChange]:
+        return self._directory.apply_config(page.records, page.end, "store", page.era)
+
     def _record_unavailable(
         self, topic: FollowedTopic, called_at: float, error: Exception
     ) -> None:
--- a/tests/node/test_log_restored.py
+++ b/tests/node/test_log_restored.py
@@ -30,12 +30,14 @@
     follower.start()
     try:
         for author in ("ada", "ben", "cam"):
-            change = build_change(states[-1], make_catalog(**declare(author)), author)
+            change = build_change(
+                states[-1], make_catalog(None, **declare(author)), author
+            )
             assert change is not None
             log.append(CONFIG_STREAM, dump_record(change))
             wait_for_version(states, len(states))
         log.restore(CONFIG_STREAM, 1)
-        change = build_change(states[1], make_catalog(**declare("dan")), "dan")
+        change = build_change(states[1], make_catalog(None, **declare("dan")), "dan")
         assert change is not None
         log.append(CONFIG_STREAM, dump_record(change))
         until = time.monotonic() + TIMEOUT
