Keep the list of upstreams right when the store comes back from a copy

Cause: records of upstreams were compared by offset alone, so after a restore the list read from the store was ignored where its offsets were lower, and the copy's old entries replaced newer ones where they were higher: an upstream that drained came back as ready, and one that had ended was used again.

Change: a later era begins a new order, in which all known records come first. What this host knows outlives the copy: a leaving instance stays leaving; one that ended, or was replaced under its name, is held back until the platform would have removed its entry (5 s), unless it is written again; one that the copy lacks is retained as after an outage, until it has written its entry again.

--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -21,7 +21,11 @@
 )
 from rudderpass.directory._position import LOG_START, UNKNOWN_ERA, LogPosition
 from rudderpass.directory._reader import Decoders, RecordReader
-from rudderpass.directory._retention import DRAIN_BOUND_SECONDS, RetentionPolicy
+from rudderpass.directory._retention import (
+    CONFIRM_SECONDS,
+    DRAIN_BOUND_SECONDS,
+    RetentionPolicy,
+)
 from rudderpass.directory._upstreams import (
     RegisteredUpstream,
     UpstreamList,
@@ -89,7 +93,12 @@
     @property
     def upstreams_end(self) -> int:
         """All upstream records below this offset have been processed."""
-        return self._upstreams.end
+        return self._upstreams.position.offset
+
+    @property
+    def upstreams_position(self) -> LogPosition:
+        """All upstream records before this position have been processed."""
+        return self._upstreams.position
 
     def find_engine(self, service: PoolId) -> EngineTraits | None:
         """Return a service's engine properties; None if it has no model engines."""
@@ -122,7 +131,7 @@
 
     @property
     def reported_leaving(self) -> list[UpstreamId]:
-        """Listed upstreams that reported that they are leaving."""
+        """Listed upstreams that are leaving although their entries do not say so."""
         return self._upstreams.reported_leaving
 
     def record_leaving(self, upstream: UpstreamId) -> bool:
@@ -141,7 +150,7 @@
 
         :param as_of: the earliest time at which the store can have said so to any host.
         """
-        if self._has_list and end <= self._upstreams.end:
+        if self._has_list and end <= self._upstreams.position.offset:
             self._retention.record_confirmed(as_of)
 
     def record_store_unavailable(self, called_at: float) -> None:
@@ -178,16 +187,22 @@
         source: str,
         now: float,
         as_of: float | None = None,
+        era: StoreEra = UNKNOWN_ERA,
     ) -> list[DirectoryChange]:
         """Apply changes to the list of upstreams, in the log's order.
 
         :param as_of: when the list up to ``end`` was certainly complete; ``now`` by
             default.
+        :param era: of the store that returned the records.
         """
+        if era != self._upstreams.position.era:
+            return []  # A concurrent read has seen the store restored.
         until = self._retention.retain_until(now)
         # Concurrent reads may return the same records.
         new_records = [
-            record for record in records if record.offset >= self._upstreams.end
+            record
+            for record in records
+            if record.offset >= self._upstreams.position.offset
         ]
         changes = self._apply_changes(new_records, lambda upstream: until, source, now)
         self._upstreams.advance(end)
@@ -229,12 +244,26 @@
             self._changes_from = self._recent_changes.popleft().offset + 1
 
     def apply_upstream_list(
-        self, records: Iterable[KeyedRecord], end: int, source: str, now: float
+        self,
+        records: Iterable[KeyedRecord],
+        end: int,
+        source: str,
+        now: float,
+        era: StoreEra = UNKNOWN_ERA,
     ) -> list[DirectoryChange]:
-        """Replace the list by the complete list as of offset ``end``."""
-        changes = self._apply_list(
-            records, end, source, self._retention.retain_until(now), now
-        )
+        """Replace the list by the complete list as of offset ``end``.
+
+        :param era: of the store that returned the list.
+        """
+        known_era = self._upstreams.position.era
+        if era < known_era:
+            return []
+        if era > known_era:
+            self._upstreams.begin_era(era)
+            until = self._retention.retain_until_restored(now)
+        else:
+            until = self._retention.retain_until(now)
+        changes = self._apply_list(records, end, source, until, now, era > known_era)
         self._retention.record_confirmed(now)
         self.expire(now)
         return changes
@@ -246,6 +275,7 @@
         source: str,
         retain_until: float,
         now: float,
+        is_restored: bool = False,
     ) -> list[DirectoryChange]:
         changes: list[DirectoryChange] = []
         listed: list[UpstreamRecord] = []
@@ -257,6 +287,8 @@
                 listed.append(read)
             else:
                 changes += read
+        if is_restored:
+            listed = self._upstreams.hold_ended(listed, now + CONFIRM_SECONDS)
         changes += [
             describe_registration(entry, source, self._find_previous(entry))
             for entry in listed
@@ -279,7 +311,7 @@
         changes: list[DirectoryChange] = []
         if state.config is not None:
             changes += self.apply_config([state.config], 0, source)
-        if state.upstreams_end > self._upstreams.end:
+        if state.upstreams_end > self._upstreams.position.offset:
             changes += self._apply_peer_upstreams(state, source, now)
         self.expire(now)
         return changes
@@ -295,12 +327,14 @@
             for upstream, until in deadlines.items():
                 self._upstreams.remove(upstream, state.upstreams_end, until)
             return changes
-        if state.changes_from > self._upstreams.end:
+        if state.changes_from > self._upstreams.position.offset:
             return []  # Records between the two offsets are missing.
         if state.changes_from == 0:
             self._has_list = True  # Changes since offset 0 are the full list.
         new_records = [
-            record for record in state.upstreams if record.offset >= self._upstreams.end
+            record
+            for record in state.upstreams
+            if record.offset >= self._upstreams.position.offset
         ]
         changes = self._apply_changes(
             new_records, lambda upstream: deadlines.get(upstream, now), source, now
@@ -315,7 +349,7 @@
         state = self.state(now)
         if config_offset >= self.config_offset:
             state = replace(state, config=None)
-        if not self._changes_from <= upstreams_end <= self._upstreams.end:
+        if not self._changes_from <= upstreams_end <= self._upstreams.position.offset:
             return state
         changes = tuple(
             record for record in self._recent_changes if record.offset >= upstreams_end
@@ -330,7 +364,7 @@
         )
         expiring = tuple(self._upstreams.expiring(now))
         return DirectoryState(
-            self._config_record, upstreams, self._upstreams.end, expiring
+            self._config_record, upstreams, self._upstreams.position.offset, expiring
         )
 
     def expire(self, now: float) -> None:
--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -12,7 +12,7 @@
 from rudderpass._ids import StoreEra
 from rudderpass.directory._directory import Directory
 from rudderpass.directory._messages import DirectoryChange, KeyedRecord
-from rudderpass.directory._position import UNKNOWN_ERA, LogPosition
+from rudderpass.directory._position import LogPosition
 from rudderpass.errors import ConnectionLost, PlatformError
 
 POLL_WAIT_SECONDS = 2.5
@@ -201,15 +201,17 @@
             FollowedTopic(
                 upstreams_topic,
                 lambda page: directory.apply_upstream_list(
-                    page.records, page.end, "store", self._clock.now()
+                    page.records, page.end, "store", self._clock.now(), page.era
                 ),
                 lambda page, as_of: directory.apply_upstream_changes(
-                    page.records, page.end, "store", self._clock.now(), as_of
-                ),
-                lambda: LogPosition(
-                    self._eras.get(upstreams_topic, UNKNOWN_ERA),
-                    directory.upstreams_end,
+                    page.records,
+                    page.end,
+                    "store",
+                    self._clock.now(),
+                    as_of,
+                    page.era,
                 ),
+                lambda: directory.upstreams_position,
                 directory.record_store_unavailable,
             ),
         )
--- a/src/rudderpass/directory/_retention.py
+++ b/src/rudderpass/directory/_retention.py
@@ -17,6 +17,11 @@
 back within about 2 s of its return. The value stays below the 3 s after which the
 platform regards a host as connected again and holds it to the drain bound."""
 
+CONFIRM_SECONDS = 5.0
+"""How long an upstream that had ended, and that a restored store lists, is not used. By
+then the platform has removed the entry of an upstream that does not renew it: it does
+so after three heartbeats of 1.2 s."""
+
 DRAIN_BOUND_SECONDS = 2.0
 """Default time for which a leaving upstream may still get new requests."""
 
@@ -49,6 +54,17 @@
         """Record that a call made at a time got no answer."""
         self._store_unavailable_at = max(self._store_unavailable_at, called_at)
 
+    def retain_until_restored(self, now: float) -> float:
+        """Return when to remove an upstream that a restored store does not list.
+
+        Its entry has not ended: the copy lacks it, and the upstream writes it again.
+        """
+        drain_deadline = now + MAX_RETAINED_SHARE * self._drain_bound
+        if self._store_unavailable_at <= self._confirmed_at:
+            return drain_deadline
+        return_deadline = self._store_unavailable_at + RETURN_GRACE_SECONDS
+        return max(now, min(return_deadline, drain_deadline))
+
     def retain_until(self, now: float) -> float:
         """Return when to remove an upstream whose entry is found ended now."""
         return_deadline = self._store_unavailable_at + RETURN_GRACE_SECONDS
--- a/src/rudderpass/directory/_upstreams.py
+++ b/src/rudderpass/directory/_upstreams.py
@@ -9,12 +9,20 @@
 import string
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from typing import TypeVar
 
-from rudderpass._ids import AvailabilityZone, PoolId, UpstreamId, UpstreamName
+from rudderpass._ids import AvailabilityZone, PoolId, StoreEra, UpstreamId, UpstreamName
+from rudderpass.directory._position import UNKNOWN_ERA, LogPosition
 
-MAX_REPORTED_LEAVING = 1000
-"""Maximum number of leaving reports kept; the oldest is evicted first. Reports are kept
-after an entry is removed, since an outage of the store can remove and restore it."""
+_Remembered = TypeVar("_Remembered")
+
+MAX_REMEMBERED = 1000
+"""Maximum number of leaving upstreams, and of ended ones, that are remembered; the
+oldest is evicted first. They are remembered after their entries are removed, since an
+outage of the store can remove an entry and restore it."""
+
+_BEFORE_ERA = -1
+"""Offset of a record of an earlier era of the store; less than all of the current."""
 
 _BASE36_DIGITS = string.digits + string.ascii_lowercase
 
@@ -70,6 +78,14 @@
     return replace(record, entry=replace(record.entry, leaving=True))
 
 
+def _remember(
+    memory: dict[UpstreamId, _Remembered], upstream: UpstreamId, value: _Remembered
+) -> None:
+    memory[upstream] = value
+    if len(memory) > MAX_REMEMBERED:
+        del memory[next(iter(memory))]
+
+
 class UpstreamList:
     """The listed upstreams, by instance.
 
@@ -80,14 +96,17 @@
         self._records: dict[UpstreamId, UpstreamRecord] = {}
         self._instances: dict[UpstreamName, UpstreamId] = {}
         self._expiring: dict[UpstreamId, float] = {}
-        self._reported_leaving: dict[UpstreamId, None] = {}
+        self._leaving: dict[UpstreamId, bool] = {}
+        self._ended: dict[UpstreamId, None] = {}
+        self._unconfirmed: dict[UpstreamName, tuple[UpstreamRecord, float]] = {}
         self._removed: list[RegisteredUpstream] = []
+        self._era = UNKNOWN_ERA
         self._end = 0
 
     @property
-    def end(self) -> int:
-        """All records of the log below this offset have been processed."""
-        return self._end
+    def position(self) -> LogPosition:
+        """All records before this position have been processed."""
+        return LogPosition(self._era, self._end)
 
     @property
     def records(self) -> Mapping[UpstreamId, UpstreamRecord]:
@@ -120,9 +139,13 @@
             return
         if known is not None and known.entry.upstream != entry.upstream:
             self._delete(known.entry.upstream)
-        if entry.upstream in self._reported_leaving:
+            _remember(self._ended, known.entry.upstream, None)
+        if entry.leaving or entry.upstream in self._leaving:
             # A leaving instance never becomes ready again, so a ready entry is stale.
+            _remember(self._leaving, entry.upstream, entry.leaving)
             record = _mark_leaving(record)
+        self._unconfirmed.pop(entry.name, None)
+        self._ended.pop(entry.upstream, None)
         self._records[entry.upstream] = record
         self._instances[entry.name] = entry.upstream
         self._expiring.pop(entry.upstream, None)
@@ -133,11 +156,13 @@
         :param retain_until: when :meth:`expire` removes the upstream, on the same
             clock; a time that has passed removes it at once.
         """
+        self._unconfirmed.pop(name, None)
         known = self.find(name)
         if known is None or known.offset > offset:
             return
         # Later information may shorten the retention, never extend it.
         instance = known.entry.upstream
+        _remember(self._ended, instance, None)
         until = self._expiring.get(instance, retain_until)
         self._expiring[instance] = min(until, retain_until)
 
@@ -160,6 +185,38 @@
         self.advance(end)
         return missing
 
+    def begin_era(self, era: StoreEra) -> None:
+        """Start to apply records of an era, whose offsets start again."""
+        self._era = era
+        self._end = 0
+        self._unconfirmed.clear()
+        self._records = {
+            upstream: replace(record, offset=_BEFORE_ERA)
+            for upstream, record in self._records.items()
+        }
+
+    def hold_ended(
+        self, records: list[UpstreamRecord], confirm_at: float
+    ) -> list[UpstreamRecord]:
+        """Hold back the records of instances that have ended; return the others.
+
+        A copy of the store may list an instance whose end it lacks. If the instance is
+        alive after all, its entry is still there at ``confirm_at``.
+        """
+        for record in records:
+            if record.entry.upstream in self._ended:
+                self.hold(record, confirm_at)
+        held = self._unconfirmed
+        return [record for record in records if record.entry.name not in held]
+
+    def hold(self, record: UpstreamRecord, confirm_at: float) -> None:
+        """Apply a record at ``confirm_at``, unless its entry ends before."""
+        self._unconfirmed[record.entry.name] = record, confirm_at
+
+    def unconfirmed(self, now: float) -> list[tuple[UpstreamRecord, float]]:
+        """Return the records held back, and the seconds until each is applied."""
+        return [(record, at - now) for record, at in self._unconfirmed.values()]
+
     def advance(self, end: int) -> None:
         """Record that all records below ``end`` have been processed."""
         self._end = max(self._end, end)
@@ -180,9 +237,11 @@
 
     @property
     def reported_leaving(self) -> list[UpstreamId]:
-        """Listed upstreams that reported that they are leaving."""
+        """Listed upstreams that are leaving although their entries do not say so."""
         return [
-            upstream for upstream in self._reported_leaving if upstream in self._records
+            upstream
+            for upstream, is_in_entry in self._leaving.items()
+            if not is_in_entry and upstream in self._records
         ]
 
     def record_leaving(self, upstream: UpstreamId) -> bool:
@@ -191,11 +250,9 @@
         It is not new if it was recorded before, or if the upstream is not listed or
         already listed as leaving.
         """
-        if upstream in self._reported_leaving:
+        if upstream in self._leaving:
             return False
-        self._reported_leaving[upstream] = None
-        if len(self._reported_leaving) > MAX_REPORTED_LEAVING:
-            del self._reported_leaving[next(iter(self._reported_leaving))]
+        _remember(self._leaving, upstream, False)
         if not self.accepts_requests(upstream):
             return False
         self._records[upstream] = _mark_leaving(self._records[upstream])
@@ -209,10 +266,13 @@
         ]
 
     def expire(self, now: float) -> None:
-        """Remove upstreams whose retention has ended."""
+        """Remove upstreams whose retention has ended; apply records held until now."""
         due = [upstream for upstream, until in self._expiring.items() if until <= now]
         for upstream in due:
             self._delete(upstream)
+        for record, confirm_at in list(self._unconfirmed.values()):
+            if confirm_at <= now:
+                self.put(record)
 
     def pop_removed(self) -> list[RegisteredUpstream]:
         """Return all instances removed since the last call."""
--- a/tests/directory/test_store_restored.py
+++ b/tests/directory/test_store_restored.py
@@ -9,8 +9,18 @@
 
 import pytest
 
+from rudderpass._ids import StoreEra, UpstreamId
 from rudderpass.directory import DirectoryChange, StoreFollower
-from tests.directory.builders import SERVICE, make_directory
+from rudderpass.directory._position import LogPosition
+from rudderpass.directory._retention import CONFIRM_SECONDS
+from tests.directory.builders import (
+    SERVICE,
+    FakeDecoders,
+    make_directory,
+    make_upstream,
+    upstream_record,
+    upstream_tombstone,
+)
 from tests.directory.virtual import Outage, OutageKind, VirtualClock, VirtualStore
 
 CONFIG = "config"
@@ -272,3 +282,52 @@
         )
         if is_answering:
             assert made <= MAX_CALLS_PER_SECOND, f"{made} calls by {second} s"
+
+
+def test_an_upstream_whose_entry_outlives_its_recorded_end_serves_again() -> None:
+    directory = make_directory()
+    entry = upstream_record(0, 1)
+    directory.apply_upstream_list([entry], 1, "store", 0.0, StoreEra(0))
+    end = upstream_tombstone(1, 1)
+    directory.apply_upstream_changes([end], 2, "store", 10.0, era=StoreEra(0))
+    directory.apply_upstream_list([entry], 1, "store", 20.0, StoreEra(1))
+    assert directory.serving(SERVICE) == []
+    directory.expire(20.0 + CONFIRM_SECONDS)
+    assert [entry.upstream for entry in directory.serving(SERVICE)] == ["u1"]
+
+
+def test_an_upstream_that_registers_again_after_its_recorded_end_serves_at_once() -> (
+    None
+):
+    directory = make_directory()
+    entry = upstream_record(0, 1)
+    directory.apply_upstream_list([entry], 1, "store", 0.0, StoreEra(0))
+    end = upstream_tombstone(1, 1)
+    directory.apply_upstream_changes([end], 2, "store", 10.0, era=StoreEra(0))
+    directory.apply_upstream_list([entry], 1, "store", 20.0, StoreEra(1))
+    again = upstream_record(1, 1)
+    directory.apply_upstream_changes([again], 2, "store", 20.5, era=StoreEra(1))
+    assert [entry.upstream for entry in directory.serving(SERVICE)] == ["u1"]
+
+
+def test_a_previous_instance_in_the_copy_does_not_replace_the_current_one() -> None:
+    decoders = FakeDecoders()
+    directory = make_directory(decoders)
+    entry = upstream_record(0, 1)
+    directory.apply_upstream_list([entry], 1, "store", 0.0, StoreEra(0))
+    decoders.upstreams["u1"] = make_upstream(1, upstream=UpstreamId("u1~2"))
+    restarted = upstream_record(1, 1)
+    directory.apply_upstream_changes([restarted], 2, "store", 5.0, era=StoreEra(0))
+    del decoders.upstreams["u1"]
+    directory.apply_upstream_list([entry], 1, "store", 20.0, StoreEra(1))
+    assert [entry.upstream for entry in directory.serving(SERVICE)] == ["u1~2"]
+
+
+def test_a_late_response_of_an_earlier_era_changes_nothing() -> None:
+    directory = make_directory()
+    directory.apply_upstream_list([upstream_record(0, 1)], 1, "store", 0.0, StoreEra(1))
+    late = [upstream_record(0, 2), upstream_record(1, 3)]
+    directory.apply_upstream_list(late, 2, "store", 1.0, StoreEra(0))
+    directory.apply_upstream_changes(late, 2, "store", 1.0, era=StoreEra(0))
+    assert [entry.upstream for entry in directory.serving(SERVICE)] == ["u1"]
+    assert directory.upstreams_position == LogPosition(StoreEra(1), 1)
--- a/tests/exchange/test_leaving.py
+++ b/tests/exchange/test_leaving.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from rudderpass._ids import UpstreamId
-from rudderpass.directory._upstreams import MAX_REPORTED_LEAVING
+from rudderpass.directory._upstreams import MAX_REMEMBERED
 from rudderpass.exchange import ResponseHead, ResponseKind
 from tests.directory.builders import make_route, upstream_record, upstream_tombstone
 from tests.exchange.builders import assign, make_core, make_request
@@ -65,7 +65,7 @@
 def test_the_number_of_kept_reports_is_bounded() -> None:
     directory = make_core(upstreams=1).directory
     directory.record_leaving(UpstreamId("u1"))
-    for number in range(MAX_REPORTED_LEAVING):
+    for number in range(MAX_REMEMBERED):
         directory.record_leaving(UpstreamId(f"gone{number}"))
     assert directory.reported_leaving == []
 
