--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -51,6 +51,8 @@
   7: optional bool warm
   8: optional bool following
   9: optional i32 link_mbps
+  10: optional i64 era /* absent: as in the beat; -1: not known */
+  11: optional i64 config_version /* likewise */
 }
 
 struct ZoneMembers {
@@ -111,20 +113,22 @@
   3: list<WindowUsage> windows
 }
 
-/* Who holds the duties, in the platform's log; the record's place is the token. */
+/* Who holds the duties, in the platform's log; its era and place give the token. */
 struct DutyHolder {
   1: string host
   2: string start
+  3: optional i64 era /* of the store when it was written */
 }
 
 /* The usage reports that are settled, in the platform's log. */
 struct SettledUsage {
   1: i64 next_window /* all windows before it are settled */
   2: list<WindowUsage> windows /* those that may not have reached the platform */
+  3: optional i64 era /* of the store when it was written */
 }
 
-/* Offsets are those of the platform's log: the greater one is newer. The sender is the
- * datagram's source address. Field 1 was the sender's name. */
+/* Offsets are those of the platform's log in one era; a later era is newer at any
+ * offset. The sender is the datagram's source address. Field 1 was the sender's name. */
 struct Beat {
   2: i64 config_offset
   3: i64 upstreams_end
@@ -147,6 +151,8 @@
   20: optional HostUsage usage
   21: optional list<RateLimit> rate_limits
   22: optional list<string> leaving /* upstreams that reported that they are leaving */
+  23: optional i64 era /* of the store, which rises when it comes back from a copy */
+  24: optional i64 config_version /* of the configuration in force */
 }
 
 /* All that the sender believes to be kept in caches. */
@@ -166,4 +172,6 @@
   3: i64 upstreams_end
   4: map<string, i32> ending_ms
   5: optional i64 changes_from /* upstreams holds only the changes from there on */
+  6: optional i64 era /* in which upstreams_end is valid */
+  7: optional map<string, i32> held_ms /* upstreams not to be used before */
 }
--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -27,6 +27,10 @@
     DirectoryState as DirectoryState,
     KeyedRecord as KeyedRecord,
 )
+from rudderpass.directory._position import (
+    UNKNOWN_ERA as UNKNOWN_ERA,
+    ViewPosition as ViewPosition,
+)
 from rudderpass.directory._reader import Decoders as Decoders
 from rudderpass.directory._upstreams import (
     RegisteredUpstream as RegisteredUpstream,
--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -19,7 +19,12 @@
     describe_registration,
     describe_removal,
 )
-from rudderpass.directory._position import LOG_START, UNKNOWN_ERA, LogPosition
+from rudderpass.directory._position import (
+    LOG_START,
+    UNKNOWN_ERA,
+    LogPosition,
+    ViewPosition,
+)
 from rudderpass.directory._reader import Decoders, RecordReader
 from rudderpass.directory._retention import (
     CONFIRM_SECONDS,
@@ -62,6 +67,7 @@
         self._upstreams = UpstreamList()
         self._retention = RetentionPolicy(drain_bound)
         self._has_list = False
+        self._is_restored = False
         self._recent_changes: deque[KeyedRecord] = deque()
         self._changes_from = 0
 
@@ -95,6 +101,40 @@
         """All upstream records below this offset have been processed."""
         return self._upstreams.position.offset
 
+    @property
+    def view_position(self) -> ViewPosition:
+        """How recent this view is, for peers."""
+        list_position = self._upstreams.position
+        return ViewPosition(
+            self.config_offset,
+            list_position.offset,
+            None if self._config is None else self._config.version,
+            list_position.era,
+        )
+
+    def is_behind(self, peer: ViewPosition) -> bool:
+        """Return whether a peer's view has anything newer than this one."""
+        return self._has_older_config(peer) or self._has_older_list(peer)
+
+    def _has_older_config(self, peer: ViewPosition) -> bool:
+        if peer.config_version is not None:
+            return self._config is None or peer.config_version > self._config.version
+        return self._can_compare(peer) and peer.config_offset > self.config_offset
+
+    def _has_older_list(self, peer: ViewPosition) -> bool:
+        if not self._can_compare(peer):
+            return False
+        if peer.era == UNKNOWN_ERA:
+            return peer.upstreams_end > self.upstreams_end
+        return LogPosition(peer.era, peer.upstreams_end) > self._upstreams.position
+
+    def _can_compare(self, peer: ViewPosition) -> bool:
+        """Return whether a peer's offsets can be compared with this view's.
+
+        A peer that does not tell its era does not know that the store was restored.
+        """
+        return peer.era != UNKNOWN_ERA or not self._is_restored
+
     @property
     def upstreams_position(self) -> LogPosition:
         """All upstream records before this position have been processed."""
@@ -145,12 +185,14 @@
         """
         return self._retention.list_age(now)
 
-    def record_list_confirmed(self, end: int, as_of: float) -> None:
-        """Record that the store's list ended at ``end``.
+    def record_list_confirmed(self, peer: ViewPosition, as_of: float) -> None:
+        """Record that a peer followed the store's list up to its position.
 
         :param as_of: the earliest time at which the store can have said so to any host.
         """
-        if self._has_list and end <= self._upstreams.position.offset:
+        if not self._has_list or self._has_older_list(peer):
+            return
+        if peer.era == self._upstreams.position.era or peer.era == UNKNOWN_ERA:
             self._retention.record_confirmed(as_of)
 
     def record_store_unavailable(self, called_at: float) -> None:
@@ -259,15 +301,32 @@
         if era < known_era:
             return []
         if era > known_era:
-            self._upstreams.begin_era(era)
-            until = self._retention.retain_until_restored(now)
+            changes = self._apply_restored_list(records, end, source, now, era)
         else:
             until = self._retention.retain_until(now)
-        changes = self._apply_list(records, end, source, until, now, era > known_era)
+            changes = self._apply_list(records, end, source, until, now)
         self._retention.record_confirmed(now)
         self.expire(now)
         return changes
 
+    def _apply_restored_list(
+        self,
+        records: Iterable[KeyedRecord],
+        end: int,
+        source: str,
+        now: float,
+        era: StoreEra,
+        held: Mapping[UpstreamName, float] = {},
+    ) -> list[DirectoryChange]:
+        """Replace the list by the first complete one of an era.
+
+        :param held: upstreams not to be used yet, and when they may be.
+        """
+        self._is_restored = self._upstreams.position.era != UNKNOWN_ERA
+        self._upstreams.begin_era(era)
+        until = self._retention.retain_until_restored(now)
+        return self._apply_list(records, end, source, until, now, True, held)
+
     def _apply_list(
         self,
         records: Iterable[KeyedRecord],
@@ -276,6 +335,7 @@
         retain_until: float,
         now: float,
         is_restored: bool = False,
+        held: Mapping[UpstreamName, float] = {},
     ) -> list[DirectoryChange]:
         changes: list[DirectoryChange] = []
         listed: list[UpstreamRecord] = []
@@ -283,7 +343,9 @@
             if record.value is None:
                 continue
             read = self._read_upstream(record, source, now)
-            if isinstance(read, UpstreamRecord):
+            if isinstance(read, UpstreamRecord) and read.entry.name in held:
+                self._upstreams.hold(read, held[read.entry.name])
+            elif isinstance(read, UpstreamRecord):
                 listed.append(read)
             else:
                 changes += read
@@ -311,7 +373,8 @@
         changes: list[DirectoryChange] = []
         if state.config is not None:
             changes += self.apply_config([state.config], 0, source)
-        if state.upstreams_end > self._upstreams.position.offset:
+        position = ViewPosition(-1, state.upstreams_end, None, state.era)
+        if self._has_older_list(position):
             changes += self._apply_peer_upstreams(state, source, now)
         self.expire(now)
         return changes
@@ -320,14 +383,21 @@
         self, state: DirectoryState, source: str, now: float
     ) -> list[DirectoryChange]:
         deadlines = {upstream: now + seconds for upstream, seconds in state.expiring}
+        is_new_era = state.era > self._upstreams.position.era
         if state.changes_from is None:
-            changes = self._apply_list(
-                state.upstreams, state.upstreams_end, source, now, now
-            )
+            held = {upstream: now + seconds for upstream, seconds in state.held}
+            if is_new_era:
+                changes = self._apply_restored_list(
+                    state.upstreams, state.upstreams_end, source, now, state.era, held
+                )
+            else:
+                changes = self._apply_list(
+                    state.upstreams, state.upstreams_end, source, now, now, held=held
+                )
             for upstream, until in deadlines.items():
                 self._upstreams.remove(upstream, state.upstreams_end, until)
             return changes
-        if state.changes_from > self._upstreams.position.offset:
+        if is_new_era or state.changes_from > self._upstreams.position.offset:
             return []  # Records between the two offsets are missing.
         if state.changes_from == 0:
             self._has_list = True  # Changes since offset 0 are the full list.
@@ -342,19 +412,23 @@
         self._upstreams.advance(state.upstreams_end)
         return changes
 
-    def state_since(
-        self, config_offset: int, upstreams_end: int, now: float
-    ) -> DirectoryState:
-        """Return what a peer at these offsets is missing."""
+    def state_since(self, peer: ViewPosition, now: float) -> DirectoryState:
+        """Return what a peer at a position is missing."""
         state = self.state(now)
-        if config_offset >= self.config_offset:
+        if self._config is not None and self._has_config(peer, self._config.version):
             state = replace(state, config=None)
-        if not self._changes_from <= upstreams_end <= self._upstreams.position.offset:
+        own, begin = self._upstreams.position, peer.upstreams_end
+        if peer.era != own.era or not self._changes_from <= begin <= own.offset:
             return state
         changes = tuple(
-            record for record in self._recent_changes if record.offset >= upstreams_end
+            record for record in self._recent_changes if record.offset >= begin
         )
-        return replace(state, upstreams=changes, changes_from=upstreams_end)
+        return replace(state, upstreams=changes, changes_from=begin)
+
+    def _has_config(self, peer: ViewPosition, version: int) -> bool:
+        if peer.config_version is not None:
+            return peer.config_version >= version
+        return peer.config_offset >= self.config_offset
 
     def state(self, now: float) -> DirectoryState:
         """Return the complete state, for a peer."""
@@ -362,9 +436,18 @@
             KeyedRecord(record.offset, upstream, record.raw)
             for upstream, record in self._upstreams.records.items()
         )
-        expiring = tuple(self._upstreams.expiring(now))
+        unconfirmed = self._upstreams.unconfirmed(now)
+        upstreams += tuple(
+            KeyedRecord(record.offset, record.entry.name, record.raw)
+            for record, _ in unconfirmed
+        )
         return DirectoryState(
-            self._config_record, upstreams, self._upstreams.position.offset, expiring
+            self._config_record,
+            upstreams,
+            self._upstreams.position.offset,
+            tuple(self._upstreams.expiring(now)),
+            era=self._upstreams.position.era,
+            held=tuple((record.entry.name, after) for record, after in unconfirmed),
         )
 
     def expire(self, now: float) -> None:
--- a/src/rudderpass/directory/_messages.py
+++ b/src/rudderpass/directory/_messages.py
@@ -4,7 +4,8 @@
 
 from dataclasses import dataclass
 
-from rudderpass._ids import UpstreamName
+from rudderpass._ids import StoreEra, UpstreamName
+from rudderpass.directory._position import UNKNOWN_ERA
 from rudderpass.directory._upstreams import UpstreamRecord
 
 
@@ -31,6 +32,8 @@
         still retained.
     :param changes_from: where given, ``upstreams`` holds only the changes from this
         offset on.
+    :param era: in which the offsets are valid; unknown from hosts that do not tell it.
+    :param held: upstreams not to be used yet, and the seconds until they may be.
     """
 
     config: KeyedRecord | None
@@ -38,6 +41,8 @@
     upstreams_end: int
     expiring: tuple[tuple[UpstreamName, float], ...] = ()
     changes_from: int | None = None
+    era: StoreEra = UNKNOWN_ERA
+    held: tuple[tuple[UpstreamName, float], ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/rudderpass/directory/_position.py
+++ b/src/rudderpass/directory/_position.py
@@ -22,5 +22,23 @@
     offset: int
 
 
+@dataclass(frozen=True)
+class ViewPosition:
+    """How recent a host's view is, as hosts tell one another.
+
+    :param config_offset: of the configuration in force; -1 before the first.
+    :param upstreams_end: the offset up to which the list of upstreams was followed.
+    :param config_version: of the configuration in force; None before the first, and
+        from hosts that do not tell it.
+    :param era: in which ``upstreams_end`` is valid; unknown before the first list, and
+        from hosts that do not tell it.
+    """
+
+    config_offset: int
+    upstreams_end: int
+    config_version: int | None = None
+    era: StoreEra = UNKNOWN_ERA
+
+
 LOG_START = LogPosition(UNKNOWN_ERA, 0)
 """The position of a host that has read nothing."""
--- a/src/rudderpass/gossip/_codec.py
+++ b/src/rudderpass/gossip/_codec.py
@@ -11,11 +11,12 @@
     FencingToken,
     NodeId,
     PoolId,
+    StoreEra,
     UpstreamId,
     UpstreamName,
 )
 from rudderpass._thrift import decode_struct, encode_struct
-from rudderpass.directory import URGENCY_RANKS, DirectoryState, KeyedRecord
+from rudderpass.directory import UNKNOWN_ERA, URGENCY_RANKS, DirectoryState, KeyedRecord
 from rudderpass.duties import DutyStatus
 from rudderpass.errors import PeerError
 from rudderpass.exchange import Load, PartId, PrefillRate, PromptPart, SentPrompt
@@ -31,6 +32,7 @@
 _MS = 1000.0
 _US = 1_000_000.0
 _PERCENT = 100
+_UNKNOWN = -1
 _PORT_BITS = 16
 _MAX_PORT = 2**_PORT_BITS - 1
 _ADDRESS_BITS = 32 + _PORT_BITS
@@ -72,7 +74,7 @@
             _prefill_rates_to_wire(heartbeat.prefill_rates) or None,
             heartbeat.zone,
             heartbeat.number,
-            None if heartbeat.digest is None else _digest_to_wire(heartbeat.digest),
+            None if heartbeat.digest is None else _digest_to_wire(heartbeat),
             heartbeat.link_mbps or None,
             [suspect_to_wire(suspect) for suspect in heartbeat.suspects] or None,
             None if heartbeat.duty is None else heartbeat.duty.token,
@@ -81,6 +83,8 @@
             None if heartbeat.usage is None else usage_to_wire(heartbeat.usage),
             [rate_limit_to_wire(limit) for limit in heartbeat.rate_limits] or None,
             list(heartbeat.leaving) or None,
+            _era_to_wire(heartbeat.era),
+            heartbeat.config_version,
         )
     )
     return data if len(data) < MIN_DEFLATED_BYTES else _deflate(data)
@@ -110,13 +114,15 @@
             _prefill_rates_from_wire(raw.reading),
             None if raw.zone is None else AvailabilityZone(raw.zone),
             raw.number or 0,
-            None if raw.digest is None else _digest_from_wire(raw.digest),
+            None if raw.digest is None else _digest_from_wire(raw.digest, raw),
             raw.link_mbps or 0,
             tuple(suspect_from_wire(item) for item in raw.suspects or ()),
             _duty_from_wire(raw),
             None if raw.usage is None else usage_from_wire(raw.usage),
             tuple(rate_limit_from_wire(item) for item in raw.rate_limits or ()),
             tuple(UpstreamId(name) for name in raw.leaving or ()),
+            raw.config_version,
+            _era_from_wire(raw.era),
         )
     except TypeError as error:
         raise PeerError(f"invalid heartbeat: {error}", step="decode") from error
@@ -141,6 +147,8 @@
                 state.upstreams_end,
                 {name: int(seconds * _MS) for name, seconds in state.expiring},
                 state.changes_from,
+                _era_to_wire(state.era),
+                {name: int(seconds * _MS) for name, seconds in state.held} or None,
             )
         )
     )
@@ -162,6 +170,11 @@
                 for name, ms in (raw.ending_ms or {}).items()
             ),
             raw.changes_from,
+            _era_from_wire(raw.era),
+            tuple(
+                (UpstreamName(name), ms / _MS)
+                for name, ms in (raw.held_ms or {}).items()
+            ),
         )
     except TypeError as error:
         raise PeerError(f"invalid state: {error}", step="decode") from error
@@ -261,11 +274,23 @@
     return tuple(max(0, amount) for amount in (raw or ())[:URGENCY_RANKS])
 
 
-def _digest_to_wire(digest: Digest) -> wire.Digest:
+def _era_to_wire(era: StoreEra) -> int | None:
+    return None if era == UNKNOWN_ERA else era
+
+
+def _era_from_wire(raw: int | None) -> StoreEra:
+    return UNKNOWN_ERA if raw is None else StoreEra(max(UNKNOWN_ERA, raw))
+
+
+def _digest_to_wire(heartbeat: Heartbeat) -> wire.Digest:
+    digest = heartbeat.digest
+    assert digest is not None
     return wire.Digest(
         digest.covers_all_zones,
         [
-            wire.ZoneMembers(zone, [_member_to_wire(member) for member in members])
+            wire.ZoneMembers(
+                zone, [_member_to_wire(member, heartbeat) for member in members]
+            )
             for zone, members in digest.members.items()
         ],
         _loads_to_wire(digest.loads),
@@ -273,12 +298,12 @@
     )
 
 
-def _digest_from_wire(raw: wire.Digest) -> Digest:
+def _digest_from_wire(raw: wire.Digest, beat: wire.Beat) -> Digest:
     return Digest(
         bool(raw.whole),
         {
             AvailabilityZone(required(item.zone)): tuple(
-                _member_from_wire(member) for member in item.members or ()
+                _member_from_wire(member, beat) for member in item.members or ()
             )
             for item in raw.zones or ()
         },
@@ -287,7 +312,9 @@
     )
 
 
-def _member_to_wire(member: Member) -> wire.Member:
+def _member_to_wire(member: Member, heartbeat: Heartbeat) -> wire.Member:
+    """Return a host's entry; what it shares with the sender takes no bytes."""
+    version = _UNKNOWN if member.config_version is None else member.config_version
     return wire.Member(
         _pack_address(member.host),
         member.number,
@@ -298,10 +325,13 @@
         member.warm or None,
         member.following or None,
         member.link_mbps or None,
+        None if member.era == heartbeat.era else member.era,
+        None if member.config_version == heartbeat.config_version else version,
     )
 
 
-def _member_from_wire(raw: wire.Member) -> Member:
+def _member_from_wire(raw: wire.Member, beat: wire.Beat) -> Member:
+    version = beat.config_version if raw.config_version is None else raw.config_version
     return Member(
         _unpack_address(required(raw.address)),
         required(raw.number),
@@ -312,6 +342,8 @@
         bool(raw.warm),
         bool(raw.following),
         raw.link_mbps or 0,
+        None if version == _UNKNOWN else version,
+        _era_from_wire(beat.era if raw.era is None else raw.era),
     )
 
 
--- a/src/rudderpass/gossip/_digest.py
+++ b/src/rudderpass/gossip/_digest.py
@@ -5,7 +5,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from rudderpass._ids import AvailabilityZone, NodeId, PoolId, UpstreamId
+from rudderpass._ids import AvailabilityZone, NodeId, PoolId, StoreEra, UpstreamId
+from rudderpass.directory import UNKNOWN_ERA, ViewPosition
 from rudderpass.exchange import Load, PrefillRate
 
 
@@ -27,6 +28,15 @@
     warm: bool = False
     following: bool = False
     link_mbps: int = 0
+    config_version: int | None = None
+    era: StoreEra = UNKNOWN_ERA
+
+    @property
+    def position(self) -> ViewPosition:
+        """How recent the host's view is."""
+        return ViewPosition(
+            self.config_offset, self.upstreams_end, self.config_version, self.era
+        )
 
 
 @dataclass(frozen=True)
--- a/src/rudderpass/gossip/_gen/wire/ttypes.py
+++ b/src/rudderpass/gossip/_gen/wire/ttypes.py
@@ -525,6 +525,8 @@
      - warm
      - following
      - link_mbps
+     - era
+     - config_version
 
     """
 
@@ -538,10 +540,12 @@
         'warm',
         'following',
         'link_mbps',
+        'era',
+        'config_version',
     )
 
 
-    def __init__(self, address=None, number=None, age_ms=None, config_offset=None, upstreams_end=None, stopping=None, warm=None, following=None, link_mbps=None,):
+    def __init__(self, address=None, number=None, age_ms=None, config_offset=None, upstreams_end=None, stopping=None, warm=None, following=None, link_mbps=None, era=None, config_version=None,):
         self.address = address
         self.number = number
         self.age_ms = age_ms
@@ -551,6 +555,8 @@
         self.warm = warm
         self.following = following
         self.link_mbps = link_mbps
+        self.era = era
+        self.config_version = config_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -606,6 +612,16 @@
                     self.link_mbps = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -652,6 +668,14 @@
             oprot.writeFieldBegin('link_mbps', TType.I32, 9)
             oprot.writeI32(self.link_mbps)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 10)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 11)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1515,18 +1539,21 @@
     Attributes:
      - host
      - start
+     - era
 
     """
 
     __slots__ = (
         'host',
         'start',
+        'era',
     )
 
 
-    def __init__(self, host=None, start=None,):
+    def __init__(self, host=None, start=None, era=None,):
         self.host = host
         self.start = start
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1547,6 +1574,11 @@
                     self.start = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1565,6 +1597,10 @@
             oprot.writeFieldBegin('start', TType.STRING, 2)
             oprot.writeString(self.start.encode('utf-8') if sys.version_info[0] == 2 else self.start)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 3)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1595,18 +1631,21 @@
     Attributes:
      - next_window
      - windows
+     - era
 
     """
 
     __slots__ = (
         'next_window',
         'windows',
+        'era',
     )
 
 
-    def __init__(self, next_window=None, windows=None,):
+    def __init__(self, next_window=None, windows=None, era=None,):
         self.next_window = next_window
         self.windows = windows
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1633,6 +1672,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1654,6 +1698,10 @@
                 iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 3)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1703,6 +1751,8 @@
      - usage
      - rate_limits
      - leaving
+     - era
+     - config_version
 
     """
 
@@ -1728,10 +1778,12 @@
         'usage',
         'rate_limits',
         'leaving',
+        'era',
+        'config_version',
     )
 
 
-    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None,):
+    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None, era=None, config_version=None,):
         self.config_offset = config_offset
         self.upstreams_end = upstreams_end
         self.stopping = stopping
@@ -1753,6 +1805,8 @@
         self.usage = usage
         self.rate_limits = rate_limits
         self.leaving = leaving
+        self.era = era
+        self.config_version = config_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1916,6 +1970,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2034,6 +2098,14 @@
                 oprot.writeString(iter141.encode('utf-8') if sys.version_info[0] == 2 else iter141)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 23)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 24)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2236,6 +2308,8 @@
      - upstreams_end
      - ending_ms
      - changes_from
+     - era
+     - held_ms
 
     """
 
@@ -2245,15 +2319,19 @@
         'upstreams_end',
         'ending_ms',
         'changes_from',
+        'era',
+        'held_ms',
     )
 
 
-    def __init__(self, config=None, upstreams=None, upstreams_end=None, ending_ms=None, changes_from=None,):
+    def __init__(self, config=None, upstreams=None, upstreams_end=None, ending_ms=None, changes_from=None, era=None, held_ms=None,):
         self.config = config
         self.upstreams = upstreams
         self.upstreams_end = upstreams_end
         self.ending_ms = ending_ms
         self.changes_from = changes_from
+        self.era = era
+        self.held_ms = held_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2302,6 +2380,22 @@
                     self.changes_from = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.MAP:
+                    self.held_ms = {}
+                    (_ktype163, _vtype164, _size162) = iprot.readMapBegin()
+                    for _i166 in range(_size162):
+                        _key167 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val168 = iprot.readI32()
+                        self.held_ms[_key167] = _val168
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2319,8 +2413,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter162 in self.upstreams:
-                iter162.write(oprot)
+            for iter169 in self.upstreams:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_end is not None:
@@ -2330,15 +2424,27 @@
         if self.ending_ms is not None:
             oprot.writeFieldBegin('ending_ms', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.ending_ms))
-            for kiter163, viter164 in self.ending_ms.items():
-                oprot.writeString(kiter163.encode('utf-8') if sys.version_info[0] == 2 else kiter163)
-                oprot.writeI32(viter164)
+            for kiter170, viter171 in self.ending_ms.items():
+                oprot.writeString(kiter170.encode('utf-8') if sys.version_info[0] == 2 else kiter170)
+                oprot.writeI32(viter171)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.changes_from is not None:
             oprot.writeFieldBegin('changes_from', TType.I64, 5)
             oprot.writeI64(self.changes_from)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 6)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.held_ms is not None:
+            oprot.writeFieldBegin('held_ms', TType.MAP, 7)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.held_ms))
+            for kiter172, viter173 in self.held_ms.items():
+                oprot.writeString(kiter172.encode('utf-8') if sys.version_info[0] == 2 else kiter172)
+                oprot.writeI32(viter173)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2410,6 +2516,8 @@
     (7, TType.BOOL, 'warm', None, None, ),  # 7
     (8, TType.BOOL, 'following', None, None, ),  # 8
     (9, TType.I32, 'link_mbps', None, None, ),  # 9
+    (10, TType.I64, 'era', None, None, ),  # 10
+    (11, TType.I64, 'config_version', None, None, ),  # 11
 )
 all_structs.append(ZoneMembers)
 ZoneMembers.thrift_spec = (
@@ -2474,12 +2582,14 @@
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'start', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'era', None, None, ),  # 3
 )
 all_structs.append(SettledUsage)
 SettledUsage.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'next_window', None, None, ),  # 1
     (2, TType.LIST, 'windows', (TType.STRUCT, [WindowUsage, None], False), None, ),  # 2
+    (3, TType.I64, 'era', None, None, ),  # 3
 )
 all_structs.append(Beat)
 Beat.thrift_spec = (
@@ -2506,6 +2616,8 @@
     (20, TType.STRUCT, 'usage', [HostUsage, None], None, ),  # 20
     (21, TType.LIST, 'rate_limits', (TType.STRUCT, [RateLimit, None], False), None, ),  # 21
     (22, TType.LIST, 'leaving', (TType.STRING, 'UTF8', False), None, ),  # 22
+    (23, TType.I64, 'era', None, None, ),  # 23
+    (24, TType.I64, 'config_version', None, None, ),  # 24
 )
 all_structs.append(Prompts)
 Prompts.thrift_spec = (
@@ -2527,6 +2639,8 @@
     (3, TType.I64, 'upstreams_end', None, None, ),  # 3
     (4, TType.MAP, 'ending_ms', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 4
     (5, TType.I64, 'changes_from', None, None, ),  # 5
+    (6, TType.I64, 'era', None, None, ),  # 6
+    (7, TType.MAP, 'held_ms', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/rudderpass/gossip/_heartbeat.py
+++ b/src/rudderpass/gossip/_heartbeat.py
@@ -5,7 +5,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from rudderpass._ids import AvailabilityZone, NodeId, PoolId, UpstreamId
+from rudderpass._ids import AvailabilityZone, NodeId, PoolId, StoreEra, UpstreamId
+from rudderpass.directory import UNKNOWN_ERA, ViewPosition
 from rudderpass.duties import DutyStatus, HostUsage
 from rudderpass.exchange import Load, PrefillRate, RateLimitUpdate, SentPrompt
 from rudderpass.gossip._digest import Digest
@@ -36,6 +37,9 @@
     :param usage: its counts for the usage reports.
     :param rate_limits: rate limits reported by upstreams.
     :param leaving: upstreams that reported that they are leaving.
+    :param config_version: of the configuration in force there; None before the first,
+        and from hosts that do not tell it.
+    :param era: of the platform's store, as its list of upstreams has it.
     """
 
     sender: NodeId
@@ -58,3 +62,12 @@
     usage: HostUsage | None = None
     rate_limits: tuple[RateLimitUpdate, ...] = ()
     leaving: tuple[UpstreamId, ...] = ()
+    config_version: int | None = None
+    era: StoreEra = UNKNOWN_ERA
+
+    @property
+    def position(self) -> ViewPosition:
+        """How recent the sender's view is."""
+        return ViewPosition(
+            self.config_offset, self.upstreams_end, self.config_version, self.era
+        )
--- a/src/rudderpass/gossip/_peer_table.py
+++ b/src/rudderpass/gossip/_peer_table.py
@@ -4,10 +4,11 @@
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from rudderpass._ids import AvailabilityZone, NodeId
+from rudderpass.directory import UNKNOWN_ERA, ViewPosition
 from rudderpass.exchange import HostRank
 from rudderpass.gossip._digest import Digest, Member
 from rudderpass.gossip._hashing import hash_host
@@ -75,8 +76,7 @@
     last_heard_directly: float = float("-inf")
     zone: AvailabilityZone | None = None
     link_mbps: int = 0
-    config_offset: int = -1
-    upstreams_end: int = 0
+    position: ViewPosition = ViewPosition(-1, 0)
     stopping: bool = False
     warm: bool = False
     following: bool = False
@@ -93,8 +93,7 @@
         self.last_heard = last_heard
         self.zone = zone
         self.link_mbps = report.link_mbps
-        self.config_offset = report.config_offset
-        self.upstreams_end = report.upstreams_end
+        self.position = report.position
         self.stopping = report.stopping
         self.warm = report.warm
         self.following = report.following
@@ -158,12 +157,14 @@
             name,
             number,
             now - peer.last_heard,
-            peer.config_offset,
-            peer.upstreams_end,
+            peer.position.config_offset,
+            peer.position.upstreams_end,
             peer.stopping,
             peer.warm,
             peer.following,
             peer.link_mbps,
+            peer.position.config_version,
+            peer.position.era,
         )
 
     def link_mbps(self, name: NodeId) -> int:
@@ -235,7 +236,9 @@
 
     def has_configured_peer(self, now: float) -> bool:
         """Return whether any live peer has a configuration."""
-        return any(self._peers[name].config_offset >= 0 for name in self.live(now))
+        return any(
+            self._peers[name].position.config_offset >= 0 for name in self.live(now)
+        )
 
     def choose_warm_peer(self, now: float) -> NodeId | None:
         """Return a random live peer that knows the upstreams' cache contents."""
@@ -258,7 +261,10 @@
         ]
 
     def store_followers(self, now: float) -> list[NodeId]:
-        """Return the peers that recently reported that they follow the store."""
+        """Return the peers that recently reported that they follow the store.
+
+        A follower that does not tell the store's era would miss that it was restored.
+        """
         return [name for name in self._peers if self._is_store_follower(name, now)]
 
     def candidates(self, now: float) -> list[NodeId]:
@@ -284,18 +290,16 @@
         return None if newest == -math.inf else newest
 
     def choose_peer_ahead(
-        self, config_offset: int, upstreams_end: int, follows_store: bool, now: float
+        self, is_ahead: Callable[[ViewPosition], bool], follows_store: bool, now: float
     ) -> NodeId | None:
         """Return a random live peer that is ahead of this host, or None.
 
+        :param is_ahead: whether a peer's view has anything newer than this host's.
         :param follows_store: whether this host follows the store itself; then the store
             has BEHIND_SECONDS to catch this host up.
         """
         ahead = [
-            name
-            for name in self.live(now)
-            if self._peers[name].config_offset > config_offset
-            or self._peers[name].upstreams_end > upstreams_end
+            name for name in self.live(now) if is_ahead(self._peers[name].position)
         ]
         if not ahead:
             self._behind_since = None
@@ -308,7 +312,9 @@
 
     def _is_store_follower(self, name: NodeId, now: float) -> bool:
         peer = self._peers[name]
-        return peer.following and now - peer.last_heard <= FOLLOWER_TIMEOUT_SECONDS
+        if not peer.following or peer.position.era == UNKNOWN_ERA:
+            return False
+        return now - peer.last_heard <= FOLLOWER_TIMEOUT_SECONDS
 
     def _is_live(self, peer: _Peer, now: float) -> bool:
         return now - peer.last_heard <= LIVE_SECONDS
--- a/src/rudderpass/gossip/_transport.py
+++ b/src/rudderpass/gossip/_transport.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from rudderpass._ids import NodeId
-from rudderpass.directory import DirectoryState
+from rudderpass._ids import NodeId, StoreEra
+from rudderpass.directory import UNKNOWN_ERA, DirectoryState, ViewPosition
 from rudderpass.errors import PeerError
 from rudderpass.exchange import SentPrompt
 from rudderpass.gossip._codec import (
@@ -42,6 +42,7 @@
 _CONNECTIONS = 128
 _BIND_ATTEMPTS = 20
 _WAKE = b"\0"
+_NO_VERSION = -1
 
 
 class GossipTransport:
@@ -50,8 +51,7 @@
     :param address: ``ip:port``, for both UDP and TCP; also this host's id.
     :param on_heartbeat: called with each heartbeat that arrives.
     :param on_error: called with each error in sending or receiving.
-    :param state: returns what a peer is missing, given the offsets of its configuration
-        and of its list of upstreams.
+    :param state: returns what a peer at a position is missing.
     :param prompts: returns the prompts that this host assumes to be cached.
 
     .. versionadded:: 0.2
@@ -62,7 +62,7 @@
         address: str,
         on_heartbeat: Callable[[Heartbeat], None],
         on_error: Callable[[PeerError], None],
-        state: Callable[[int, int], DirectoryState],
+        state: Callable[[ViewPosition], DirectoryState],
         prompts: Callable[[], tuple[SentPrompt, ...]],
     ) -> None:
         host, _, port = address.rpartition(":")
@@ -122,14 +122,12 @@
                 continue
             self.sent_bytes += len(data)
 
-    def fetch(
-        self, peer: NodeId, config_offset: int, upstreams_end: int
-    ) -> DirectoryState:
-        """Return the changes that a peer has beyond these offsets.
+    def fetch(self, peer: NodeId, position: ViewPosition) -> DirectoryState:
+        """Return the changes that a peer has beyond a position.
 
         :raises PeerError: when it does not answer, or not with a valid state.
         """
-        path = f"{STATE_PATH}?{config_offset},{upstreams_end}"
+        path = f"{STATE_PATH}?{_format_position(position)}"
         return decode_state(self._fetch(peer, path))
 
     def fetch_prompts(self, peer: NodeId) -> tuple[SentPrompt, ...]:
@@ -170,8 +168,8 @@
     ) -> Iterable[bytes]:
         path = environ.get("PATH_INFO")
         if path == STATE_PATH:
-            config, upstreams = _read_offsets(environ.get("QUERY_STRING", ""))
-            body = encode_state(self._state(config, upstreams))
+            position = _parse_position(environ.get("QUERY_STRING", ""))
+            body = encode_state(self._state(position))
         elif path == PROMPTS_PATH:
             body = encode_prompts(self._prompts())
         else:
@@ -206,10 +204,28 @@
                 )
 
 
-def _read_offsets(query: str) -> tuple[int, int]:
-    """Return the offsets in a peer's query; an invalid query gets everything."""
-    config, _, upstreams = query.partition(",")
+def _format_position(position: ViewPosition) -> str:
+    """Return a query; hosts that know only its first two numbers return everything."""
+    version = position.config_version
+    numbers = (
+        position.config_offset,
+        position.upstreams_end,
+        _NO_VERSION if version is None else version,
+        position.era,
+    )
+    return ",".join(str(number) for number in numbers)
+
+
+def _parse_position(query: str) -> ViewPosition:
+    """Return the position in a peer's query; an invalid query gets everything."""
     try:
-        return int(config), int(upstreams)
+        config_offset, upstreams_end, *others = (int(part) for part in query.split(","))
+        version, era = others or (_NO_VERSION, UNKNOWN_ERA)
     except ValueError:
-        return -1, -1
+        return ViewPosition(-1, -1)
+    return ViewPosition(
+        config_offset,
+        upstreams_end,
+        None if version == _NO_VERSION else version,
+        StoreEra(era),
+    )
--- a/src/rudderpass/host/_gossip_protocol.py
+++ b/src/rudderpass/host/_gossip_protocol.py
@@ -280,17 +280,19 @@
         return served
 
     def _describe_own(self, now: float) -> Member:
-        directory = self._core.directory
+        position = self._core.directory.view_position
         return Member(
             self._own,
             self._heartbeat_number,
             0.0,
-            directory.config_offset,
-            directory.upstreams_end,
+            position.config_offset,
+            position.upstreams_end,
             self._core.is_stopping,
             self._core.is_warm,
             self._is_current(now),
             self._link_mbps,
+            position.config_version,
+            position.era,
         )
 
     def _describe_others(
@@ -326,11 +328,12 @@
     ) -> Heartbeat:
         has_load_report = has_loads and digest is None
         directory = self._core.directory
+        position = directory.view_position
         loads = self._core.loads
         return Heartbeat(
             self._own,
-            directory.config_offset,
-            directory.upstreams_end,
+            position.config_offset,
+            position.upstreams_end,
             self._core.is_stopping,
             loads.own if has_load_report else None,
             prompts,
@@ -348,4 +351,6 @@
             usage,
             rate_limits,
             tuple(directory.reported_leaving[-MAX_LEAVING_REPORTED:]),
+            position.config_version,
+            position.era,
         )
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -13,6 +13,7 @@
     DirectoryChange,
     DirectoryState,
     StoreFollower,
+    ViewPosition,
 )
 from rudderpass.duties import ClusterView
 from rudderpass.errors import PeerError
@@ -289,13 +290,15 @@
             return
         self._fetch_at = None
         with self._lock:
-            offsets = self._directory.config_offset, self._directory.upstreams_end
+            position = self._directory.view_position
             follows = self._receives_store_updates and not self._core.is_stale
-            peer = self._peer_table.choose_peer_ahead(*offsets, follows, now)
+            peer = self._peer_table.choose_peer_ahead(
+                self._directory.is_behind, follows, now
+            )
         if peer is None:
             return
         try:
-            state = self._transport.fetch(peer, *offsets)
+            state = self._transport.fetch(peer, position)
         except PeerError as error:
             self._record_error(error)
             return
@@ -315,11 +318,8 @@
             )
             if heartbeat.following:
                 as_of = now - STALE_AFTER_SECONDS
-                self._directory.record_list_confirmed(heartbeat.upstreams_end, as_of)
-            is_behind = (
-                heartbeat.config_offset > self._directory.config_offset
-                or heartbeat.upstreams_end > self._directory.upstreams_end
-            )
+                self._directory.record_list_confirmed(heartbeat.position, as_of)
+            is_behind = self._directory.is_behind(heartbeat.position)
             is_urgent = not (self._directory.is_complete and self._is_large)
         if is_behind and (not self._receives_store_updates or self._core.is_stale):
             self._schedule_fetch(is_urgent or self._core.is_stale, now)
@@ -338,10 +338,9 @@
         elif self._fetch_at is None:
             self._fetch_at = now + self._rng.uniform(0.0, FETCH_SPREAD_SECONDS)
 
-    def _read_state(self, config_offset: int, upstreams_end: int) -> DirectoryState:
+    def _read_state(self, peer: ViewPosition) -> DirectoryState:
         with self._lock:
-            now = _clock.now()
-            return self._directory.state_since(config_offset, upstreams_end, now)
+            return self._directory.state_since(peer, _clock.now())
 
     def _read_prompts(self) -> tuple[SentPrompt, ...]:
         with self._lock:
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -5,7 +5,7 @@
 from hypothesis import given, strategies as st
 
 from rudderpass._ids import UpstreamId
-from rudderpass.directory import Directory, KeyedRecord
+from rudderpass.directory import Directory, KeyedRecord, ViewPosition
 from rudderpass.errors import UnusableReason
 from tests.directory.builders import (
     SERVICE,
@@ -184,11 +184,11 @@
     source.apply_config([config_record(0, 1)], 1, SOURCE)
     source.apply_upstream_list([upstream_record(0, 1)], 1, SOURCE, 0.0)
     host = make_directory()
-    host.apply_state(source.state_since(-1, -1, 0.0), "peer", 0.0)
+    host.apply_state(source.state_since(ViewPosition(-1, -1), 0.0), "peer", 0.0)
     assert serving(host) == {"u1"}
     changes = [upstream_record(1, 2), upstream_tombstone(2, 1), upstream_record(3, 3)]
     source.apply_upstream_changes(changes, 4, SOURCE, 1.0)
-    missed = source.state_since(host.config_offset, host.upstreams_end, 1.0)
+    missed = source.state_since(host.view_position, 1.0)
     assert missed.config is None
     assert [record.offset for record in missed.upstreams] == [1, 2, 3]
     host.apply_state(missed, "peer", 1.0)
@@ -203,7 +203,7 @@
     source.apply_upstream_list([], 0, SOURCE, 0.0)
     source.apply_upstream_changes([upstream_record(0, 1)], 1, SOURCE, 0.0)
     host = make_directory()
-    state = source.state_since(host.config_offset, host.upstreams_end, 0.0)
+    state = source.state_since(host.view_position, 0.0)
     assert state.changes_from == 0
     host.apply_state(state, "peer", 0.0)
     assert host.is_complete
@@ -215,10 +215,10 @@
         source.apply_upstream_changes(
             [upstream_record(offset, offset % 7)], offset + 1, SOURCE, 0.0
         )
-    assert source.state_since(-1, 20, 0.0).changes_from is None
-    assert source.state_since(-1, 250, 0.0).changes_from == 250
+    assert source.state_since(ViewPosition(-1, 20), 0.0).changes_from is None
+    assert source.state_since(ViewPosition(-1, 250), 0.0).changes_from == 250
     host = make_directory()
-    host.apply_state(source.state_since(-1, 20, 0.0), "peer", 0.0)
+    host.apply_state(source.state_since(ViewPosition(-1, 20), 0.0), "peer", 0.0)
     assert serving(host) == serving(source)
 
 
@@ -235,7 +235,7 @@
         )
         source.apply_upstream_changes([record], offset + 1, SOURCE, 0.0)
         if data.draw(st.booleans()):
-            missed = source.state_since(host.config_offset, host.upstreams_end, 0.0)
+            missed = source.state_since(host.view_position, 0.0)
             host.apply_state(missed, "peer", 0.0)
             assert serving(host) == serving(source)
 
@@ -244,10 +244,10 @@
     peer = make_directory()
     peer.apply_upstream_list([upstream_record(0, 1)], 1, SOURCE, 0.0)
     host = make_directory()
-    host.apply_state(peer.state_since(-1, -1, 0.0), "peer", 0.0)
+    host.apply_state(peer.state_since(ViewPosition(-1, -1), 0.0), "peer", 0.0)
     mark_store_unavailable(peer, 10.0)
     peer.apply_upstream_changes([upstream_tombstone(1, 1)], 2, SOURCE, 10.0)
-    host.apply_state(peer.state_since(-1, 1, 11.0), "peer", 100.0)
+    host.apply_state(peer.state_since(ViewPosition(-1, 1), 11.0), "peer", 100.0)
     assert serving(host) == {"u1"}
     host.expire(100.6)
     assert host.pop_removed() == []
@@ -258,15 +258,15 @@
 def test_the_age_of_the_list_is_measured_from_its_last_confirmation() -> None:
     directory = make_directory()
     assert directory.list_age(5.0) == float("inf")
-    directory.record_list_confirmed(0, 5.0)
+    directory.record_list_confirmed(ViewPosition(-1, 0), 5.0)
     assert directory.list_age(5.0) == float("inf"), "there is no list yet"
     directory.apply_upstream_list([upstream_record(0, 1)], 1, SOURCE, 10.0)
     assert directory.list_age(10.5) == 0.5
-    directory.record_list_confirmed(1, 12.0)
+    directory.record_list_confirmed(ViewPosition(-1, 1), 12.0)
     assert directory.list_age(12.0) == 0.0
-    directory.record_list_confirmed(2, 20.0)
+    directory.record_list_confirmed(ViewPosition(-1, 2), 20.0)
     assert directory.list_age(20.0) == 8.0, "it lacks newer changes"
-    directory.record_list_confirmed(1, 11.0)
+    directory.record_list_confirmed(ViewPosition(-1, 1), 11.0)
     assert directory.list_age(20.0) == 8.0, "an older confirmation changes nothing"
 
 
--- a/tests/directory/test_restarts.py
+++ b/tests/directory/test_restarts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from rudderpass._ids import UpstreamId, UpstreamName
-from rudderpass.directory import Directory, KeyedRecord, make_instance_id
+from rudderpass.directory import Directory, KeyedRecord, ViewPosition, make_instance_id
 from tests.directory.builders import (
     FakeDecoders,
     make_directory,
@@ -68,7 +68,7 @@
     peer = make_filled()
     peer.apply_upstream_changes([instance_record(1, NEW)], 2, SOURCE, 1.0)
     host = make_filled()
-    host.apply_state(peer.state_since(-1, 1, 1.0), "peer", 1.0)
+    host.apply_state(peer.state_since(ViewPosition(-1, 1), 1.0), "peer", 1.0)
     assert serving(host) == {NEW}
     assert removed(host) == [OLD]
 
--- a/tests/directory/test_unusable.py
+++ b/tests/directory/test_unusable.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from rudderpass.directory import Directory, KeyedRecord
+from rudderpass.directory import Directory, KeyedRecord, ViewPosition
 from rudderpass.directory._reader import MAX_LOGGED_KEYS
 from rudderpass.errors import UnusableReason
 from tests.directory.builders import make_directory, upstream_record
@@ -48,7 +48,7 @@
     peer = make_filled()
     apply_changes(peer, upstream_record(2, 1, b"bad"))
     host = make_filled()
-    host.apply_state(peer.state_since(-1, 2, 1.0), "peer", 1.0)
+    host.apply_state(peer.state_since(ViewPosition(-1, 2), 1.0), "peer", 1.0)
     new_host = make_directory()
     new_host.apply_state(peer.state(1.0), "peer", 1.0)
     assert serving(host) == serving(new_host) == {"u2"}
--- a/tests/gossip/test_codec.py
+++ b/tests/gossip/test_codec.py
@@ -11,9 +11,11 @@
     FencingToken,
     NodeId,
     PoolId,
+    StoreEra,
     TeamId,
     UpstreamId,
 )
+from rudderpass.directory import UNKNOWN_ERA
 from rudderpass.duties import (
     DutyHolder,
     DutyStatus,
@@ -86,6 +88,42 @@
     assert received.prefill_rates[POOL].other == 2**31 - 1
 
 
+@pytest.mark.parametrize("era", [UNKNOWN_ERA, StoreEra(0), StoreEra(3)])
+@pytest.mark.parametrize("version", [None, 7])
+def test_positions_survive_encoding(era: StoreEra, version: int | None) -> None:
+    members = tuple(
+        Member(SENDER, 1, 0.0, 3, 9, config_version=v, era=e)
+        for v, e in ((None, UNKNOWN_ERA), (7, StoreEra(3)), (6, StoreEra(0)))
+    )
+    digest = Digest(True, {AvailabilityZone("hall-a"): members})
+    sent = replace(
+        make_heartbeat(Load(1, 0, 0.0)), config_version=version, era=era, digest=digest
+    )
+    received = decode_heartbeat(encode_heartbeat(sent), SENDER)
+    assert received.position == sent.position
+    assert received.digest is not None
+    assert received.digest.members == digest.members
+
+
+def test_members_at_the_senders_position_take_no_bytes_for_it() -> None:
+    def measure(*positions: tuple[int | None, StoreEra]) -> int:
+        members = tuple(
+            Member(SENDER, 1, 0.0, 3, 9, config_version=version, era=era)
+            for version, era in positions
+        )
+        digest = Digest(True, {AvailabilityZone("hall-a"): members})
+        heartbeat = replace(
+            make_heartbeat(Load(1, 0, 0.0)),
+            config_version=7,
+            era=StoreEra(3),
+            digest=digest,
+        )
+        return len(encode_heartbeat(heartbeat))
+
+    same, other = (7, StoreEra(3)), (6, StoreEra(2))
+    assert measure(same, same) < measure(same, other) == measure(other, same)
+
+
 def test_a_digest_survives_encoding() -> None:
     digest = Digest(
         True,
--- a/tests/gossip/test_peer_table.py
+++ b/tests/gossip/test_peer_table.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
-from rudderpass._ids import FencingToken, NodeId
+from rudderpass._ids import FencingToken, NodeId, StoreEra
+from rudderpass.directory import UNKNOWN_ERA, ViewPosition
 from rudderpass.duties import DutyStatus
 from rudderpass.gossip import Heartbeat, PeerTable
 
@@ -28,6 +30,7 @@
         "loads": {},
         "prompts": (),
         "peers": (),
+        "era": StoreEra(0),
     }
     return Heartbeat(**{**values, **changes})
 
@@ -67,6 +70,14 @@
     assert peers.count_hosts(9.0) == 21, "all are silent: this host is isolated"
 
 
+def is_ahead(config_offset: int, upstreams_end: int) -> Callable[[ViewPosition], bool]:
+    def compare(peer: ViewPosition) -> bool:
+        is_newer = peer.config_offset > config_offset
+        return is_newer or peer.upstreams_end > upstreams_end
+
+    return compare
+
+
 def test_a_host_that_stays_behind_fetches_from_a_peer_ahead() -> None:
     peers = make_peer_table()
     peers.receive_heartbeat(
@@ -76,12 +87,12 @@
         make_heartbeat(PEERS[1], config_offset=5, upstreams_end=7), 0.0
     )
     assert (
-        peers.choose_peer_ahead(4, 7, True, 0.0) is None
+        peers.choose_peer_ahead(is_ahead(4, 7), True, 0.0) is None
     ), "the store may be about to notify this host"
-    assert peers.choose_peer_ahead(4, 7, True, 0.4) == PEERS[1]
-    assert peers.choose_peer_ahead(5, 7, True, 0.5) is None
-    assert peers.choose_peer_ahead(5, 6, True, 0.6) is None
-    assert peers.choose_peer_ahead(5, 6, True, 1.0) in PEERS[:2]
+    assert peers.choose_peer_ahead(is_ahead(4, 7), True, 0.4) == PEERS[1]
+    assert peers.choose_peer_ahead(is_ahead(5, 7), True, 0.5) is None
+    assert peers.choose_peer_ahead(is_ahead(5, 6), True, 0.6) is None
+    assert peers.choose_peer_ahead(is_ahead(5, 6), True, 1.0) in PEERS[:2]
 
 
 def test_only_a_live_peer_that_knows_the_caches_is_chosen() -> None:
@@ -96,7 +107,7 @@
 def test_a_host_that_does_not_follow_the_store_fetches_at_once() -> None:
     peers = make_peer_table()
     peers.receive_heartbeat(make_heartbeat(PEERS[0], upstreams_end=7), 0.0)
-    assert peers.choose_peer_ahead(0, 6, False, 0.0) == PEERS[0]
+    assert peers.choose_peer_ahead(is_ahead(0, 6), False, 0.0) == PEERS[0]
 
 
 def test_silent_peers_and_store_followers_are_listed() -> None:
@@ -110,6 +121,14 @@
     assert peers.store_followers(1.3) == [], "two heartbeats missed"
 
 
+def test_a_follower_that_does_not_tell_the_era_is_not_relied_on() -> None:
+    """A host of the build before would miss that the store was restored."""
+    peers = make_peer_table()
+    older = make_heartbeat(PEERS[0], following=True, era=UNKNOWN_ERA)
+    peers.receive_heartbeat(older, 0.0)
+    assert peers.store_followers(0.1) == []
+
+
 def test_only_a_live_peer_counts_as_configured() -> None:
     peers = make_peer_table()
     peers.receive_heartbeat(make_heartbeat(PEERS[0], config_offset=-1), 0.0)
--- a/tests/gossip/test_transport.py
+++ b/tests/gossip/test_transport.py
@@ -15,7 +15,7 @@
 from hypothesis import given, strategies as st
 
 from rudderpass._ids import NodeId, UpstreamId, UpstreamName
-from rudderpass.directory import DirectoryState, KeyedRecord
+from rudderpass.directory import DirectoryState, KeyedRecord, ViewPosition
 from rudderpass.errors import PeerError
 from rudderpass.exchange import Load, PartId, PromptPart, SentPrompt
 from rudderpass.gossip import (
@@ -62,7 +62,7 @@
             "127.0.0.1:0",
             self._receive,
             self._record_error,
-            lambda config, upstreams: STATE,
+            lambda position: STATE,
             lambda: PROMPTS,
         )
         self.transport.start()
@@ -97,7 +97,7 @@
 
 def test_state_and_prompts_can_be_fetched(endpoints: tuple[Endpoint, Endpoint]) -> None:
     one, other = endpoints
-    assert one.transport.fetch(other.transport.address, -1, 0) == STATE
+    assert one.transport.fetch(other.transport.address, ViewPosition(-1, 0)) == STATE
     assert one.transport.fetch_prompts(other.transport.address) == PROMPTS
 
 
@@ -122,7 +122,7 @@
     endpoint.transport.close()
     other = Endpoint()
     with pytest.raises(PeerError) as caught:
-        other.transport.fetch(stopped, -1, 0)
+        other.transport.fetch(stopped, ViewPosition(-1, 0))
     assert caught.value.peer == stopped
     other.transport.close()
 
