Name upstreams in complete states by their registered names

Symptom: none seen by callers; found while reading what peers copy. A complete state named each upstream by the id of its instance, which for an upstream that reports its start differs from the name it registers under: the receiver made another id of it, took the two for different upstreams, and never heard of its end by name.

The test fails before (the id in place of the name) and passes now.

--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -433,8 +433,8 @@
     def state(self, now: float) -> DirectoryState:
         """Return the complete state, for a peer."""
         upstreams = tuple(
-            KeyedRecord(record.offset, upstream, record.raw)
-            for upstream, record in self._upstreams.records.items()
+            KeyedRecord(record.offset, record.entry.name, record.raw)
+            for record in self._upstreams.records.values()
         )
         unconfirmed = self._upstreams.unconfirmed(now)
         upstreams += tuple(
--- a/tests/directory/test_restarts.py
+++ b/tests/directory/test_restarts.py
@@ -64,6 +64,12 @@
     assert f"started again after {OLD}" in changes[0].text
 
 
+def test_a_complete_state_names_upstreams_as_the_store_does() -> None:
+    """Guards against an instance id that is taken for the name of an upstream."""
+    names = [record.key for record in make_filled().state(1.0).upstreams]
+    assert names == [NAME]
+
+
 def test_a_peers_state_replaces_the_old_instance() -> None:
     peer = make_filled()
     peer.apply_upstream_changes([instance_record(1, NEW)], 2, SOURCE, 1.0)
