Write the hosts' records again when the store was restored

Cause: a host registers once, and archives a quarantine once.

Change: each host remembers the era in which its record was written or listed, and writes the record again, with all quarantines that it knows, when its view is of a later era. Those of a host that has ended are written by all that run. It happens within a second of learning the era, in the thread that archives, and is retried each second until the store takes it: one call a host and restore.

Weighed: reading the list first and writing only what is missing, which takes one call more for a host that is missing and returns all records for one that is not.

--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -145,6 +145,7 @@
             self._lock,
             registry,
             self._peers.send_soon,
+            lambda: self._directory.view_position.era,
             self._stopping,
         )
         self._metrics_server = make_metrics_server(
--- a/src/rudderpass/host/_quarantine.py
+++ b/src/rudderpass/host/_quarantine.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from rudderpass import _clock
-from rudderpass._ids import Fingerprint
+from rudderpass._ids import Fingerprint, StoreEra
 from rudderpass.eventlog import log
 from rudderpass.host._admin import QuarantinedRequest
 from rudderpass.host._registry import HostRegistry, QuarantineArchive
@@ -17,6 +17,7 @@
     """Logs, archives, lists and lifts the quarantines of a host.
 
     :param send_soon: sends the next heartbeat to peers at once.
+    :param read_era: returns the era of the store, as this host knows it.
     :param stopping: set when the host stops.
 
     .. versionadded:: 0.2
@@ -28,12 +29,13 @@
         lock: threading.RLock,
         registry: HostRegistry,
         send_soon: Callable[[], None],
+        read_era: Callable[[], StoreEra],
         stopping: threading.Event,
     ) -> None:
         self._tracker = tracker
         self._lock = lock
         self._send_soon = send_soon
-        self._archive = QuarantineArchive(registry, self._describe, stopping)
+        self._archive = QuarantineArchive(registry, self._describe, read_era, stopping)
 
     def run_archive(self) -> None:
         """Write changed quarantines to the store until the host stops."""
--- a/src/rudderpass/host/_registry.py
+++ b/src/rudderpass/host/_registry.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from rudderpass._ids import AvailabilityZone, NodeId
+from rudderpass._ids import AvailabilityZone, NodeId, StoreEra
 from rudderpass.directory import KeyedLog
 from rudderpass.errors import PeerError, PlatformError
 from rudderpass.eventlog import log
@@ -33,8 +33,8 @@
     def calls(self) -> int:
         """Number of calls made so far."""
 
-    def append(self, topic: str, key: str, value: bytes) -> None:
-        """Append a record, which becomes the newest of its key.
+    def append(self, topic: str, key: str, value: bytes) -> StoreEra:
+        """Append a record, which becomes the newest of its key; return the era.
 
         :raises PlatformError: when it may not have been written.
         """
@@ -46,6 +46,7 @@
 
     hosts: Collection[NodeId]
     quarantined: tuple[SuspectUpdate, ...]
+    era: StoreEra
 
 
 class HostRegistry:
@@ -61,10 +62,18 @@
         self._topic = topic
         self._own = own
         self._zone = zone
+        self._listed_era: StoreEra | None = None
+
+    def may_be_lost(self, era: StoreEra) -> bool:
+        """Return whether the store may lack this host's record in an era."""
+        return self._listed_era is not None and era > self._listed_era
 
     def is_listed_in(self, registered: RegistryContents) -> bool:
         """Return whether this host is listed."""
-        return self._own in registered.hosts
+        if self._own not in registered.hosts:
+            return False
+        self._listed_era = registered.era
+        return True
 
     def write(self, quarantined: Collection[SuspectUpdate] = ()) -> None:
         """Write this host's record.
@@ -72,21 +81,22 @@
         :raises PlatformError: when it may not have been written.
         """
         value = encode_host_record(self._zone, quarantined, time.time())
-        self._store.append(self._topic, self._own, value)
+        self._listed_era = self._store.append(self._topic, self._own, value)
 
     def read(self) -> RegistryContents:
         """Return the records of all hosts.
 
         :raises PlatformError: when the store does not answer.
         """
-        records = self._store.read_newest(self._topic).records
+        page = self._store.read_newest(self._topic)
         quarantined: list[SuspectUpdate] = []
-        for record in records:
+        for record in page.records:
             try:
                 quarantined += decode_quarantined(record.value or b"", time.time())
             except PeerError as error:
                 log("host", f"a record cannot be read, {error.show()}.")
-        return RegistryContents({NodeId(r.key) for r in records}, tuple(quarantined))
+        hosts = {NodeId(record.key) for record in page.records}
+        return RegistryContents(hosts, tuple(quarantined), page.era)
 
 
 class Registration:
@@ -141,7 +151,11 @@
 class QuarantineArchive:
     """Writes this host's quarantines to the store, in a thread of its own.
 
+    When the store was restored, each host writes its record again: the copy may lack
+    it, and the quarantines of hosts that have ended since.
+
     :param describe: returns the requests that are quarantined now.
+    :param read_era: returns the era of the store, as this host knows it.
     :param stopping: set when the host stops.
     """
 
@@ -149,10 +163,12 @@
         self,
         registry: HostRegistry,
         describe: Callable[[], Collection[SuspectUpdate]],
+        read_era: Callable[[], StoreEra],
         stopping: threading.Event,
     ) -> None:
         self._registry = registry
         self._describe = describe
+        self._read_era = read_era
         self._stopping = stopping
         self._due = threading.Event()
 
@@ -161,10 +177,14 @@
         self._due.set()
 
     def run(self) -> None:
-        """Write scheduled changes until the host stops."""
+        """Write scheduled changes, and lost records, until the host stops."""
         while not self._stopping.is_set():
-            if not self._due.wait(ARCHIVE_PAUSE_SECONDS):
+            is_due = self._due.wait(ARCHIVE_PAUSE_SECONDS)
+            era = self._read_era()
+            if not is_due and not self._registry.may_be_lost(era):
                 continue
+            if not is_due:
+                log("host", f"its record is written again, in era {era}.", era=era)
             self._due.clear()
             try:
                 self._registry.write(self._describe())
--- a/src/rudderpass/platform/_store.py
+++ b/src/rudderpass/platform/_store.py
@@ -95,11 +95,16 @@
             raise self._make_error(f"unreadable records: {error}", "read") from error
         return KeyedPage(tuple(records), offset + len(records), response.era)
 
-    def append(self, topic: str, key: str, value: bytes) -> None:
-        """Append a record, which becomes the newest of its key; idempotent."""
+    def append(self, topic: str, key: str, value: bytes) -> StoreEra:
+        """Append a record, which becomes the newest of its key; idempotent.
+
+        Return the era in which it was written.
+        """
         query = {"topic": topic, "part": "0"}
         body = _frame_record(key, value)
-        self._call("POST", "/-/log-append", query, CALL_TIMEOUT_SECONDS, body)
+        return self._call(
+            "POST", "/-/log-append", query, CALL_TIMEOUT_SECONDS, body
+        ).era
 
     def compare_and_append(self, topic: str, end: int, key: str, value: bytes) -> bool:
         """Append a record if the topic still ends at ``end``.
