Make fencing tokens and settled usage survive a restore of the store

Cause: a token was the offset of a claim plus one, and the log of the duties was believed as it was read. A store that came back from a copy gives the offset of a lost claim to another host, lists a holder that was replaced, and lacks usage that was settled and reported, so that the next holder settles the window with other counts.

Change: a token is made of the era and the offset (era * 2^32 + offset + 1): the same as before in a store that was never restored, and higher than all before in any other. Claims and settled usage keep the era in which they were written. A claim of an earlier era does not make a holder: whoever holds the duties claims them again, and goes on with the settled usage that it knows, written again first. A new holder in that case reports no window that began before it took over. A conditional append that lands in another era does not count. A list whose pages are of two eras is begun anew.

Weighed: a token one above the highest known, which needs no era, but repeats when all hosts are killed while the store loses the claims; a separate topic for tokens, which is lost in the same way.

--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -29,6 +29,7 @@
 )
 from rudderpass.directory._position import (
     UNKNOWN_ERA as UNKNOWN_ERA,
+    LogPosition as LogPosition,
     ViewPosition as ViewPosition,
 )
 from rudderpass.directory._reader import Decoders as Decoders
--- a/src/rudderpass/duties/__init__.py
+++ b/src/rudderpass/duties/__init__.py
@@ -17,6 +17,7 @@
 from rudderpass.duties._messages import (
     UNREADABLE_USAGE as UNREADABLE_USAGE,
     CallResult as CallResult,
+    DutyClaim as DutyClaim,
     DutyHolder as DutyHolder,
     DutyLog as DutyLog,
     DutyStatus as DutyStatus,
@@ -24,6 +25,7 @@
     ScalingGroup as ScalingGroup,
     SettledUsage as SettledUsage,
     WindowUsage as WindowUsage,
+    make_token as make_token,
 )
 from rudderpass.duties._reports import (
     ReportPolicy as ReportPolicy,
--- a/src/rudderpass/duties/_coordinator.py
+++ b/src/rudderpass/duties/_coordinator.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from rudderpass._ids import FencingToken, NodeId
+from rudderpass._ids import FencingToken, NodeId, StoreEra
 from rudderpass.duties._election import HolderElection
 from rudderpass.duties._messages import (
+    UNREADABLE_USAGE,
     CallResult,
     DutyHolder,
     DutyLog,
@@ -19,6 +20,8 @@
     ScalingGroup,
     SettledUsage,
     WindowUsage,
+    era_of,
+    make_token,
 )
 from rudderpass.duties._reports import UsageReports
 from rudderpass.duties._scaling import ScaleOrders
@@ -34,7 +37,7 @@
 
 @dataclass(frozen=True)
 class WriteClaim:
-    """Append a claim, if the log still ends at ``end``.
+    """Append a claim, if the log still ends at ``end`` in an era.
 
     :param usage: the settled usage in the log; still current if the claim is written.
     """
@@ -42,11 +45,12 @@
     end: int
     holder: DutyHolder
     usage: SettledUsage | None
+    era: StoreEra = StoreEra(0)
 
 
 @dataclass(frozen=True)
 class WriteUsage:
-    """Append settled usage, if the log still ends at ``end``."""
+    """Append settled usage, if the log still ends at ``end`` in its era."""
 
     end: int
     usage: SettledUsage
@@ -111,6 +115,7 @@
         self._orders = orders
         self._log: DutyLog | None = None
         self._may_claim = False
+        self._may_lack_usage = False
         self._needs_new_token = False
         self._next_attempt_at = float("-inf")
 
@@ -130,6 +135,10 @@
         """Apply a peer's status."""
         self._election.receive(status, is_stopping, now)
 
+    def record_era(self, era: StoreEra) -> None:
+        """Record the era of the store, as this host knows it."""
+        self._election.record_era(era)
+
     def tick(self, view: ClusterView, now: float) -> None:
         """Update time-based state; call it several times a second."""
         self._election.tick(view.last_heard, now)
@@ -140,30 +149,34 @@
             return None
         if self.token is None:
             return self._next_claim(view, now)
-        if self._log is None or self._election.needs_check:
+        must_claim = self._election.needs_renewal
+        if self._log is None or (self._election.needs_check and not must_claim):
             return ReadLog()
-        if self._needs_new_token:
-            return WriteClaim(self._log.end, self._own, self._log.usage)
+        if must_claim or self._needs_new_token:
+            return self._make_claim(self._log)
         if not self._election.may_act(now):
             return None
-        return self._next_duty(self.token, self._log.end, view, now)
+        return self._next_duty(self.token, self._log, view, now)
 
     def record_log(self, log: DutyLog, now: float) -> None:
         """Apply what was read from the log."""
         previous_token = self.token
+        self._record_usage_lost(log)
         self._may_claim = self._election.apply_log(log, now)
+        needs_renewal = self._election.needs_renewal
         is_current = log.token == self._election.known_token
-        self._log = log if is_current else None
-        if not is_current:
+        is_usable = is_current or self._may_claim or needs_renewal
+        self._log = log if is_usable else None
+        if not is_usable:
             self._next_attempt_at = now + LOG_RETRY_SECONDS
-        elif self.token is not None:
+        elif self.token is not None and not needs_renewal:
             self._resume(log, previous_token, now)
 
     def record_claim(self, claim: WriteClaim, now: float) -> None:
         """Record that a claim was written to the log; its offset gives the token."""
         previous_token = self.token
-        token = FencingToken(claim.end + 1)
-        log = DutyLog(claim.end + 1, claim.holder, token, claim.usage)
+        token = make_token(claim.era, claim.end)
+        log = DutyLog(claim.end + 1, claim.holder, token, claim.usage, claim.era)
         if not self._election.record_claim(token, now):
             return
         self._log = log
@@ -174,7 +187,8 @@
         log = self._log
         if log is None or self._reports is None:
             return  # The duties were lost while it was written.
-        self._log = DutyLog(written.end + 1, log.holder, log.token, written.usage)
+        self._log = replace(log, end=written.end + 1, usage=written.usage)
+        self._may_lack_usage = False
         self._reports.record_settled(written.usage)
 
     def record_log_failure(self, is_conflict: bool, now: float) -> None:
@@ -221,16 +235,28 @@
             self._log, self._may_claim = None, False
             return None
         if self._may_claim and self._log is not None:
-            return WriteClaim(self._log.end, self._own, self._log.usage)
+            return self._make_claim(self._log)
         return ReadLog()
 
+    def _make_claim(self, log: DutyLog) -> WriteClaim:
+        return WriteClaim(log.end, self._own, log.usage, log.era)
+
+    def _record_usage_lost(self, log: DutyLog) -> None:
+        """Record whether the store may have lost usage that was reported."""
+        known_era = era_of(self._election.known_token)
+        is_restored = self._election.known_token > 0 and known_era < log.era
+        if log.has_current_usage:
+            self._may_lack_usage = False
+        elif log.may_lack_usage or is_restored:
+            self._may_lack_usage = True
+
     def _next_duty(
-        self, token: FencingToken, end: int, view: ClusterView, now: float
+        self, token: FencingToken, log: DutyLog, view: ClusterView, now: float
     ) -> Action | None:
         if self._reports is not None:
             settled = self._reports.find_settlement(view.hosts, now)
             if settled is not None:
-                return WriteUsage(end, settled)
+                return WriteUsage(log.end, replace(settled, era=log.era))
             report = self._reports.find_report(now)
             if report is not None:
                 return SendReport(token, report)
@@ -244,9 +270,18 @@
         self._may_claim = False
         if self.token != previous_token:
             self._needs_new_token = False
-        if self._reports is not None and (
-            previous_token is None or log.usage is not None
-        ):
-            self._reports.begin(log.usage, now)
+        if self._reports is not None:
+            self._resume_reports(self._reports, log, previous_token is None, now)
         if self._orders is not None and previous_token is None:
             self._orders.begin()
+
+    def _resume_reports(
+        self, reports: UsageReports, log: DutyLog, is_new_holder: bool, now: float
+    ) -> None:
+        if self._may_lack_usage:
+            # A new holder does not know what was reported; the previous one does.
+            if is_new_holder:
+                reports.begin(UNREADABLE_USAGE, now)
+            reports.require_write()
+        elif is_new_holder or log.usage is not None:
+            reports.begin(log.usage, now)
--- a/src/rudderpass/duties/_election.py
+++ b/src/rudderpass/duties/_election.py
@@ -1,18 +1,19 @@
 """Election of the holder: the one host at a time that performs the duties.
 
 A host claims the duties by appending a record to the platform's log, on condition that
-nothing was appended since it read the log. The offset of the record determines the
-fencing token, which increases with each claim and is never reused, even if hosts are
-killed or records are removed from the log. Heartbeats between hosts keep the holder in
-place, so that the log is called only when the holder changes.
+nothing was appended since it read the log. The store's era and the record's offset
+determine the fencing token, which increases with each claim and is never reused, even
+if hosts are killed, records are removed, or the store comes back from a copy that lacks
+claims. The holder then claims the duties again. Heartbeats between hosts keep the
+holder in place, so that the log is called only when the holder or the era changes.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from rudderpass._ids import FencingToken
-from rudderpass.duties._messages import DutyHolder, DutyLog, DutyStatus
+from rudderpass._ids import FencingToken, StoreEra
+from rudderpass.duties._messages import DutyHolder, DutyLog, DutyStatus, era_of
 
 TAKEOVER_SECONDS = 1.6
 """A holder that was silent for this long is replaced. It sends two heartbeats a second,
@@ -63,6 +64,7 @@
         self._last_confirmed = now
         self._log_read_at = now
         self._is_stale = False
+        self._needs_renewal = False
 
     @property
     def token(self) -> FencingToken | None:
@@ -103,16 +105,36 @@
 
         The holder of a claim that was not known yet is given time to send heartbeats.
         """
+        self._needs_renewal = False
+        if log.era < era_of(self._known_token):
+            return False  # Read before the store was restored.
+        if log.era > 0 and not log.has_current_claim:
+            return self._apply_restored_log(log, now)
         if log.token < self._known_token:
             return False  # A stale copy of the log.
         if log.holder == self._own:
             self._apply_own_claim(log.token, now)
             return False
-        is_new = log.token > self._known_token
-        self._known_token = log.token
         if self._token is not None:
+            self._known_token = log.token
             self.lose(now)
             return False
+        return self._can_replace_holder(log, now)
+
+    def _apply_restored_log(self, log: DutyLog, now: float) -> bool:
+        """Apply a log in which nobody has claimed the duties in its era.
+
+        Claims may be lost. Whoever holds the duties still does, and claims them again.
+        """
+        if self._token is not None:
+            self._needs_renewal = True
+            return False
+        return self._can_replace_holder(log, now)
+
+    def _can_replace_holder(self, log: DutyLog, now: float) -> bool:
+        """Return whether a host that does not hold the duties may claim them."""
+        is_new = log.token > self._known_token
+        self._known_token = max(self._known_token, log.token)
         is_earlier_start = log.holder is not None and log.holder.host == self._own.host
         if is_new and not is_earlier_start:
             self._holder_last_seen = now
@@ -132,9 +154,15 @@
     def lose(self, now: float) -> None:
         """Record that this host no longer holds the duties."""
         self._token = None
+        self._needs_renewal = False
         self._holder_last_seen = now
         self._ineligible_until = now + self._policy.lease + self._policy.thaw_slack
 
+    def record_era(self, era: StoreEra) -> None:
+        """Record the era of the store; in a later one, the claim may be lost."""
+        if self._token is not None and era > era_of(self._token):
+            self._is_stale = True
+
     def mark_stale(self) -> None:
         """Require that the log is read before this host acts as the holder again."""
         self._is_stale = True
@@ -163,6 +191,11 @@
         """Whether the log must be read before this host acts as the holder."""
         return self._token is not None and self._is_stale
 
+    @property
+    def needs_renewal(self) -> bool:
+        """Whether this host must claim the duties again, which it still holds."""
+        return self._needs_renewal
+
     def may_act(self, now: float) -> bool:
         """Return whether this host may make calls with its token now."""
         is_holder = self._token is not None and now >= self._may_act_from
@@ -172,7 +205,7 @@
         is_first = self._token is None
         self._token = self._known_token = token
         self._last_confirmed = self._last_tick = self._log_read_at = now
-        self._is_stale = False
+        self._is_stale = self._needs_renewal = False
         if is_first and not self._policy.is_fenced:
             # Nothing refuses the calls of the previous holder, so wait until it stops.
             self._may_act_from = now + self._policy.lease + self._policy.thaw_slack
--- a/src/rudderpass/duties/_messages.py
+++ b/src/rudderpass/duties/_messages.py
@@ -6,7 +6,14 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from rudderpass._ids import AvailabilityZone, FencingToken, NodeId, PoolId, TeamId
+from rudderpass._ids import (
+    AvailabilityZone,
+    FencingToken,
+    NodeId,
+    PoolId,
+    StoreEra,
+    TeamId,
+)
 
 
 class CallResult(Enum):
@@ -48,10 +55,12 @@
 
     :param next_window: all windows before this one are settled.
     :param windows: those whose reports may not have reached the platform.
+    :param era: of the store when it was written there.
     """
 
     next_window: int
     windows: tuple[WindowUsage, ...]
+    era: StoreEra = StoreEra(0)
 
 
 UNREADABLE_USAGE = SettledUsage(-1, ())
@@ -66,6 +75,34 @@
     start: str
 
 
+@dataclass(frozen=True)
+class DutyClaim:
+    """A claim to the duties, as the log keeps it.
+
+    :param era: of the store when it was written.
+    """
+
+    holder: DutyHolder
+    era: StoreEra
+
+
+TOKENS_PER_ERA = 2**32
+"""More than the log of the duties ever has records, which are a few a minute."""
+
+
+def make_token(era: StoreEra, offset: int) -> FencingToken:
+    """Return the token of the claim that was written at an offset in an era.
+
+    A store that comes back from a copy gives offsets out again, in a later era.
+    """
+    return FencingToken(era * TOKENS_PER_ERA + offset + 1)
+
+
+def era_of(token: FencingToken) -> StoreEra:
+    """Return the era in which the claim of a token was written."""
+    return StoreEra(token // TOKENS_PER_ERA)
+
+
 @dataclass(frozen=True)
 class DutyLog:
     """The contents of the log of the duties.
@@ -73,12 +110,31 @@
     :param end: the offset of its next record.
     :param holder: who claimed the duties last.
     :param token: the fencing token of that claim; 0 before the first.
+    :param era: of the store when the log was read.
     """
 
     end: int
     holder: DutyHolder | None = None
     token: FencingToken = FencingToken(0)
     usage: SettledUsage | None = None
+    era: StoreEra = StoreEra(0)
+
+    @property
+    def has_current_claim(self) -> bool:
+        """Whether the last claim was written in this era, and none after it is lost."""
+        return self.token > 0 and era_of(self.token) == self.era
+
+    @property
+    def has_current_usage(self) -> bool:
+        """Whether the settled usage was written in this era."""
+        return self.usage is not None and self.usage.era == self.era
+
+    @property
+    def may_lack_usage(self) -> bool:
+        """Whether usage that was settled, and perhaps reported, may be lost."""
+        if self.era == 0 or self.has_current_usage:
+            return False
+        return self.usage is not None or self.token > 0
 
 
 @dataclass(frozen=True)
--- a/src/rudderpass/duties/_reports.py
+++ b/src/rudderpass/duties/_reports.py
@@ -61,6 +61,7 @@
         self._receiving_since = receiving_since
         self._next_window: int | None = None
         self._is_initial = False
+        self._must_write = False
         self._unsent: dict[int, WindowUsage] = {}
         self._next_attempt_at = float("-inf")
 
@@ -88,6 +89,10 @@
             settled = SettledUsage(self._clock.window_at(now) + 1, ())
         self.record_settled(settled)
 
+    def require_write(self) -> None:
+        """Write what is settled before all else, as the log may have lost it."""
+        self._must_write = True
+
     def find_settlement(
         self, hosts: Collection[NodeId], now: float
     ) -> SettledUsage | None:
@@ -106,7 +111,7 @@
             if self._is_complete(window) and not self._is_abandoned(window, now):
                 added.append(WindowUsage(window, self._usage_tracker.total(window)))
             window += 1
-        if window == self._next_window:
+        if window == self._next_window and not self._must_write:
             return None
         kept = [
             w for w in self._unsent.values() if not self._is_abandoned(w.window, now)
@@ -115,7 +120,7 @@
 
     def record_settled(self, settled: SettledUsage) -> None:
         """Record the settled usage in the log, which no longer changes."""
-        self._is_initial = False
+        self._is_initial = self._must_write = False
         self._next_window = settled.next_window
         self._usage_tracker.discard_before(settled.next_window)
         self._unsent = {usage.window: usage for usage in settled.windows}
--- a/src/rudderpass/gossip/__init__.py
+++ b/src/rudderpass/gossip/__init__.py
@@ -10,9 +10,9 @@
 )
 from rudderpass.gossip._digest import Digest as Digest, Member as Member
 from rudderpass.gossip._duties import (
-    decode_duty_holder as decode_duty_holder,
+    decode_duty_claim as decode_duty_claim,
     decode_settled_usage as decode_settled_usage,
-    encode_duty_holder as encode_duty_holder,
+    encode_duty_claim as encode_duty_claim,
     encode_settled_usage as encode_settled_usage,
 )
 from rudderpass.gossip._heartbeat import Heartbeat as Heartbeat
--- a/src/rudderpass/host/_duties.py
+++ b/src/rudderpass/host/_duties.py
@@ -14,11 +14,12 @@
 
 from rudderpass import _clock
 from rudderpass._ids import FencingToken, NodeId, PoolId, TeamId
-from rudderpass.directory import ScalingTraits
+from rudderpass.directory import LogPosition, ScalingTraits
 from rudderpass.duties import (
     Action,
     CallResult,
     ClusterView,
+    DutyClaim,
     DutyCoordinator,
     DutyHolder,
     DutyStatus,
@@ -41,7 +42,7 @@
 from rudderpass.errors import PlatformError
 from rudderpass.eventlog import log
 from rudderpass.exchange import ExchangeCore, estimate_busy_upstreams
-from rudderpass.gossip import Heartbeat, encode_duty_holder, encode_settled_usage
+from rudderpass.gossip import Heartbeat, encode_duty_claim, encode_settled_usage
 from rudderpass.host._duty_access import (
     HOLDER_KEY,
     USAGE_KEY,
@@ -172,6 +173,7 @@
             self._clock.adjust(now, time.time())
             view = self._read_view(now)
             previous_token = self._coordinator.token
+            self._coordinator.record_era(self._core.directory.view_position.era)
             self._coordinator.tick(view, now)
             if self.holds:
                 self._remove_before(self._coordinator.status.settled_before)
@@ -257,13 +259,16 @@
 
     @_perform.register
     def _(self, action: WriteClaim) -> None:
-        if self._append(action.end, HOLDER_KEY, encode_duty_holder(action.holder)):
+        claim = DutyClaim(action.holder, action.era)
+        position = LogPosition(action.era, action.end)
+        if self._append(position, HOLDER_KEY, encode_duty_claim(claim)):
             with self._lock:
                 self._coordinator.record_claim(action, _clock.now())
 
     @_perform.register
     def _(self, action: WriteUsage) -> None:
-        if self._append(action.end, USAGE_KEY, encode_settled_usage(action.usage)):
+        position = LogPosition(action.usage.era, action.end)
+        if self._append(position, USAGE_KEY, encode_settled_usage(action.usage)):
             with self._lock:
                 self._coordinator.record_usage_written(action)
 
@@ -323,7 +328,7 @@
             "list_age": round(self._core.directory.list_age(_clock.now()), 3),
         }
 
-    def _append(self, end: int, key: str, value: bytes) -> bool:
+    def _append(self, end: LogPosition, key: str, value: bytes) -> bool:
         try:
             is_written = self._access.store.compare_and_append(
                 self._access.topic, end, key, value
--- a/src/rudderpass/host/_duty_access.py
+++ b/src/rudderpass/host/_duty_access.py
@@ -7,19 +7,20 @@
 from typing import Protocol
 
 from rudderpass._ids import FencingToken
-from rudderpass.directory import KeyedPage
+from rudderpass.directory import KeyedPage, LogPosition
 from rudderpass.duties import (
     UNREADABLE_USAGE,
     CallResult,
-    DutyHolder,
+    DutyClaim,
     DutyLog,
     ScalingGroup,
     SettledUsage,
     WindowUsage,
+    make_token,
 )
 from rudderpass.errors import PeerError
 from rudderpass.eventlog import log
-from rudderpass.gossip import decode_duty_holder, decode_settled_usage
+from rudderpass.gossip import decode_duty_claim, decode_settled_usage
 
 HOLDER_KEY = "holder"
 USAGE_KEY = "usage"
@@ -34,10 +35,12 @@
         :raises PlatformError: when the store does not answer.
         """
 
-    def compare_and_append(self, topic: str, end: int, key: str, value: bytes) -> bool:
+    def compare_and_append(
+        self, topic: str, end: LogPosition, key: str, value: bytes
+    ) -> bool:
         """Append a record if the topic still ends at ``end``; return whether it did.
 
-        :raises PlatformError: when it is unknown whether the record was written.
+        :raises PlatformError: when it is unknown whether the record was written there.
         """
 
 
@@ -74,20 +77,21 @@
         for record in page.records
         if record.value is not None
     }
-    claim = records.get(HOLDER_KEY)
     settled = records.get(USAGE_KEY)
-    return DutyLog(
-        page.end,
-        None if claim is None else _read_holder(claim[1]),
-        FencingToken(0 if claim is None else claim[0] + 1),
-        None if settled is None else _read_usage(settled[1]),
-    )
-
-
-def _read_holder(data: bytes) -> DutyHolder | None:
-    """Return the claimant; None, treated as not alive, for an unreadable claim."""
+    usage = None if settled is None else _read_usage(settled[1])
+    if HOLDER_KEY not in records:
+        return DutyLog(page.end, usage=usage, era=page.era)
+    offset, value = records[HOLDER_KEY]
+    claim = _read_claim(value)
+    # An unreadable claim may be of this era; its holder is treated as not alive.
+    token = make_token(page.era if claim is None else claim.era, offset)
+    holder = None if claim is None else claim.holder
+    return DutyLog(page.end, holder, token, usage, page.era)
+
+
+def _read_claim(data: bytes) -> DutyClaim | None:
     try:
-        return decode_duty_holder(data)
+        return decode_duty_claim(data)
     except PeerError as error:
         log("duty", f"a claim cannot be read, {error.show()}.", error=error.show())
         return None
--- a/src/rudderpass/platform/_store.py
+++ b/src/rudderpass/platform/_store.py
@@ -15,7 +15,7 @@
 
 from rudderpass._ids import StoreEra
 from rudderpass._sockets import set_tcp_options
-from rudderpass.directory import HistoryLost, KeyedPage, KeyedRecord
+from rudderpass.directory import HistoryLost, KeyedPage, KeyedRecord, LogPosition
 from rudderpass.errors import ConnectionLost, PlatformError
 
 CONFIG_TOPIC = "keyed.op"
@@ -37,6 +37,9 @@
 """For a call that does not wait for records. A slow store takes 60 times the usual 4 ms
 in the users' deployments."""
 
+MAX_LIST_ATTEMPTS = 3
+"""Times that a list is begun again because the store was restored between pages."""
+
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
 
@@ -62,9 +65,24 @@
         self.calls = 0
 
     def read_newest(self, topic: str) -> KeyedPage:
-        """Return the newest record of each key of a topic."""
+        """Return the newest record of each key of a topic.
+
+        :raises HistoryLost: when the store is restored again and again meanwhile.
+        """
+        for _ in range(MAX_LIST_ATTEMPTS):
+            page = self._read_pages(topic)
+            if page is not None:
+                return page
+        raise HistoryLost(
+            f"store: {topic} was restored between pages",
+            step="list",
+            peer=self._address,
+        )
+
+    def _read_pages(self, topic: str) -> KeyedPage | None:
+        """Return all pages of a list; None if they are not of one era."""
         records: list[KeyedRecord] = []
-        end: int | None = None
+        first: KeyedPage | None = None
         after: str | None = None
         while True:
             query = {"topic": topic, "part": "0"}
@@ -72,12 +90,14 @@
                 query["sinceRevision"] = after
             response = self._call("GET", "/-/log-newest", query, CALL_TIMEOUT_SECONDS)
             page = self._parse_newest(response.content)
-            records += page.records
             # Records may be added between pages: only up to the first page's end is the
             # list complete.
-            end = page.end if end is None else end
+            first = first or KeyedPage((), page.end, response.era)
+            if response.era != first.era:
+                return None
+            records += page.records
             if not page.is_truncated or not page.records:
-                return KeyedPage(tuple(records), end, response.era)
+                return KeyedPage(tuple(records), first.end, first.era)
             after = page.records[-1].key
 
     def read_from(self, topic: str, offset: int, wait: float) -> KeyedPage:
@@ -106,19 +126,28 @@
             "POST", "/-/log-append", query, CALL_TIMEOUT_SECONDS, body
         ).era
 
-    def compare_and_append(self, topic: str, end: int, key: str, value: bytes) -> bool:
+    def compare_and_append(
+        self, topic: str, end: LogPosition, key: str, value: bytes
+    ) -> bool:
         """Append a record if the topic still ends at ``end``.
 
-        Return whether it was written; if so, its offset is ``end``.
+        Return whether it was written; if so, ``end`` is its position.
 
+        :raises HistoryLost: when it was written in another era, in which ``end`` is not
+            the position that the caller knows.
         :raises PlatformError: when it is unknown whether it was or will be written.
         """
-        query = {"topic": topic, "part": "0", "currentRev": str(end)}
+        query = {"topic": topic, "part": "0", "currentRev": str(end.offset)}
         body = _frame_record(key, value)
         try:
-            self._call("POST", "/-/log-append", query, CALL_TIMEOUT_SECONDS, body)
+            response = self._call(
+                "POST", "/-/log-append", query, CALL_TIMEOUT_SECONDS, body
+            )
         except AppendConflict:
             return False
+        if response.era != end.era:
+            text = f"store: {topic} is in era {response.era}, not at {end}"
+            raise HistoryLost(text, step="append", peer=self._address)
         return True
 
     def _parse_newest(self, body: bytes) -> _NewestPage:
--- a/tests/duties/simulation.py
+++ b/tests/duties/simulation.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 
 from rudderpass._ids import (
@@ -20,6 +20,7 @@
     Action,
     CallResult,
     ClusterView,
+    DutyClaim,
     DutyCoordinator,
     DutyHolder,
     DutyLog,
@@ -39,6 +40,7 @@
     WindowClock,
     WriteClaim,
     WriteUsage,
+    make_token,
 )
 
 STEP = 0.25
@@ -54,6 +56,8 @@
 TRAITS = ScalingTraits(1, 6, 4.0, {ZONE: 1.0}, 0.2)
 MAX_CALLS_PER_STEP = 4
 REPORTS = "reports"
+ERA_DELAY_SECONDS = 1.0
+"""From a restore until the hosts that reach the store know of it."""
 
 CallTarget = ScalingGroup | str
 
@@ -64,46 +68,48 @@
 
     due: float
     end: int
-    value: DutyHolder | SettledUsage
+    record: DutyClaim | SettledUsage
 
 
 class FakeLog:
     """In-memory log of the duties."""
 
     def __init__(self) -> None:
-        self.records: list[DutyHolder | SettledUsage] = []
+        self.records: list[DutyClaim | SettledUsage] = []
         self.delayed: list[DelayedAppend] = []
         self.calls = 0
         self.era = StoreEra(0)
+        self.restored_at = 0.0
 
-    def restore(self, length: int) -> None:
+    def restore(self, length: int, now: float) -> None:
         """Come back from a copy that holds only the first records."""
         del self.records[length:]
+        self.restored_at = now
         self.era = StoreEra(self.era + 1)
 
     def read(self) -> DutyLog:
         self.calls += 1
-        log = DutyLog(len(self.records))
+        log = DutyLog(len(self.records), era=self.era)
         for offset, record in enumerate(self.records):
-            token = FencingToken(offset + 1)
-            if isinstance(record, DutyHolder):
-                log = DutyLog(log.end, record, token, log.usage)
+            if isinstance(record, DutyClaim):
+                token = make_token(record.era, offset)
+                log = replace(log, holder=record.holder, token=token)
             else:
-                log = DutyLog(log.end, log.holder, log.token, record)
+                log = replace(log, usage=record)
         return log
 
-    def append(self, end: int, value: DutyHolder | SettledUsage) -> bool:
+    def append(self, end: int, record: DutyClaim | SettledUsage) -> bool:
         self.calls += 1
         if end != len(self.records):
             return False
-        self.records.append(value)
+        self.records.append(record)
         return True
 
     def tick(self, now: float) -> None:
         for append in [a for a in self.delayed if a.due <= now]:
             self.delayed.remove(append)
             if append.end == len(self.records):
-                self.records.append(append.value)
+                self.records.append(append.record)
 
 
 @dataclass
@@ -318,6 +324,8 @@
             action, host.pending = host.pending, None
             self._perform(action, host)
         view = self._view(host)
+        if host.reaches_store and self.now - self.log.restored_at > ERA_DELAY_SECONDS:
+            host.coordinator.record_era(self.log.era)
         host.coordinator.tick(view, self.now)
         host.orders.update([ScaledService(SERVICE, TRAITS, [])], self.now)
         for _ in range(MAX_CALLS_PER_STEP):
@@ -345,7 +353,8 @@
 
     @_perform.register
     def _(self, action: WriteClaim, host: SimulatedHost) -> None:
-        if self._append(action.end, action.holder, host):
+        claim = DutyClaim(action.holder, action.era)
+        if self._append(action.end, claim, host):
             host.coordinator.record_claim(action, self.now)
 
     @_perform.register
@@ -354,28 +363,31 @@
             host.coordinator.record_usage_written(action)
 
     def _append(
-        self, end: int, value: DutyHolder | SettledUsage, host: SimulatedHost
+        self, end: int, record: DutyClaim | SettledUsage, host: SimulatedHost
     ) -> bool:
         if not host.reaches_store or self._is_lost():
             if host.reaches_store:
-                self._append_without_response(end, value)
+                self._append_without_response(end, record)
             host.coordinator.record_log_failure(False, self.now)
             return False
-        if not self.log.append(end, value):
+        if not self.log.append(end, record):
             host.coordinator.record_log_failure(True, self.now)
             return False
+        if record.era != self.log.era:
+            host.coordinator.record_log_failure(False, self.now)
+            return False
         return True
 
     def _append_without_response(
-        self, end: int, value: DutyHolder | SettledUsage
+        self, end: int, record: DutyClaim | SettledUsage
     ) -> None:
         """Drop the append, or carry it out now or seconds later, without a response."""
         chance = self._rng.random()
         if chance < 0.3:
-            self.log.append(end, value)
+            self.log.append(end, record)
         elif chance < 0.7:
             due = self.now + self._rng.uniform(1.0, 6.0)
-            self.log.delayed.append(DelayedAppend(due, end, value))
+            self.log.delayed.append(DelayedAppend(due, end, record))
 
     @_perform.register
     def _(self, action: SendReport, host: SimulatedHost) -> None:
--- a/tests/duties/test_coordinator.py
+++ b/tests/duties/test_coordinator.py
@@ -7,7 +7,14 @@
 import pytest
 
 from rudderpass._ids import FencingToken, NodeId
-from rudderpass.duties import ClusterView, DutyStatus, ReadLog, ScalingGroup, WriteClaim
+from rudderpass.duties import (
+    ClusterView,
+    DutyClaim,
+    DutyStatus,
+    ReadLog,
+    ScalingGroup,
+    WriteClaim,
+)
 from tests.duties.simulation import (
     EPOCH,
     POLICY,
@@ -326,7 +333,7 @@
     now = simulation.now + 5.1
     host.coordinator.receive(DutyStatus(FencingToken(1), holds=True), False, now)
     assert host.coordinator.next_action(ClusterView([], now, 0), now) is None
-    assert simulation.log.append(claim.end, claim.holder)
+    assert simulation.log.append(claim.end, DutyClaim(claim.holder, claim.era))
     host.coordinator.record_claim(claim, now)
     settled = simulation.log.read().usage
     assert settled is not None
@@ -337,7 +344,7 @@
     simulation: DutySimulation,
 ) -> None:
     host, claim = prepare_claim(simulation)
-    assert simulation.log.append(claim.end, claim.holder)
+    assert simulation.log.append(claim.end, DutyClaim(claim.holder, claim.era))
     newer = FencingToken(claim.end + 9)
     host.coordinator.receive(DutyStatus(newer, holds=True), False, simulation.now + 5.1)
     host.coordinator.record_claim(claim, simulation.now + 5.2)
--- a/tests/duties/test_log_restored.py
+++ b/tests/duties/test_log_restored.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import random
+from contextlib import ExitStack
+from enum import Enum
+from unittest import mock
 
 import pytest
 from hypothesis import given, strategies as st
 
-from rudderpass._ids import NodeId
+from rudderpass._ids import FencingToken, NodeId, StoreEra
 from tests.duties.simulation import DutySimulation
 from tests.duties.test_random import FAULTS
 from tests.fuzz import make_settings
@@ -26,30 +29,85 @@
     simulation.run(seconds, lambda: start_requests(simulation))
 
 
-@pytest.mark.parametrize("lost", [1, 2, 4])
-@pytest.mark.parametrize("is_holder_lost", [False, True])
-def test_a_token_is_not_given_to_two_holders_after_the_log_lost_claims(
-    lost: int, is_holder_lost: bool
-) -> None:
+class Killed(Enum):
+    """The hosts that are killed when the log loses records."""
+
+    NONE = "none"
+    HOLDER = "holder"
+    ALL = "all"
+
+
+def lose_records_twice(lost: int, killed: Killed) -> DutySimulation:
     simulation = DutySimulation(3)
     run(simulation, 12.0)
     for _ in range(2):
-        log = simulation.log
-        (holder,) = simulation.holders
-        holder.is_up = not is_holder_lost
-        log.restore(max(0, len(log.records) - lost))
+        log, holders = simulation.log, simulation.holders
+        for holder in holders:
+            holder.is_up = killed is Killed.NONE
+        log.restore(max(0, len(log.records) - lost), simulation.now)
+        if killed is Killed.ALL:
+            for name in list(simulation.hosts):
+                simulation.start(name)
+            for holder in holders:
+                late = simulation.hosts[holder.name]
+                late.suspended_until = simulation.now + 4.0
         run(simulation, 12.0)
-        if is_holder_lost:
-            simulation.start(holder.name)
+        if killed is Killed.HOLDER:
+            for holder in holders:
+                simulation.start(holder.name)
         run(simulation, 4.0)
+    return simulation
+
+
+@pytest.mark.parametrize("lost", [1, 2, 4])
+@pytest.mark.parametrize("killed", Killed)
+def test_a_token_is_not_given_to_two_holders_after_the_log_lost_claims(
+    lost: int, killed: Killed
+) -> None:
+    simulation = lose_records_twice(lost, killed)
     assert simulation.find_violations() == []
 
 
+def make_token_of_offset(era: StoreEra, offset: int) -> FencingToken:
+    return FencingToken(offset + 1)
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        {
+            "rudderpass.duties._coordinator.make_token": make_token_of_offset,
+            "tests.duties.simulation.make_token": make_token_of_offset,
+            "rudderpass.duties.DutyLog.has_current_claim": True,
+            "rudderpass.duties.HolderElection.record_era": lambda self, era: None,
+        },
+        {
+            "rudderpass.duties.DutyCoordinator._record_usage_lost": (
+                lambda self, log: None
+            )
+        },
+    ],
+    ids=["tokens of offsets alone", "lost usage counted as none"],
+)
+def test_the_check_catches_a_broken_restore(broken: dict[str, object]) -> None:
+    with ExitStack() as patches:
+        for target, value in broken.items():
+            patches.enter_context(mock.patch(target, value))
+        found = [
+            violation
+            for lost in (1, 2, 4)
+            for killed in Killed
+            for violation in lose_records_twice(lost, killed).find_violations()
+        ]
+    assert found
+
+
 @pytest.mark.parametrize("lost", [1, 2, 4])
 def test_a_holder_acts_again_soon_after_the_log_lost_records(lost: int) -> None:
     simulation = DutySimulation(3)
     run(simulation, 12.0)
-    simulation.log.restore(max(0, len(simulation.log.records) - lost))
+    log = simulation.log
+    log.restore(max(0, len(log.records) - lost), simulation.now)
     restored_at = simulation.now
     run(simulation, TAKEOVER_SECONDS)
     (holder,) = simulation.holders
@@ -83,8 +141,8 @@
     for kind, at_holder, seconds, lost in events:
         targets = simulation.holders if at_holder else list(simulation.hosts.values())
         if kind == "restore":
-            records = simulation.log.records
-            simulation.log.restore(max(0, len(records) - lost))
+            log = simulation.log
+            log.restore(max(0, len(log.records) - lost), simulation.now)
         elif targets:
             FAULTS[kind](simulation, rng.choice(targets), seconds)
         if not any(host.is_up for host in simulation.hosts.values()):
--- a/tests/gossip/test_codec.py
+++ b/tests/gossip/test_codec.py
@@ -17,6 +17,7 @@
 )
 from rudderpass.directory import UNKNOWN_ERA
 from rudderpass.duties import (
+    DutyClaim,
     DutyHolder,
     DutyStatus,
     HostUsage,
@@ -29,9 +30,9 @@
     Digest,
     Heartbeat,
     Member,
-    decode_duty_holder,
+    decode_duty_claim,
     decode_settled_usage,
-    encode_duty_holder,
+    encode_duty_claim,
     encode_settled_usage,
 )
 from rudderpass.gossip._codec import decode_heartbeat, encode_heartbeat
@@ -177,7 +178,9 @@
 
 def test_duty_records_survive_encoding() -> None:
     holder = DutyHolder(SENDER, "1790000000123-77")
-    assert decode_duty_holder(encode_duty_holder(holder)) == holder
+    for era in (0, 3):
+        claim = DutyClaim(holder, StoreEra(era))
+        assert decode_duty_claim(encode_duty_claim(claim)) == claim
     settled = SettledUsage(355_975_692, USAGE.windows)
     assert decode_settled_usage(encode_settled_usage(settled)) == settled
 
@@ -185,7 +188,7 @@
 @pytest.mark.parametrize("data", [b"", b"\x00", b"\xff" * 30])
 def test_invalid_duty_records_are_rejected(data: bytes) -> None:
     with pytest.raises(PeerError):
-        decode_duty_holder(data)
+        decode_duty_claim(data)
     with pytest.raises(PeerError):
         decode_settled_usage(data)
 
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -34,12 +34,14 @@
 
     :ivar status: unless it is 0, every call gets this status.
     :ivar page_size: entries in one page of a list.
+    :ivar after_call: called once, after the next call.
     :ivar era: sent in all responses; rises with each restore.
     """
 
     def __init__(self) -> None:
         self.status = 0
         self.page_size = 500
+        self.after_call: Callable[[], None] | None = None
         self.era = 0
         self.calls: list[str] = []
         self._topics: dict[str, _Topic] = {}
@@ -105,6 +107,9 @@
         with self._changed:
             status, content = self._handle(environ["PATH_INFO"], query, body)
             era = str(self.era)
+        after_call, self.after_call = self.after_call, None
+        if after_call is not None:
+            after_call()
         headers = [("Content-Length", str(len(content))), ("Store-Era", era)]
         start_response(f"{status} Status", headers)
         return [content]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,12 +6,14 @@
 
 import pytest
 
-from rudderpass.directory import HistoryLost, KeyedRecord
+from rudderpass._ids import StoreEra
+from rudderpass.directory import HistoryLost, KeyedRecord, LogPosition
 from rudderpass.errors import ConnectionLost, PlatformError
 from rudderpass.platform import KeyedStore
 from tests.platform.store import StandInStore
 
 TOPIC = "keyed.test"
+ERA = StoreEra(0)
 
 
 @pytest.fixture
@@ -92,11 +94,11 @@
     stand_in: StandInStore,
 ) -> None:
     client = KeyedStore(stand_in.address)
-    assert client.compare_and_append(TOPIC, 0, "a", b"1")
+    assert client.compare_and_append(TOPIC, LogPosition(ERA, 0), "a", b"1")
     assert not client.compare_and_append(
-        TOPIC, 0, "a", b"2"
+        TOPIC, LogPosition(ERA, 0), "a", b"2"
     ), "somebody else wrote meanwhile"
-    assert client.compare_and_append(TOPIC, 1, "b", b"3")
+    assert client.compare_and_append(TOPIC, LogPosition(ERA, 1), "b", b"3")
     page = client.read_newest(TOPIC)
     assert page.records == (KeyedRecord(0, "a", b"1"), KeyedRecord(1, "b", b"3"))
     assert page.end == 2
@@ -105,4 +107,49 @@
 def test_a_failed_conditional_append_is_an_error(stand_in: StandInStore) -> None:
     stand_in.status = 503
     with pytest.raises(PlatformError):
-        KeyedStore(stand_in.address).compare_and_append(TOPIC, 0, "a", b"1")
+        KeyedStore(stand_in.address).compare_and_append(
+            TOPIC, LogPosition(ERA, 0), "a", b"1"
+        )
+
+
+def test_responses_carry_the_era_of_the_store(stand_in: StandInStore) -> None:
+    client = KeyedStore(stand_in.address)
+    assert client.append(TOPIC, "a", b"1") == 0
+    stand_in.restore(stand_in.copy())
+    assert client.read_newest(TOPIC).era == 1
+    assert client.read_from(TOPIC, 0, wait=0.0).era == 1
+    assert client.append(TOPIC, "a", b"2") == 1
+
+
+def test_records_that_a_copy_lacks_are_a_lost_history(stand_in: StandInStore) -> None:
+    copy = stand_in.copy()
+    client = KeyedStore(stand_in.address)
+    client.append(TOPIC, "a", b"1")
+    stand_in.restore(copy)
+    with pytest.raises(HistoryLost, match="from offset 1"):
+        client.read_from(TOPIC, 1, wait=0.0)
+
+
+def test_a_conditional_append_that_lands_in_another_era_does_not_count(
+    stand_in: StandInStore,
+) -> None:
+    """Guards against a fencing token that somebody else was given before."""
+    client = KeyedStore(stand_in.address)
+    copy = stand_in.copy()
+    client.append(TOPIC, "a", b"1")
+    stand_in.restore(copy)
+    with pytest.raises(HistoryLost):
+        client.compare_and_append(TOPIC, LogPosition(ERA, 0), "b", b"2")
+    assert client.compare_and_append(TOPIC, LogPosition(StoreEra(1), 1), "b", b"3")
+
+
+def test_the_pages_of_a_list_are_of_one_era(stand_in: StandInStore) -> None:
+    stand_in.page_size = 1
+    for key in ("a", "b", "c"):
+        stand_in.put(TOPIC, key, b"old")
+    copy = stand_in.copy()
+    stand_in.put(TOPIC, "a", b"lost")
+    stand_in.after_call = lambda: stand_in.restore(copy)
+    page = KeyedStore(stand_in.address).read_newest(TOPIC)
+    assert [record.value for record in page.records] == [b"old"] * 3
+    assert (page.end, page.era) == (3, 1)
