Back off when a list of the store does not restore the history

Cause: a lost history was answered with a list at once, and that with a read, without a pause; whatever keeps the two from agreeing turns into a loop.

Change: the first loss is still listed at once, further ones wait as failed calls do, 0.1 to 0.8 s, until a read succeeds.

--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -296,7 +296,11 @@
             as_of = self._read(topic, state)
         except HistoryLost as error:
             state.is_listed = False
+            was_lost = state.is_history_lost
             self._record_history_lost(topic, state, error)
+            if was_lost:
+                # The list did not help: the store is not consistent yet.
+                self._back_off(state, called_at)
         except ConnectionLost as error:
             # The connection may have died long ago, without an outage of the store.
             state.is_responding = False
@@ -306,16 +310,20 @@
             # Any exception, not only the store's: none may end this thread.
             state.is_responding = False
             self._record_unavailable(topic, called_at, error)
-            elapsed = self._clock.now() - called_at
-            delay = max(MIN_BACKOFF_SECONDS, state.backoff - elapsed)
-            self._clock.wait(self._stopping, delay)
-            state.backoff = min(state.backoff * 2, MAX_BACKOFF_SECONDS)
+            self._back_off(state, called_at)
         else:
             state.is_responding = True
-            state.backoff = MIN_BACKOFF_SECONDS
+            if not state.is_history_lost:
+                state.backoff = MIN_BACKOFF_SECONDS
             self._record_reachable(topic, True, "")
             self._confirmed_at[topic.topic] = as_of
 
+    def _back_off(self, state: _TopicState, called_at: float) -> None:
+        elapsed = self._clock.now() - called_at
+        delay = max(MIN_BACKOFF_SECONDS, state.backoff - elapsed)
+        self._clock.wait(self._stopping, delay)
+        state.backoff = min(state.backoff * 2, MAX_BACKOFF_SECONDS)
+
     def _read(self, topic: FollowedTopic, state: _TopicState) -> float:
         """Read new records; return the time as of which the view is complete."""
         if not state.is_listed:
--- a/tests/directory/test_follower.py
+++ b/tests/directory/test_follower.py
@@ -18,6 +18,7 @@
     ReachabilityChange,
     StoreFollower,
 )
+from rudderpass.directory._follower import MIN_BACKOFF_SECONDS
 from rudderpass.errors import PlatformError
 from tests.directory.builders import SERVICE, config_record, make_directory
 
@@ -132,6 +133,25 @@
     assert harness.store.list_calls >= 3
 
 
+def test_a_store_that_lists_records_but_does_not_read_them_is_not_flooded(
+    harness: FollowerHarness,
+) -> None:
+    """Guards against a list and a refused read in turn, 155 calls a second."""
+    reads: list[str] = []
+
+    def refuse(topic: str, offset: int, wait: float) -> KeyedPage:
+        reads.append(topic)
+        raise HistoryLost("gone")
+
+    harness.store.read_from = refuse  # type: ignore[method-assign]
+    harness.follower.start()
+    wait_for(lambda: len(reads) > 0)
+    time.sleep(1.0)
+    harness.follower.close()
+    assert len(reads) <= 2 * (1.0 / MIN_BACKOFF_SECONDS)
+    assert harness.follower.histories_lost >= 2
+
+
 def test_an_inactive_follower_makes_no_calls_and_lists_again_when_activated(
     harness: FollowerHarness,
 ) -> None:
