Play restores of the store in the soak

A schedule of its own restores the store from a copy up to 4 s old, after 0 to 6 s away, every few seconds beside all other faults; the operator and the upstreams write again what the copy lacks within 1 and 1.9 s, and entries of ended upstreams expire. The schedules of all other faults keep their random numbers.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -200,6 +200,7 @@
         self.upstreams: dict[str, SoakUpstream] = {}
         self.links: dict[str, Proxy] = {}
         self.leaving_since: dict[str, float] = {}
+        self._entries: dict[str, bytes | None] = {}
         rng = random.Random(f"{os.getpid()} {seed}")
         prefix = f"127.{rng.randrange(16, 250)}.{rng.randrange(1, 250)}"
         self.hosts = [
@@ -291,12 +292,39 @@
             "sequence": 1,
             "coldRemainingMs": 0,
         }
-        self.store.put(UPSTREAMS_TOPIC, name, json.dumps(value).encode())
+        self._entries[name] = json.dumps(value).encode()
+        self.store.put(UPSTREAMS_TOPIC, name, self._entries[name])
 
     def unregister(self, name: str) -> None:
         """Remove an upstream's entry from the store."""
+        self._entries[name] = None
         self.store.put(UPSTREAMS_TOPIC, name, None)
 
+    def rewrite_config(self) -> None:
+        """Publish the newest configuration again if a restored store lacks it."""
+        value = json.dumps(make_config(self.version)).encode()
+        if self.store.newest(CONFIG_TOPIC).get("config") != value:
+            self.store.put(CONFIG_TOPIC, "config", value)
+
+    def find_lost_entries(self) -> list[str]:
+        """Return the upstreams whose entries a restored store lacks or has outdated."""
+        newest = self.store.newest(UPSTREAMS_TOPIC)
+        return [
+            name
+            for name, value in list(self._entries.items())
+            if (newest.get(name) or None) != value
+        ]
+
+    def has_entry(self, name: str) -> bool:
+        """Return whether an upstream has an entry, as far as it knows."""
+        return self._entries[name] is not None
+
+    def rewrite_entry(self, name: str) -> None:
+        """Write an upstream's entry again, or its end, if the store differs."""
+        value = self._entries[name]
+        if (self.store.newest(UPSTREAMS_TOPIC).get(name) or None) != value:
+            self.store.put(UPSTREAMS_TOPIC, name, value)
+
     def clear_faults(self) -> None:
         """Remove all faults of links, store and cloud API."""
         self.store.status = 0
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,9 +8,15 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from rudderpass.platform import UPSTREAMS_TOPIC
-from tests.soak.deployment import GRACE_SECONDS, HostProcess, SoakDeployment
+from tests.soak.deployment import (
+    ENTRY_EXPIRY_SECONDS,
+    GRACE_SECONDS,
+    HostProcess,
+    SoakDeployment,
+)
 from tests.soak.proxy import LinkFault
 from tests.soak.upstreams import UpstreamFault
 
@@ -24,6 +30,15 @@
 """Maximum duration and mean interval of faults; three or four overlap on average."""
 
 
+MAX_COPY_AGE_SECONDS = 4.0
+AWAY_SECONDS = (0.0, 0.3, 0.3, 1.5, 6.0)
+"""How long the store is away before it comes back from a copy."""
+
+MEAN_RESTORE_INTERVAL_SECONDS = 2.0
+REWRITE_SECONDS = 1.9
+"""Time within which upstreams write entries again that the store has lost."""
+
+
 @dataclass
 class Disturbance:
     """A period in which a target was disturbed, on the monotonic clock."""
@@ -76,8 +91,12 @@
         duty_faults = threading.Thread(
             target=self._fail_duty_api, args=(until,), daemon=True
         )
-        duty_faults.start()
-        self._threads.append(duty_faults)
+        restores = threading.Thread(
+            target=self._restore_store, args=(until,), daemon=True
+        )
+        for thread in (duty_faults, restores):
+            thread.start()
+            self._threads.append(thread)
         while time.monotonic() < until:
             injector = self._rng.choice(self._injectors)
             duration = self._rng.uniform(0.1, MAX_FAULT_SECONDS)
@@ -185,6 +204,38 @@
         self.deployment.store.compact(UPSTREAMS_TOPIC)
         self._end_disturbance(disturbance)
 
+    # Restores of the store, with their own random schedule.
+
+    def _restore_store(self, until: float) -> None:
+        rng = random.Random(f"restores {self.seed}")
+        while time.monotonic() < until:
+            copy = self.deployment.store.copy()
+            time.sleep(rng.uniform(0.0, MAX_COPY_AGE_SECONDS))
+            disturbance = self._start_disturbance("store", "restore")
+            self.deployment.store.status = rng.choice((503, 500))
+            time.sleep(rng.choice(AWAY_SECONDS))
+            self.deployment.store.restore(copy)
+            self.deployment.store.status = 0
+            self._write_lost_records(rng)
+            self._end_disturbance(disturbance)
+            time.sleep(rng.expovariate(1 / MEAN_RESTORE_INTERVAL_SECONDS))
+
+    def _write_lost_records(self, rng: random.Random) -> None:
+        """Let operator and upstreams write again what the copy lacks.
+
+        Entries of upstreams that have ended expire.
+        """
+        due = [(rng.uniform(0.0, 1.0), self.deployment.rewrite_config)]
+        for name in self.deployment.find_lost_entries():
+            delay = rng.uniform(0.0, REWRITE_SECONDS)
+            if not self.deployment.has_entry(name):
+                delay = ENTRY_EXPIRY_SECONDS
+            due.append((delay, partial(self.deployment.rewrite_entry, name)))
+        began = time.monotonic()
+        for delay, write in sorted(due, key=lambda item: item[0]):
+            time.sleep(max(0.0, began + delay - time.monotonic()))
+            write()
+
     def _disturb_store_link(self, duration: float) -> None:
         host = self._pick_host()
         fault = self._pick_link_fault()
