Let only followers of the same era confirm a host's state after a suspension

Cause: a host that resumed counted as current when a follower had nothing newer. One that has not seen the store restored yet has nothing newer by definition, and confirms nothing. The same check now serves the age of the list. Belief lines carry the era.

The added lines of the test fail on the code before: the older follower confirmed.

--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -116,6 +116,13 @@
         """Return whether a peer's view has anything newer than this one."""
         return self._has_older_config(peer) or self._has_older_list(peer)
 
+    def is_confirmed_by(self, peer: ViewPosition) -> bool:
+        """Return whether a peer that follows the store has nothing newer than this.
+
+        One that has not seen a restore yet confirms nothing.
+        """
+        return self._is_of_same_era(peer) and not self.is_behind(peer)
+
     def _has_older_config(self, peer: ViewPosition) -> bool:
         if peer.config_version is not None:
             return self._config is None or peer.config_version > self._config.version
@@ -128,6 +135,11 @@
             return peer.upstreams_end > self.upstreams_end
         return LogPosition(peer.era, peer.upstreams_end) > self._upstreams.position
 
+    def _is_of_same_era(self, peer: ViewPosition) -> bool:
+        if peer.era == UNKNOWN_ERA:
+            return self._can_compare(peer)
+        return peer.era == self._upstreams.position.era
+
     def _can_compare(self, peer: ViewPosition) -> bool:
         """Return whether a peer's offsets can be compared with this view's.
 
@@ -190,9 +202,8 @@
 
         :param as_of: the earliest time at which the store can have said so to any host.
         """
-        if not self._has_list or self._has_older_list(peer):
-            return
-        if peer.era == self._upstreams.position.era or peer.era == UNKNOWN_ERA:
+        is_of_same_era = self._is_of_same_era(peer)
+        if self._has_list and is_of_same_era and not self._has_older_list(peer):
             self._retention.record_confirmed(as_of)
 
     def record_store_unavailable(self, called_at: float) -> None:
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -347,6 +347,7 @@
                 f"{change.text}, from {change.source}.",
                 source=change.source,
                 offset=change.offset,
+                era=self._directory.view_position.era,
                 believed_for=change.retained_for,
             )
         if self._directory.is_complete:
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -320,10 +320,13 @@
                 as_of = now - STALE_AFTER_SECONDS
                 self._directory.record_list_confirmed(heartbeat.position, as_of)
             is_behind = self._directory.is_behind(heartbeat.position)
+            is_confirmed = heartbeat.following and self._directory.is_confirmed_by(
+                heartbeat.position
+            )
             is_urgent = not (self._directory.is_complete and self._is_large)
         if is_behind and (not self._receives_store_updates or self._core.is_stale):
             self._schedule_fetch(is_urgent or self._core.is_stale, now)
-        if heartbeat.following and not is_behind:
+        if is_confirmed:
             self._on_confirmed(now)
         if greeting is not None:
             # A starting host waits for this greeting to learn which peers it can query.
--- a/tests/directory/test_eras_of_peers.py
+++ b/tests/directory/test_eras_of_peers.py
@@ -122,7 +122,11 @@
 
 def test_a_follower_of_another_era_does_not_confirm_the_list() -> None:
     host = make_host(SECOND, 5, upstream_record(0, 1))
-    host.record_list_confirmed(ViewPosition(5, 9, 5, FIRST), 50.0)
+    older = ViewPosition(5, 9, 5, FIRST)
+    host.record_list_confirmed(older, 50.0)
     assert host.list_age(50.0) == 50.0
-    host.record_list_confirmed(ViewPosition(5, 1, 5, SECOND), 50.0)
+    assert not host.is_confirmed_by(older)
+    same = ViewPosition(5, 1, 5, SECOND)
+    host.record_list_confirmed(same, 50.0)
+    assert host.is_confirmed_by(same)
     assert host.list_age(50.0) == 0.0
