--- a/tests/host/test_gossip_protocol.py
+++ b/tests/host/test_gossip_protocol.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rudderpass._ids import UpstreamId
+from rudderpass._ids import StoreEra, UpstreamId
 from rudderpass.exchange import Load, SentPrompt
 from tests.exchange.builders import parts
 from tests.host.fleet import Fleet, FleetHost
@@ -197,3 +197,19 @@
     for host in fleet.up():
         (known,) = host.core.caches.known()
         assert len(known.parts) == HOSTS * 300
+
+
+def test_all_hosts_hear_by_relays_that_the_store_was_restored() -> None:
+    fleet = Fleet(60, 3)
+    for host in fleet.up():
+        host.core.directory.apply_upstream_list([], 4, "store", 0.0, StoreEra(0))
+    fleet.run(5.0)
+    informed = next(host for host in fleet.up() if not host.protocol.is_relay)
+    directory = informed.core.directory
+    directory.apply_upstream_list([], 2, "store", fleet.now, StoreEra(1))
+    fleet.run(1.5)
+    for host in fleet.up():
+        ahead = host.peer_table.choose_peer_ahead(
+            host.core.directory.is_behind, False, fleet.now
+        )
+        assert ahead == (None if host is informed else informed.name)
--- a/tests/host/test_store_restored.py
+++ b/tests/host/test_store_restored.py
@@ -99,6 +99,27 @@
     assert deployment.ask(first) == 503
 
 
+def test_hosts_that_all_lost_power_during_a_restore_serve_what_is_written_again(
+    deployment: Deployment,
+) -> None:
+    """Hosts keep nothing on disk, so the store's copy is all there is."""
+    deployment.publish(1, "k1", "k2")
+    deployment.register()
+    copy = deployment.store.copy()
+    deployment.publish(2, "k1")
+    hosts = [deployment.start(), deployment.start()]
+    wait_for(lambda: all(deployment.ask(h, "k2") == UNAUTHORIZED for h in hosts))
+    for host in hosts:
+        host.close()
+    deployment.store.restore(copy)
+    first = deployment.start()
+    second = deployment.start(first.peer_address)
+    wait_for(lambda: all(deployment.ask(h) == 200 for h in (first, second)))
+    deployment.publish(2, "k1")
+    for host in (first, second):
+        wait_for(lambda: deployment.ask(host, "k2") == UNAUTHORIZED)
+
+
 def test_hosts_write_their_records_again_after_the_store_lost_them(
     deployment: Deployment,
 ) -> None:
