--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -16,11 +16,13 @@
     STALE_AFTER_SECONDS as STALE_AFTER_SECONDS,
     Clock as Clock,
     HistoryChange as HistoryChange,
+    ReachabilityChange as ReachabilityChange,
+    StoreFollower as StoreFollower,
+)
+from rudderpass.directory._keyed_log import (
     HistoryLost as HistoryLost,
     KeyedLog as KeyedLog,
     KeyedPage as KeyedPage,
-    ReachabilityChange as ReachabilityChange,
-    StoreFollower as StoreFollower,
 )
 from rudderpass.directory._messages import (
     DirectoryChange as DirectoryChange,
--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 
 from rudderpass._ids import PoolId, StoreEra, UpstreamId, UpstreamName
+from rudderpass.directory._active_config import ActiveConfig
 from rudderpass.directory._config import EngineTraits, ExchangeConfig
 from rudderpass.directory._messages import (
     DirectoryChange,
@@ -20,9 +21,9 @@
     describe_removal,
 )
 from rudderpass.directory._position import (
-    LOG_START,
     UNKNOWN_ERA,
     LogPosition,
+    PeerComparison,
     ViewPosition,
 )
 from rudderpass.directory._reader import Decoders, RecordReader
@@ -59,11 +60,7 @@
         drain_bound: float = DRAIN_BOUND_SECONDS,
     ) -> None:
         self._reader = RecordReader(decoders)
-        self._config_key = config_key
-        self._config: ExchangeConfig | None = None
-        self._config_record: KeyedRecord | None = None
-        self._config_position = LOG_START
-        self._passed_over: KeyedRecord | None = None
+        self._active = ActiveConfig(self._reader, config_key)
         self._upstreams = UpstreamList()
         self._retention = RetentionPolicy(drain_bound)
         self._has_list = False
@@ -74,7 +71,7 @@
     @property
     def config(self) -> ExchangeConfig | None:
         """The active configuration, or None before the first."""
-        return self._config
+        return self._active.config
 
     @property
     def unusable(self) -> Mapping[UnusableReason, int]:
@@ -84,17 +81,17 @@
     @property
     def is_complete(self) -> bool:
         """Whether a configuration and a list of upstreams are known."""
-        return self._config is not None and self._has_list
+        return self.config is not None and self._has_list
 
     @property
     def config_offset(self) -> int:
         """The offset of the active configuration; -1 before the first."""
-        return -1 if self._config_record is None else self._config_record.offset
+        return self._active.offset
 
     @property
     def config_position(self) -> LogPosition:
         """All configuration records before this position have been processed."""
-        return self._config_position
+        return self._active.position
 
     @property
     def upstreams_end(self) -> int:
@@ -108,44 +105,24 @@
         return ViewPosition(
             self.config_offset,
             list_position.offset,
-            None if self._config is None else self._config.version,
+            self._active.version,
             list_position.era,
         )
 
     def is_behind(self, peer: ViewPosition) -> bool:
         """Return whether a peer's view has anything newer than this one."""
-        return self._has_older_config(peer) or self._has_older_list(peer)
+        compared = self._compare(peer)
+        return compared.has_newer_config or compared.has_newer_list
 
     def is_confirmed_by(self, peer: ViewPosition) -> bool:
         """Return whether a peer that follows the store has nothing newer than this.
 
         One that has not seen a restore yet confirms nothing.
         """
-        return self._is_of_same_era(peer) and not self.is_behind(peer)
+        return self._compare(peer).is_of_same_era and not self.is_behind(peer)
 
-    def _has_older_config(self, peer: ViewPosition) -> bool:
-        if peer.config_version is not None:
-            return self._config is None or peer.config_version > self._config.version
-        return self._can_compare(peer) and peer.config_offset > self.config_offset
-
-    def _has_older_list(self, peer: ViewPosition) -> bool:
-        if not self._can_compare(peer):
-            return False
-        if peer.era == UNKNOWN_ERA:
-            return peer.upstreams_end > self.upstreams_end
-        return LogPosition(peer.era, peer.upstreams_end) > self._upstreams.position
-
-    def _is_of_same_era(self, peer: ViewPosition) -> bool:
-        if peer.era == UNKNOWN_ERA:
-            return self._can_compare(peer)
-        return peer.era == self._upstreams.position.era
-
-    def _can_compare(self, peer: ViewPosition) -> bool:
-        """Return whether a peer's offsets can be compared with this view's.
-
-        A peer that does not tell its era does not know that the store was restored.
-        """
-        return peer.era != UNKNOWN_ERA or not self._is_restored
+    def _compare(self, peer: ViewPosition) -> PeerComparison:
+        return PeerComparison(self.view_position, peer, self._is_restored)
 
     @property
     def upstreams_position(self) -> LogPosition:
@@ -154,7 +131,7 @@
 
     def find_engine(self, service: PoolId) -> EngineTraits | None:
         """Return a service's engine properties; None if it has no model engines."""
-        spec = None if self._config is None else self._config.find_service(service)
+        spec = None if self.config is None else self.config.find_service(service)
         return None if spec is None else spec.engine
 
     def serving(self, service: PoolId) -> list[RegisteredUpstream]:
@@ -202,8 +179,9 @@
 
         :param as_of: the earliest time at which the store can have said so to any host.
         """
-        is_of_same_era = self._is_of_same_era(peer)
-        if self._has_list and is_of_same_era and not self._has_older_list(peer):
+        compared = self._compare(peer)
+        is_as_old = compared.is_of_same_era and not compared.has_newer_list
+        if self._has_list and is_as_old:
             self._retention.record_confirmed(as_of)
 
     def record_store_unavailable(self, called_at: float) -> None:
@@ -222,16 +200,9 @@
     ) -> list[DirectoryChange]:
         """Apply configuration records; the highest readable version becomes active.
 
-        Versions, unlike offsets, keep their order when the store lost records.
-
         :param era: of the store that returned the records; unknown for a peer's.
         """
-        changes: list[DirectoryChange] = []
-        for record in records:
-            if record.key == self._config_key and record.value is not None:
-                changes += self._activate_config(record, source)
-        self._config_position = max(self._config_position, LogPosition(era, end))
-        return changes
+        return self._active.apply(records, end, source, era)
 
     def apply_upstream_changes(
         self,
@@ -312,10 +283,10 @@
         if era < known_era:
             return []
         if era > known_era:
-            changes = self._apply_restored_list(records, end, source, now, era)
+            changes = self._apply_restored_list(records, end, source, now, era, {})
         else:
             until = self._retention.retain_until(now)
-            changes = self._apply_list(records, end, source, until, now)
+            changes = self._apply_list(records, end, source, until, now, {})
         self._retention.record_confirmed(now)
         self.expire(now)
         return changes
@@ -327,7 +298,7 @@
         source: str,
         now: float,
         era: StoreEra,
-        held: Mapping[UpstreamName, float] = {},
+        held: Mapping[UpstreamName, float],
     ) -> list[DirectoryChange]:
         """Replace the list by the first complete one of an era.
 
@@ -336,7 +307,7 @@
         self._is_restored = self._upstreams.position.era != UNKNOWN_ERA
         self._upstreams.begin_era(era)
         until = self._retention.retain_until_restored(now)
-        return self._apply_list(records, end, source, until, now, True, held)
+        return self._apply_list(records, end, source, until, now, held, True)
 
     def _apply_list(
         self,
@@ -345,8 +316,8 @@
         source: str,
         retain_until: float,
         now: float,
+        held: Mapping[UpstreamName, float],
         is_restored: bool = False,
-        held: Mapping[UpstreamName, float] = {},
     ) -> list[DirectoryChange]:
         changes: list[DirectoryChange] = []
         listed: list[UpstreamRecord] = []
@@ -384,8 +355,8 @@
         changes: list[DirectoryChange] = []
         if state.config is not None:
             changes += self.apply_config([state.config], 0, source)
-        position = ViewPosition(-1, state.upstreams_end, None, state.era)
-        if self._has_older_list(position):
+        position = ViewPosition(-1, state.upstreams_end, era=state.era)
+        if self._compare(position).has_newer_list:
             changes += self._apply_peer_upstreams(state, source, now)
         self.expire(now)
         return changes
@@ -403,7 +374,7 @@
                 )
             else:
                 changes = self._apply_list(
-                    state.upstreams, state.upstreams_end, source, now, now, held=held
+                    state.upstreams, state.upstreams_end, source, now, now, held
                 )
             for upstream, until in deadlines.items():
                 self._upstreams.remove(upstream, state.upstreams_end, until)
@@ -426,7 +397,7 @@
     def state_since(self, peer: ViewPosition, now: float) -> DirectoryState:
         """Return what a peer at a position is missing."""
         state = self.state(now)
-        if self._config is not None and self._has_config(peer, self._config.version):
+        if self._has_config(peer):
             state = replace(state, config=None)
         own, begin = self._upstreams.position, peer.upstreams_end
         if peer.era != own.era or not self._changes_from <= begin <= own.offset:
@@ -436,10 +407,11 @@
         )
         return replace(state, upstreams=changes, changes_from=begin)
 
-    def _has_config(self, peer: ViewPosition, version: int) -> bool:
-        if peer.config_version is not None:
-            return peer.config_version >= version
-        return peer.config_offset >= self.config_offset
+    def _has_config(self, peer: ViewPosition) -> bool:
+        """Return whether a peer has the configuration in force here."""
+        if peer.config_version is None or self._active.version is None:
+            return peer.config_offset >= self.config_offset
+        return peer.config_version >= self._active.version
 
     def state(self, now: float) -> DirectoryState:
         """Return the complete state, for a peer."""
@@ -453,7 +425,7 @@
             for record, _ in unconfirmed
         )
         return DirectoryState(
-            self._config_record,
+            self._active.record,
             upstreams,
             self._upstreams.position.offset,
             tuple(self._upstreams.expiring(now)),
@@ -472,38 +444,6 @@
         """
         return self._upstreams.pop_removed()
 
-    def _activate_config(
-        self, record: KeyedRecord, source: str
-    ) -> list[DirectoryChange]:
-        if (
-            self._config_record is not None
-            and record.value == self._config_record.value
-        ):
-            self._config_record = record
-            return []
-        config = self._reader.read_config(record, source)
-        if isinstance(config, DirectoryChange):
-            return [config]
-        if self._config is not None and config.version <= self._config.version:
-            return self._describe_passed_over(record, config, source)
-        self._config = config
-        self._config_record = record
-        text = f"configuration version {config.version} is in force"
-        return [DirectoryChange(text, source, record.offset)]
-
-    def _describe_passed_over(
-        self, record: KeyedRecord, config: ExchangeConfig, source: str
-    ) -> list[DirectoryChange]:
-        """Return a change to log for a version that is not applied, once for each."""
-        if record == self._passed_over or self._config is None:
-            return []
-        self._passed_over = record
-        text = (
-            f"configuration version {config.version} is passed over,"
-            f" version {self._config.version} is in force"
-        )
-        return [DirectoryChange(text, source, record.offset)]
-
     def _find_previous(self, record: UpstreamRecord) -> UpstreamRecord | None:
         return self._upstreams.find(record.entry.name)
 
--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
-from typing import Protocol
 
 from rudderpass import _clock
 from rudderpass._ids import StoreEra
 from rudderpass.directory._directory import Directory
-from rudderpass.directory._messages import DirectoryChange, KeyedRecord
+from rudderpass.directory._keyed_log import HistoryLost, KeyedLog, KeyedPage
+from rudderpass.directory._messages import DirectoryChange
 from rudderpass.directory._position import LogPosition
 from rudderpass.errors import ConnectionLost, PlatformError
 
@@ -42,40 +42,6 @@
 well below that."""
 
 
-class HistoryLost(PlatformError):
-    """The store no longer holds the records after an offset."""
-
-
-@dataclass(frozen=True)
-class KeyedPage:
-    """Records of a keyed topic.
-
-    :param end: the offset after the newest record of the topic.
-    :param era: of the store when it responded.
-    """
-
-    records: tuple[KeyedRecord, ...]
-    end: int
-    era: StoreEra = StoreEra(0)
-
-
-class KeyedLog(Protocol):
-    """The store's keyed topics, as the platform's adapter provides them."""
-
-    def read_newest(self, topic: str) -> KeyedPage:
-        """Return the newest record of each key.
-
-        :raises PlatformError: when the store does not answer.
-        """
-
-    def read_from(self, topic: str, offset: int, wait: float) -> KeyedPage:
-        """Return records from ``offset`` on, waiting for the first.
-
-        :raises HistoryLost: when the store no longer holds them.
-        :raises PlatformError: when the store does not answer.
-        """
-
-
 @dataclass(frozen=True)
 class ReachabilityChange:
     """The store became reachable or unreachable on one topic.
--- a/tests/directory/test_eras_of_peers.py
+++ b/tests/directory/test_eras_of_peers.py
@@ -76,6 +76,24 @@
     assert not host.is_behind(peer.view_position)
 
 
+@pytest.mark.parametrize(
+    ("position", "is_sent"),
+    [
+        (ViewPosition(5, 0, 5, FIRST), False),
+        (ViewPosition(9, 0, 4, FIRST), True),
+        (ViewPosition(5, 0), False),
+        (ViewPosition(4, 0), True),
+        (ViewPosition(-1, 0), True),
+    ],
+    ids=["same", "older version", "same offset", "lower offset", "none"],
+)
+def test_the_configuration_is_sent_to_peers_that_lack_it(
+    position: ViewPosition, is_sent: bool
+) -> None:
+    state = make_host(FIRST, 5).state_since(position, 1.0)
+    assert (state.config is not None) is is_sent
+
+
 def test_a_list_of_an_earlier_era_is_not_copied() -> None:
     host = make_host(SECOND, 5, upstream_record(0, 1))
     peer = make_host(FIRST, 6, upstream_record(0, 1), upstream_record(1, 2))
