Take the lifetime of entries from the settings

Cause: how long an ended upstream of a restored list is held back hung on heartbeats of 1.2 s, which is a setting of each deployment. With longer ones it would have been used again while its old entry still stood.

Change: three of the settings' heartbeats, and 1.4 s for the removal to be written and read: 5 s as before where a heartbeat has 1.2 s.

--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -35,6 +35,9 @@
     ViewPosition as ViewPosition,
 )
 from rudderpass.directory._reader import Decoders as Decoders
+from rudderpass.directory._retention import (
+    ENTRY_LIFETIME_SECONDS as ENTRY_LIFETIME_SECONDS,
+)
 from rudderpass.directory._upstreams import (
     RegisteredUpstream as RegisteredUpstream,
     UpstreamList as UpstreamList,
--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -28,8 +28,9 @@
 )
 from rudderpass.directory._reader import Decoders, RecordReader
 from rudderpass.directory._retention import (
-    CONFIRM_SECONDS,
+    CONFIRM_MARGIN_SECONDS,
     DRAIN_BOUND_SECONDS,
+    ENTRY_LIFETIME_SECONDS,
     RetentionPolicy,
 )
 from rudderpass.directory._upstreams import (
@@ -47,6 +48,8 @@
     """A host's view of the configuration and the upstreams.
 
     :param drain_bound: seconds for which a leaving upstream may still get new requests.
+    :param entry_lifetime: seconds after which the platform removes the entry of an
+        upstream that does not renew it.
 
     Not thread-safe: callers hold the host's lock.
 
@@ -58,7 +61,9 @@
         decoders: Decoders,
         config_key: str,
         drain_bound: float = DRAIN_BOUND_SECONDS,
+        entry_lifetime: float = ENTRY_LIFETIME_SECONDS,
     ) -> None:
+        self._confirm_seconds = entry_lifetime + CONFIRM_MARGIN_SECONDS
         self._reader = RecordReader(decoders)
         self._active = ActiveConfig(self._reader, config_key)
         self._upstreams = UpstreamList()
@@ -332,7 +337,7 @@
             else:
                 changes += read
         if is_restored:
-            listed = self._upstreams.hold_ended(listed, now + CONFIRM_SECONDS)
+            listed = self._upstreams.hold_ended(listed, now + self._confirm_seconds)
         changes += [
             describe_registration(entry, source, self._find_previous(entry))
             for entry in listed
--- a/src/rudderpass/directory/_retention.py
+++ b/src/rudderpass/directory/_retention.py
@@ -17,10 +17,13 @@
 back within about 2 s of its return. The value stays below the 3 s after which the
 platform regards a host as connected again and holds it to the drain bound."""
 
-CONFIRM_SECONDS = 5.0
-"""How long an upstream that had ended, and that a restored store lists, is not used. By
-then the platform has removed the entry of an upstream that does not renew it: it does
-so after three heartbeats of 1.2 s."""
+ENTRY_LIFETIME_SECONDS = 3.6
+"""Default time after which the platform removes the entry of an upstream that does not
+renew it: three of its heartbeats."""
+
+CONFIRM_MARGIN_SECONDS = 1.4
+"""Added to the lifetime of an entry before an entry that a restored store lists counts
+as renewed: the removal is written and read, and heartbeats are not exact."""
 
 DRAIN_BOUND_SECONDS = 2.0
 """Default time for which a leaving upstream may still get new requests."""
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -93,7 +93,10 @@
         self._dropped_lines = dropped_lines
         self._lock = threading.RLock()
         self._directory = Directory(
-            platform.decoders, platform.config_key, settings.drain_bound
+            platform.decoders,
+            platform.config_key,
+            settings.drain_bound,
+            settings.entry_lifetime,
         )
         self._core = ExchangeCore(
             settings.zone,
--- a/src/rudderpass/host/_settings.py
+++ b/src/rudderpass/host/_settings.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from rudderpass._ids import AvailabilityZone
+from rudderpass.directory import ENTRY_LIFETIME_SECONDS
 from rudderpass.duties import LeasePolicy
 from rudderpass.exchange import BudgetRule
 
@@ -62,6 +63,8 @@
     :param reread_window: period in which a repeated prefill of a prompt part has a
         price.
     :param duties: None if the deployment has none.
+    :param entry_lifetime: after which the platform removes the entry of an upstream
+        that does not renew it.
     """
 
     name: str
@@ -79,3 +82,4 @@
     reread_window: float
     retries: BudgetRule
     duties: DutySettings | None = None
+    entry_lifetime: float = ENTRY_LIFETIME_SECONDS
--- a/src/rudderpass/platform/_settings_file.py
+++ b/src/rudderpass/platform/_settings_file.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from rudderpass._ids import AvailabilityZone
+from rudderpass.directory import ENTRY_LIFETIME_SECONDS
 from rudderpass.duties import LeasePolicy
 from rudderpass.errors import SettingsError
 from rudderpass.exchange import BudgetRule
@@ -22,6 +23,8 @@
 _USAGE_DUTY = "usage_report"
 _SCALE_DUTY = "autoscale"
 _MS = 1000.0
+_HEARTBEATS_PER_ENTRY = 3
+"""Heartbeats of an upstream that may be missing before its entry is removed."""
 
 
 def read_settings_file(path: Path) -> HostSettings:
@@ -135,6 +138,13 @@
     )
 
 
+def _read_entry_lifetime(table: _Table) -> float:
+    """Return after how many seconds an entry that is not renewed is removed."""
+    if not table.has("heartbeatMs"):
+        return ENTRY_LIFETIME_SECONDS
+    return _HEARTBEATS_PER_ENTRY * table.number("heartbeatMs") / _MS
+
+
 def _read_settings(table: _Table) -> HostSettings:
     listen = table.table("listen")
     bounds = table.table("bounds")
@@ -162,4 +172,5 @@
             window=bounds.number("retryWindowS"),
         ),
         duties=_read_duties(table, bounds),
+        entry_lifetime=_read_entry_lifetime(table),
     )
--- a/tests/directory/test_store_restored.py
+++ b/tests/directory/test_store_restored.py
@@ -12,7 +12,7 @@
 from rudderpass._ids import StoreEra, UpstreamId
 from rudderpass.directory import DirectoryChange, StoreFollower
 from rudderpass.directory._position import LogPosition
-from rudderpass.directory._retention import CONFIRM_SECONDS
+from rudderpass.directory._retention import CONFIRM_MARGIN_SECONDS
 from tests.directory.builders import (
     SERVICE,
     FakeDecoders,
@@ -292,7 +292,9 @@
     directory.apply_upstream_changes([end], 2, "store", 10.0, era=StoreEra(0))
     directory.apply_upstream_list([entry], 1, "store", 20.0, StoreEra(1))
     assert directory.serving(SERVICE) == []
-    directory.expire(20.0 + CONFIRM_SECONDS)
+    directory.expire(20.0 + ENTRY_SECONDS)
+    assert directory.serving(SERVICE) == []
+    directory.expire(20.0 + ENTRY_SECONDS + CONFIRM_MARGIN_SECONDS)
     assert [entry.upstream for entry in directory.serving(SERVICE)] == ["u1"]
 
 
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -52,6 +52,14 @@
     assert settings.retries.slack == 54.0
 
 
+@pytest.mark.parametrize(("line", "seconds"), [("", 3.6), ("heartbeatMs = 2000", 6.0)])
+def test_the_lifetime_of_entries_follows_the_upstreams_heartbeat(
+    tmp_path: Path, line: str, seconds: float
+) -> None:
+    settings = read_settings_file(write(tmp_path, f"{line}\n{GOOD}"))
+    assert settings.entry_lifetime == pytest.approx(seconds)
+
+
 @pytest.mark.parametrize(
     ("old", "new", "field", "reason"),
     [
@@ -61,6 +69,7 @@
         ("[7340, 7355]", "[]", "internalPortRange", "list of integers"),
         ("bootstrap = true", "bootstrap = 1", "bootstrap", "wrong type, int"),
         ('seeds = ["10.1.0.41:8229"', "seeds = [4", "seeds", "list of strings"),
+        ("bootstrap = true", 'heartbeatMs = "1"', "heartbeatMs", "wrong type, str"),
         ("[platform]", "[other]", "platform", "is missing"),
         ("[bounds]", "[bounds", "TOML", "TOML"),
     ],
