Compare each distinct position of peers once

Cause: the comparison with eras takes 3 to 7 us where two integers were compared, for each live peer at each tick: 2.97 ms for 299 peers, 0.05 ms before the eras, four times a second in a large deployment.

Change: a peer at the position of the one before it is not compared again, a peer at this host's own position is not compared at all, and a confirmation is judged only while it is needed. 0.25 ms for 299 peers (one machine, beside other load). 290 tests of gossip, directory, restores and suspension pass.

--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -116,7 +116,10 @@
 
     def is_behind(self, peer: ViewPosition) -> bool:
         """Return whether a peer's view has anything newer than this one."""
-        compared = self._compare(peer)
+        own = self.view_position
+        if peer == own:
+            return False
+        compared = PeerComparison(own, peer, self._is_restored)
         return compared.has_newer_config or compared.has_newer_list
 
     def is_confirmed_by(self, peer: ViewPosition) -> bool:
--- a/src/rudderpass/gossip/_peer_table.py
+++ b/src/rudderpass/gossip/_peer_table.py
@@ -298,9 +298,16 @@
         :param follows_store: whether this host follows the store itself; then the store
             has BEHIND_SECONDS to catch this host up.
         """
-        ahead = [
-            name for name in self.live(now) if is_ahead(self._peers[name].position)
-        ]
+        compared: ViewPosition | None = None
+        is_compared_ahead = False
+        ahead: list[NodeId] = []
+        for name in self.live(now):
+            position = self._peers[name].position
+            if position != compared:
+                # Most peers are at one position, which is compared once.
+                compared, is_compared_ahead = position, is_ahead(position)
+            if is_compared_ahead:
+                ahead.append(name)
         if not ahead:
             self._behind_since = None
             return None
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -316,12 +316,15 @@
             greeting = (
                 self._protocol.make_greeting(now, self._is_relayed) if is_new else None
             )
+            position = heartbeat.position
             if heartbeat.following:
                 as_of = now - STALE_AFTER_SECONDS
-                self._directory.record_list_confirmed(heartbeat.position, as_of)
-            is_behind = self._directory.is_behind(heartbeat.position)
-            is_confirmed = heartbeat.following and self._directory.is_confirmed_by(
-                heartbeat.position
+                self._directory.record_list_confirmed(position, as_of)
+            is_behind = self._directory.is_behind(position)
+            is_confirmed = (
+                heartbeat.following
+                and self._core.is_stale
+                and self._directory.is_confirmed_by(position)
             )
             is_urgent = not (self._directory.is_complete and self._is_large)
         if is_behind and (not self._receives_store_updates or self._core.is_stale):
