Test what hosts of the build before write and ask for

Records of the duties in era 0 are byte for byte those without eras, and queries of both builds are understood: the two claims of docs/design/restores.md that had no test.

--- a/tests/gossip/test_codec.py
+++ b/tests/gossip/test_codec.py
@@ -15,6 +15,7 @@
     TeamId,
     UpstreamId,
 )
+from rudderpass._thrift import encode_struct
 from rudderpass.directory import UNKNOWN_ERA
 from rudderpass.duties import (
     DutyClaim,
@@ -36,6 +37,7 @@
     encode_settled_usage,
 )
 from rudderpass.gossip._codec import decode_heartbeat, encode_heartbeat
+from rudderpass.gossip._gen.wire import ttypes as wire
 from rudderpass.learning import StreamSample
 
 SENDER = NodeId("10.0.0.1:7000")
@@ -185,6 +187,13 @@
     assert decode_settled_usage(encode_settled_usage(settled)) == settled
 
 
+def test_duty_records_of_the_first_era_are_those_of_the_build_before() -> None:
+    claim = DutyClaim(DutyHolder(SENDER, "1"), StoreEra(0))
+    assert encode_duty_claim(claim) == encode_struct(wire.DutyHolder(SENDER, "1"))
+    usage = encode_struct(wire.SettledUsage(7, []))
+    assert encode_settled_usage(SettledUsage(7, ())) == usage
+
+
 @pytest.mark.parametrize("data", [b"", b"\x00", b"\xff" * 30])
 def test_invalid_duty_records_are_rejected(data: bytes) -> None:
     with pytest.raises(PeerError):
--- a/tests/gossip/test_transport.py
+++ b/tests/gossip/test_transport.py
@@ -14,7 +14,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from rudderpass._ids import NodeId, UpstreamId, UpstreamName
+from rudderpass._ids import NodeId, StoreEra, UpstreamId, UpstreamName
 from rudderpass.directory import DirectoryState, KeyedRecord, ViewPosition
 from rudderpass.errors import PeerError
 from rudderpass.exchange import Load, PartId, PromptPart, SentPrompt
@@ -29,7 +29,11 @@
     encode_state,
 )
 from rudderpass.gossip._codec import MAX_STATE_BYTES
-from rudderpass.gossip._transport import MAX_BURST_BYTES
+from rudderpass.gossip._transport import (
+    MAX_BURST_BYTES,
+    _format_position,
+    _parse_position,
+)
 
 TIMEOUT = 10.0
 PROMPTS = (SentPrompt(UpstreamId("u1"), (PromptPart(PartId("ab"), 800),)),)
@@ -216,3 +220,26 @@
     each = MAX_BURST_BYTES // size
     assert 1 < each < 20
     assert len(pauses) == (20 - 1) // each
+
+
+@pytest.mark.parametrize(
+    ("query", "position"),
+    [
+        ("7,9", ViewPosition(7, 9)),
+        ("7,9,28,1", ViewPosition(7, 9, 28, StoreEra(1))),
+        ("-1,0,-1,-1", ViewPosition(-1, 0)),
+        ("7", ViewPosition(-1, -1)),
+        ("7,9,28,1,5", ViewPosition(-1, -1)),
+        ("a,b", ViewPosition(-1, -1)),
+        ("", ViewPosition(-1, -1)),
+    ],
+)
+def test_positions_of_both_builds_are_understood(
+    query: str, position: ViewPosition
+) -> None:
+    assert _parse_position(query) == position
+
+
+def test_a_position_survives_its_query() -> None:
+    for position in (ViewPosition(7, 9, 28, StoreEra(1)), ViewPosition(-1, 0)):
+        assert _parse_position(_format_position(position)) == position
