--- a/src/rudderpass/_ids.py
+++ b/src/rudderpass/_ids.py
@@ -13,6 +13,9 @@
 RouteName = NewType("RouteName", str)
 AvailabilityZone = NewType("AvailabilityZone", str)
 
+Region = NewType("Region", str)
+"""A group of availability zones; the network between regions is slow and expensive."""
+
 Fingerprint = NewType("Fingerprint", bytes)
 """Shared by all retries of one request, whose ids differ."""
 
--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -2,6 +2,7 @@
 
 from rudderpass.directory._config import (
     CallerLimits as CallerLimits,
+    ColdStartTraits as ColdStartTraits,
     EngineTraits as EngineTraits,
     ExchangeConfig as ExchangeConfig,
     ExchangeRoute as ExchangeRoute,
--- a/src/rudderpass/directory/_config.py
+++ b/src/rudderpass/directory/_config.py
@@ -9,7 +9,7 @@
 
 import xxhash
 
-from rudderpass._ids import AvailabilityZone, PoolId, RouteName, TeamId
+from rudderpass._ids import AvailabilityZone, PoolId, Region, RouteName, TeamId
 
 
 class RouteKind(Enum):
@@ -37,6 +37,8 @@
     :param max_attempts: maximum number of upstreams that may run one request.
     :param resumable: whether a broken stream may be resumed at another upstream.
     :param gap_target: the longest pause between events that meets the target.
+    :param allowed_regions: the only regions where its requests may be served; None for
+        all.
     """
 
     name: RouteName
@@ -51,6 +53,7 @@
     public: bool = False
     resumable: bool = False
     gap_target: float | None = None
+    allowed_regions: frozenset[Region] | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -108,6 +111,18 @@
     spot_price: float | None = None
 
 
+@dataclass(frozen=True)
+class ColdStartTraits:
+    """What an upstream of a service can do after a start.
+
+    :param seconds: for which it stays cold after a start.
+    :param requests_per_second: that it sustains while cold, from all hosts together.
+    """
+
+    seconds: float
+    requests_per_second: float
+
+
 @dataclass(frozen=True)
 class ServiceSpec:
     """One service.
@@ -115,12 +130,14 @@
     :param max_connections: maximum that one upstream accepts from all hosts together.
     :param engine: None for a service whose upstreams are not model engines.
     :param scaling: None for a service that cannot be scaled.
+    :param cold_start: None for a service whose upstreams have no cold starts.
     """
 
     name: PoolId
     max_connections: int
     engine: EngineTraits | None = None
     scaling: ScalingTraits | None = None
+    cold_start: ColdStartTraits | None = None
 
 
 @dataclass(frozen=True)
@@ -138,11 +155,14 @@
     """One team.
 
     :param tier: orders requests within a route's tier; 0 is the most urgent.
+    :param allowed_regions: the only regions where its requests may be served; None for
+        all.
     """
 
     name: TeamId
     keys: frozenset[str]
     tier: int | None = None
+    allowed_regions: frozenset[Region] | None = None
 
 
 @dataclass(frozen=True)
--- a/src/rudderpass/directory/_upstreams.py
+++ b/src/rudderpass/directory/_upstreams.py
@@ -50,6 +50,7 @@
     :param upstream: id of this instance.
     :param name: the name it registered under, which upstreams use for themselves.
     :param is_spot: whether it runs on cheaper capacity that may be reclaimed.
+    :param cold_seconds: for which it stays cold, from when it wrote its registration.
     """
 
     upstream: UpstreamId
@@ -60,6 +61,7 @@
     slots: int
     leaving: bool = False
     is_spot: bool = False
+    cold_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/rudderpass/host/__init__.py
+++ b/src/rudderpass/host/__init__.py
@@ -2,6 +2,7 @@
 
 from rudderpass.host._host import ExchangeHost as ExchangeHost, Platform as Platform
 from rudderpass.host._settings import (
+    ColdLimit as ColdLimit,
     DutySettings as DutySettings,
     HostSettings as HostSettings,
     OrderMode as OrderMode,
--- a/src/rudderpass/host/_settings.py
+++ b/src/rudderpass/host/_settings.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from enum import Enum
 
-from rudderpass._ids import AvailabilityZone
+from rudderpass._ids import AvailabilityZone, Region
 from rudderpass.directory import ENTRY_LIFETIME_SECONDS
 from rudderpass.duties import LeasePolicy
 from rudderpass.exchange import BudgetRule
@@ -44,6 +45,18 @@
     most_upstreams: int | None = None
 
 
+@dataclass(frozen=True)
+class ColdLimit:
+    """How far the requests to a cold upstream may exceed what it sustains.
+
+    In any second, all hosts together may send it its sustained rate times ``overage``
+    plus ``slack``.
+    """
+
+    overage: float = 1.0
+    slack: float = 0.0
+
+
 @dataclass(frozen=True)
 class HostSettings:
     """Settings of a host. Times are seconds.
@@ -65,6 +78,9 @@
     :param duties: None if the deployment has none.
     :param entry_lifetime: after which the platform removes the entry of an upstream
         that does not renew it.
+    :param region: the host's region; None if the settings do not tell it.
+    :param zones: the region of each availability zone.
+    :param cold_limit: the bound on requests to cold upstreams.
     """
 
     name: str
@@ -83,3 +99,6 @@
     retries: BudgetRule
     duties: DutySettings | None = None
     entry_lifetime: float = ENTRY_LIFETIME_SECONDS
+    region: Region | None = None
+    zones: Mapping[AvailabilityZone, Region] = field(default_factory=dict)
+    cold_limit: ColdLimit = field(default_factory=ColdLimit)
--- a/src/rudderpass/platform/_records.py
+++ b/src/rudderpass/platform/_records.py
@@ -4,9 +4,17 @@
 
 from msgspec import UNSET
 
-from rudderpass._ids import AvailabilityZone, PoolId, RouteName, TeamId, UpstreamName
+from rudderpass._ids import (
+    AvailabilityZone,
+    PoolId,
+    Region,
+    RouteName,
+    TeamId,
+    UpstreamName,
+)
 from rudderpass.directory import (
     CallerLimits,
+    ColdStartTraits,
     EngineTraits,
     ExchangeConfig,
     ExchangeRoute,
@@ -78,6 +86,7 @@
         slots=entry.slots,
         leaving=entry.state == _DRAINING_STATE,
         is_spot=entry.spot is True,
+        cold_seconds=entry.cold_remaining / _MS,
     )
 
 
@@ -96,6 +105,7 @@
         public=bool(item.public),
         resumable=bool(item.stream_resume),
         gap_target=None if gap is None else gap / _MS,
+        allowed_regions=_make_regions(item.allowed_regions),
     )
 
 
@@ -112,7 +122,25 @@
 def _make_service(item: Service) -> ServiceSpec:
     traits = None if item.engine is None else _make_engine(item.engine)
     scaling = None if item.scaling is None else _make_scaling(item.scaling)
-    return ServiceSpec(PoolId(item.name), int(item.max_connections), traits, scaling)
+    return ServiceSpec(
+        PoolId(item.name),
+        int(item.max_connections),
+        traits,
+        scaling,
+        _make_cold_start(item),
+    )
+
+
+def _make_cold_start(item: Service) -> ColdStartTraits | None:
+    """Return a service's cold-start properties; None without a duration or a rate."""
+    if not item.cold_start_s or not item.cold_per_s:
+        return None
+    return ColdStartTraits(item.cold_start_s, item.cold_per_s)
+
+
+def _make_regions(names: list[str] | None) -> frozenset[Region] | None:
+    """Return the allowed regions; an empty list restricts nothing."""
+    return frozenset(Region(name) for name in names) if names else None
 
 
 def _make_scaling(item: Scaling) -> ScalingTraits:
@@ -140,7 +168,10 @@
 
 def _make_team(item: Team) -> ExchangeTeam:
     return ExchangeTeam(
-        TeamId(item.name), frozenset(item.api_keys or ()), item.priority
+        TeamId(item.name),
+        frozenset(item.api_keys or ()),
+        item.priority,
+        _make_regions(item.allowed_regions),
     )
 
 
--- a/src/rudderpass/platform/_schemas.py
+++ b/src/rudderpass/platform/_schemas.py
@@ -35,6 +35,12 @@
 _NonNegative = Annotated[float, Meta(ge=0)]
 """Accepts integers and fractions, but neither infinity nor strings."""
 
+MAX_COLD_SECONDS = 600
+"""Longer than any upstream takes to warm up; a longer time is not valid."""
+
+_ColdMs = Annotated[float, Meta(ge=0, le=MAX_COLD_SECONDS * 1000)]
+_ColdSeconds = Annotated[float, Meta(ge=0, le=MAX_COLD_SECONDS)]
+
 
 class UpstreamEntry(Struct, frozen=True):
     """The registration that an upstream writes under its id.
@@ -56,7 +62,7 @@
     slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     sequence: _Count
-    cold_remaining: _NonNegative = field(name="coldRemainingMs")
+    cold_remaining: _ColdMs = field(name="coldRemainingMs")
     born: _Count | UnsetType = UNSET
     spot: bool | UnsetType = UNSET
     stage: str | UnsetType = UNSET
@@ -101,6 +107,7 @@
     public: bool | None = None
     stream_resume: bool | None = None
     gap_target_ms: _NonNegative | None = None
+    allowed_regions: list[str] | None = None
 
     def __post_init__(self) -> None:
         if not self.service and not self.traffic_split:
@@ -139,12 +146,18 @@
 
 
 class Service(Struct, frozen=True, rename="camel"):
-    """A service; one without ``engine`` has no model engines."""
+    """A service; one without ``engine`` has no model engines.
+
+    :ivar cold_start_s: seconds for which an upstream stays cold after a start.
+    :ivar cold_per_s: requests per second that it sustains while cold.
+    """
 
     name: _NonEmptyText
     max_connections: _NonNegative
     engine: Engine | None = None
     scaling: Scaling | None = None
+    cold_start_s: _ColdSeconds | None = None
+    cold_per_s: _NonNegative | None = None
 
 
 class Team(Struct, frozen=True, rename="camel"):
@@ -153,6 +166,7 @@
     name: _NonEmptyText
     api_keys: list[str] | None = None
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 class Limits(Struct, frozen=True, rename="camel"):
--- a/src/rudderpass/platform/_settings_file.py
+++ b/src/rudderpass/platform/_settings_file.py
@@ -6,12 +6,12 @@
 from pathlib import Path
 from typing import Any
 
-from rudderpass._ids import AvailabilityZone
+from rudderpass._ids import AvailabilityZone, Region
 from rudderpass.directory import ENTRY_LIFETIME_SECONDS
 from rudderpass.duties import LeasePolicy
 from rudderpass.errors import SettingsError
 from rudderpass.exchange import BudgetRule
-from rudderpass.host import DutySettings, HostSettings
+from rudderpass.host import ColdLimit, DutySettings, HostSettings
 
 SETTINGS_VARIABLE = "RUDDERPASS_SETTINGS"
 """The environment variable that holds the path of the settings file."""
@@ -83,6 +83,14 @@
             raise self._make_error(name, "is not a list of strings")
         return tuple(values)
 
+    def text_table(self, name: str) -> dict[str, str]:
+        """Return a table of strings; empty if it is missing."""
+        values: dict[str, Any] = self._get(name, dict) if self.has(name) else {}
+        for key, value in values.items():
+            if not isinstance(value, str):
+                raise self._make_error(f"{name}.{key}", "is not a string")
+        return values
+
     def numbers(self, name: str) -> tuple[int, ...]:
         values: list[Any] = self._get(name, list)
         if not values or not all(isinstance(value, int) for value in values):
@@ -138,6 +146,15 @@
     )
 
 
+def _read_cold_limit(bounds: _Table) -> ColdLimit:
+    """Return the bound on requests to cold upstreams."""
+    defaults = ColdLimit()
+    return ColdLimit(
+        bounds.number("coldOverage") if bounds.has("coldOverage") else defaults.overage,
+        bounds.number("coldSlack") if bounds.has("coldSlack") else defaults.slack,
+    )
+
+
 def _read_entry_lifetime(table: _Table) -> float:
     """Return after how many seconds an entry that is not renewed is removed."""
     if not table.has("heartbeatMs"):
@@ -173,4 +190,10 @@
         ),
         duties=_read_duties(table, bounds),
         entry_lifetime=_read_entry_lifetime(table),
+        region=Region(table.text("region")) if table.has("region") else None,
+        zones={
+            AvailabilityZone(zone): Region(region)
+            for zone, region in table.text_table("zones").items()
+        },
+        cold_limit=_read_cold_limit(bounds),
     )
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -8,7 +8,7 @@
 import pytest
 
 from rudderpass._ids import PoolId, UpstreamId, UpstreamName
-from rudderpass.directory import RouteKind
+from rudderpass.directory import ColdStartTraits, RouteKind
 from rudderpass.errors import PlatformError, UnusableReason, UnusableRecord
 from rudderpass.platform import decode_config, decode_upstream
 
@@ -183,6 +183,8 @@
     "sequence a text": encode_entry(sequence="4"),
     "no time to warm": encode_entry(coldRemainingMs=...),
     "time to warm a text": encode_entry(coldRemainingMs="0"),
+    "time to warm negative": encode_entry(coldRemainingMs=-1),
+    "time to warm absurd": encode_entry(coldRemainingMs=600_001),
     "start a text": encode_entry(born="1764720000000"),
     "start a fraction": encode_entry(born=1764720000000.5),
     "start true": encode_entry(born=True),
@@ -301,3 +303,71 @@
         entry["spot"] = is_spot
     found = decode_upstream("u1", json.dumps(entry).encode())
     assert found.is_spot is bool(is_spot)
+
+
+def test_an_entry_says_for_how_long_the_upstream_is_cold() -> None:
+    assert decode_upstream("i-1", encode_entry()).cold_seconds == 0.0
+    cold = decode_upstream("i-1", encode_entry(coldRemainingMs=2500))
+    assert cold.cold_seconds == 2.5
+
+
+def with_cold_start(**fields: Any) -> bytes:
+    service = {**CONFIG["services"][0], **fields}
+    return json.dumps({**CONFIG, "services": [service]}).encode()
+
+
+def test_the_cold_start_of_a_service_is_decoded() -> None:
+    config = decode_config(with_cold_start(coldStartS=3.0, coldPerS=5.8))
+    assert config.services[0].cold_start == ColdStartTraits(3.0, 5.8)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{}, {"coldStartS": 0, "coldPerS": 0}, {"coldStartS": 3.0}, {"coldPerS": 5.8}],
+)
+def test_a_service_without_duration_or_rate_has_no_cold_start(
+    fields: dict[str, Any],
+) -> None:
+    assert decode_config(with_cold_start(**fields)).services[0].cold_start is None
+
+
+@pytest.mark.parametrize(
+    ("fields", "name"),
+    [
+        ({"coldStartS": -1, "coldPerS": 5.8}, "coldStartS"),
+        ({"coldStartS": 601, "coldPerS": 5.8}, "coldStartS"),
+        ({"coldStartS": 3.0, "coldPerS": -5.8}, "coldPerS"),
+        ({"coldStartS": 3.0, "coldPerS": "many"}, "coldPerS"),
+    ],
+)
+def test_an_invalid_cold_start_is_reported(fields: dict[str, Any], name: str) -> None:
+    with pytest.raises(UnusableRecord) as caught:
+        decode_config(with_cold_start(**fields))
+    assert name in caught.value.show()
+
+
+def with_regions(route_regions: Any, team_regions: Any) -> bytes:
+    route = {**ROUTE, "allowedRegions": route_regions}
+    team = {"name": "crew", "apiKeys": ["k"], "allowedRegions": team_regions}
+    return json.dumps({**CONFIG, "routes": [route], "tenants": [team]}).encode()
+
+
+def test_the_allowed_regions_of_routes_and_teams_are_decoded() -> None:
+    config = decode_config(with_regions(["north", "south"], ["south"]))
+    assert config.routes[0].allowed_regions == {"north", "south"}
+    assert config.teams[0].allowed_regions == {"south"}
+
+
+@pytest.mark.parametrize("value", [None, []])
+def test_no_allowed_regions_restrict_nothing(value: list[str] | None) -> None:
+    config = decode_config(with_regions(value, value))
+    assert config.routes[0].allowed_regions is None
+    assert config.teams[0].allowed_regions is None
+
+
+@pytest.mark.parametrize("value", ["north", {"north": 1}, [1], [None]])
+def test_allowed_regions_that_are_no_list_of_names_are_reported(value: Any) -> None:
+    for data in (with_regions(value, None), with_regions(None, value)):
+        with pytest.raises(UnusableRecord) as caught:
+            decode_config(data)
+        assert "allowedRegions" in caught.value.show()
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rudderpass.errors import SettingsError
+from rudderpass.host import ColdLimit
 from rudderpass.platform import read_settings_file
 
 GOOD = """
@@ -148,3 +149,26 @@
     path = write(tmp_path, with_duties().replace(old, ""))
     with pytest.raises(SettingsError, match=field):
         read_settings_file(path)
+
+
+def test_regions_and_the_bound_on_cold_upstreams_are_read(tmp_path: Path) -> None:
+    text = f'region = "north"\n{GOOD}'.replace(
+        "[bounds]\n", "[bounds]\ncoldOverage = 1.5\ncoldSlack = 5\n"
+    )
+    zones = '[zones]\nhall-a = "north"\nhall-b = "south"\n'
+    settings = read_settings_file(write(tmp_path, text + zones))
+    assert settings.region == "north"
+    assert settings.zones == {"hall-a": "north", "hall-b": "south"}
+    assert settings.cold_limit == ColdLimit(1.5, 5.0)
+
+
+def test_regions_may_be_missing(tmp_path: Path) -> None:
+    settings = read_settings_file(write(tmp_path, GOOD))
+    assert settings.region is None
+    assert not settings.zones
+    assert settings.cold_limit == ColdLimit(1.0, 0.0)
+
+
+def test_a_zone_whose_region_is_no_text_is_reported(tmp_path: Path) -> None:
+    with pytest.raises(SettingsError, match="zones.hall-a is not a string"):
+        read_settings_file(write(tmp_path, f"{GOOD}[zones]\nhall-a = 3\n"))
