Compare decoded regions as regions in tests

Cause: mypy rejects a comparison of a set of regions with a set of strings. Change: the tests build regions. Measured: mypy clean, tests/platform/test_records.py passed.

--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from rudderpass._ids import PoolId, UpstreamId, UpstreamName
+from rudderpass._ids import PoolId, Region, UpstreamId, UpstreamName
 from rudderpass.directory import ColdStartTraits, RouteKind
 from rudderpass.errors import PlatformError, UnusableReason, UnusableRecord
 from rudderpass.platform import decode_config, decode_upstream
@@ -354,8 +354,8 @@
 
 def test_the_allowed_regions_of_routes_and_teams_are_decoded() -> None:
     config = decode_config(with_regions(["north", "south"], ["south"]))
-    assert config.routes[0].allowed_regions == {"north", "south"}
-    assert config.teams[0].allowed_regions == {"south"}
+    assert config.routes[0].allowed_regions == {Region("north"), Region("south")}
+    assert config.teams[0].allowed_regions == {Region("south")}
 
 
 @pytest.mark.parametrize("value", [None, []])
