--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -354,8 +354,10 @@
 
 def test_the_allowed_regions_of_routes_and_teams_are_decoded() -> None:
     config = decode_config(with_regions(["north", "south"], ["south"]))
-    assert config.routes[0].allowed_regions == {Region("north"), Region("south")}
-    assert config.teams[0].allowed_regions == {Region("south")}
+    assert config.routes[0].allowed_regions == frozenset(
+        [Region("north"), Region("south")]
+    )
+    assert config.teams[0].allowed_regions == frozenset([Region("south")])
 
 
 @pytest.mark.parametrize("value", [None, []])
