Tell the directory which region each zone belongs to

Cause: settings declare the zones' regions and configurations name allowed regions, but nothing relates the two, so a misspelt region would only show as refusals.

Change: RegionMap holds the zones' regions and the host's own, which is that of its zone if none is declared. Directory gets it, with a default that knows no region. A new configuration version adds one change to the log for each allowed region of a route or team that no zone belongs to. Configurations find routes and teams of earlier versions; names are not checked for uniqueness, so all that match bind.

--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -36,6 +36,7 @@
     ViewPosition as ViewPosition,
 )
 from rudderpass.directory._reader import Decoders as Decoders
+from rudderpass.directory._regions import RegionMap as RegionMap
 from rudderpass.directory._retention import (
     ENTRY_LIFETIME_SECONDS as ENTRY_LIFETIME_SECONDS,
 )
--- a/src/rudderpass/directory/_active_config.py
+++ b/src/rudderpass/directory/_active_config.py
@@ -9,6 +9,7 @@
 from rudderpass.directory._messages import DirectoryChange, KeyedRecord
 from rudderpass.directory._position import LOG_START, LogPosition
 from rudderpass.directory._reader import RecordReader
+from rudderpass.directory._regions import RegionMap, describe_unknown_regions
 
 
 class ActiveConfig:
@@ -17,10 +18,12 @@
     Versions, unlike offsets, keep their order when the store lost records.
 
     :param key: of the configuration's records in their topic.
+    :param regions: the regions of the zones.
     """
 
-    def __init__(self, reader: RecordReader, key: str) -> None:
+    def __init__(self, reader: RecordReader, key: str, regions: RegionMap) -> None:
         self._reader = reader
+        self._regions = regions
         self._key = key
         self._config: ExchangeConfig | None = None
         self._record: KeyedRecord | None = None
@@ -77,8 +80,11 @@
             return self._describe_passed_over(record, config, source)
         self._config = config
         self._record = record
-        text = f"configuration version {config.version} is in force"
-        return [DirectoryChange(text, source, record.offset)]
+        texts = [
+            f"configuration version {config.version} is in force",
+            *describe_unknown_regions(config, self._regions),
+        ]
+        return [DirectoryChange(text, source, record.offset) for text in texts]
 
     def _describe_passed_over(
         self, record: KeyedRecord, config: ExchangeConfig, source: str
--- a/src/rudderpass/directory/_config.py
+++ b/src/rudderpass/directory/_config.py
@@ -186,6 +186,21 @@
         """Return the team that a key belongs to."""
         return self._teams_by_key.get(key) if key else None
 
+    def find_routes(self, accepted: ExchangeRoute) -> list[ExchangeRoute]:
+        """Return the routes with the name of a route of an earlier configuration.
+
+        Nothing enforces that names are unique. Of several routes with the name, those
+        that match the same requests are returned, or all if none does.
+        """
+        routes = self._routes_by_name.get(accepted.name, [])
+        place = accepted.host, accepted.path_prefix
+        same = [route for route in routes if (route.host, route.path_prefix) == place]
+        return same or routes
+
+    def find_teams_by_id(self, team: TeamId) -> list[ExchangeTeam]:
+        """Return the teams with an id; several where a configuration repeats it."""
+        return self._teams_by_id.get(team, [])
+
     def find_service(self, name: PoolId) -> ServiceSpec | None:
         return self._services_by_name.get(name)
 
@@ -217,6 +232,20 @@
     def _teams_by_key(self) -> dict[str, ExchangeTeam]:
         return {key: team for team in self.teams for key in team.keys}
 
+    @cached_property
+    def _routes_by_name(self) -> dict[RouteName, list[ExchangeRoute]]:
+        found: dict[RouteName, list[ExchangeRoute]] = {}
+        for route in self.routes:
+            found.setdefault(route.name, []).append(route)
+        return found
+
+    @cached_property
+    def _teams_by_id(self) -> dict[TeamId, list[ExchangeTeam]]:
+        found: dict[TeamId, list[ExchangeTeam]] = {}
+        for team in self.teams:
+            found.setdefault(team.name, []).append(team)
+        return found
+
     @cached_property
     def _services_by_name(self) -> dict[PoolId, ServiceSpec]:
         return {service.name: service for service in self.services}
--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -27,6 +27,7 @@
     ViewPosition,
 )
 from rudderpass.directory._reader import Decoders, RecordReader
+from rudderpass.directory._regions import RegionMap
 from rudderpass.directory._retention import (
     CONFIRM_MARGIN_SECONDS,
     DRAIN_BOUND_SECONDS,
@@ -50,6 +51,7 @@
     :param drain_bound: seconds for which a leaving upstream may still get new requests.
     :param entry_lifetime: seconds after which the platform removes the entry of an
         upstream that does not renew it.
+    :param regions: the regions of the zones; knows none by default.
 
     Not thread-safe: callers hold the host's lock.
 
@@ -62,10 +64,12 @@
         config_key: str,
         drain_bound: float = DRAIN_BOUND_SECONDS,
         entry_lifetime: float = ENTRY_LIFETIME_SECONDS,
+        regions: RegionMap | None = None,
     ) -> None:
+        self._regions = regions or RegionMap()
         self._confirm_seconds = entry_lifetime + CONFIRM_MARGIN_SECONDS
         self._reader = RecordReader(decoders)
-        self._active = ActiveConfig(self._reader, config_key)
+        self._active = ActiveConfig(self._reader, config_key, self._regions)
         self._upstreams = UpstreamList()
         self._retention = RetentionPolicy(drain_bound)
         self._has_list = False
@@ -78,6 +82,11 @@
         """The active configuration, or None before the first."""
         return self._active.config
 
+    @property
+    def regions(self) -> RegionMap:
+        """The regions of the availability zones."""
+        return self._regions
+
     @property
     def unusable(self) -> Mapping[UnusableReason, int]:
         """Number of unusable records, by reason."""
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -17,6 +17,7 @@
     DirectoryChange,
     HistoryChange,
     ReachabilityChange,
+    RegionMap,
     StoreFollower,
 )
 from rudderpass.eventlog import log, round_age
@@ -97,6 +98,7 @@
             platform.config_key,
             settings.drain_bound,
             settings.entry_lifetime,
+            RegionMap(settings.zones, settings.own_region),
         )
         self._core = ExchangeCore(
             settings.zone,
--- a/src/rudderpass/host/_settings.py
+++ b/src/rudderpass/host/_settings.py
@@ -102,3 +102,8 @@
     region: Region | None = None
     zones: Mapping[AvailabilityZone, Region] = field(default_factory=dict)
     cold_limit: ColdLimit = field(default_factory=ColdLimit)
+
+    @property
+    def own_region(self) -> Region | None:
+        """The declared region, or else that of the host's zone; None if unknown."""
+        return self.region or self.zones.get(self.zone)
