Send requests only to allowed regions, and cost the network between regions

Cause: allowed regions of routes and teams had no effect, and every other zone cost the same, whether 1.4 ms or 30 ms away.

Change: Eligibility judges each send by the configuration in force, before the choice, so that cache copies come from allowed regions too, and again right before the request is written. Without an allowed upstream the request is refused with 503 and Retry-After. With several regions, an upstream in another one costs two learned round trips, a base cost and four times the byte cost. Each region has its own preferred and reserved upstreams, its own record of recently read parts, and its own source of cache copies.

Tests whose calls of accepts_requests changed pass the accepted request now.

--- a/src/rudderpass/exchange/_acceptance.py
+++ b/src/rudderpass/exchange/_acceptance.py
@@ -54,6 +54,7 @@
         now + limit,
         config.version,
         team_tier,
+        None if team is None else team.allowed_regions,
     )
 
 
--- a/src/rudderpass/exchange/_assignment.py
+++ b/src/rudderpass/exchange/_assignment.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from rudderpass._ids import PoolId, TeamId, UpstreamId, UpstreamName
-from rudderpass.directory import ExchangeRoute
+from rudderpass._ids import PoolId, Region, TeamId, UpstreamId, UpstreamName
+from rudderpass.directory import ExchangeRoute, RegisteredUpstream
 from rudderpass.exchange._choice import Choice
 from rudderpass.exchange._load import Load, request_load
 from rudderpass.exchange._request import PromptPart
@@ -20,6 +20,7 @@
     UNKNOWN_KEY = "unknown key"
     NO_SERVICE = "the route leads to no service"
     NO_UPSTREAM = "no upstream to send it to"
+    NO_REGION = "no upstream in a region that its route and team allow"
     QUARANTINED = "upstreams crashed under this request"
     ON_TRIAL = "another copy of this request is on trial"
     THROTTLED = "no upstream accepts a request from this host now"
@@ -30,10 +31,14 @@
 
 @dataclass(frozen=True)
 class Refused:
-    """A refused request, which was not sent to any upstream."""
+    """A refused request, which was not sent to any upstream.
+
+    :param allowed_regions: the allowed regions, if these are the reason.
+    """
 
     reason: RefusalReason
     retry_after: float | None = None
+    allowed_regions: tuple[Region, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -43,6 +48,7 @@
     :param tier: priority by the tiers of route and team; 0 is the most urgent.
     :param deadline: when the response must be complete, by :mod:`rudderpass._clock`.
     :param team_tier: the team's own tier; None if it has none.
+    :param team_regions: the only regions that the team allows; None for all.
     """
 
     route: ExchangeRoute
@@ -52,6 +58,7 @@
     deadline: float
     config_version: int
     team_tier: int | None = None
+    team_regions: frozenset[Region] | None = None
 
 
 @dataclass
@@ -68,6 +75,7 @@
         tolerates no pause.
     :param throttled: number of upstreams ruled out by a rate limit or Retry-After.
     :param response_started_at: when the response started; None before.
+    :param region: the upstream's region, if known.
     """
 
     service: PoolId
@@ -87,6 +95,16 @@
     copy_from: str | None = None
     response_started_at: float | None = None
     throttled: int = 0
+    region: Region | None = None
+
+    @property
+    def involved(self) -> list[RegisteredUpstream]:
+        """The upstream, and the one that it copies the prompt's cache from, if any."""
+        chosen = self.choice.chosen
+        if chosen is None:
+            return []
+        source = chosen.copy_source
+        return [chosen.upstream] if source is None else [chosen.upstream, source]
 
     @property
     def has_response_started(self) -> bool:
--- a/src/rudderpass/exchange/_choice.py
+++ b/src/rudderpass/exchange/_choice.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import xxhash
 
-from rudderpass._ids import AvailabilityZone, Fingerprint, UpstreamId
-from rudderpass.directory import EngineTraits, RegisteredUpstream
+from rudderpass._ids import AvailabilityZone, Fingerprint, Region, UpstreamId
+from rudderpass.directory import EngineTraits, RegionMap, RegisteredUpstream
+from rudderpass.exchange._copies import CopySource, CopySources
 from rudderpass.exchange._health import UpstreamHealth
 from rudderpass.exchange._load import Load
 from rudderpass.exchange._placement import (
@@ -24,26 +25,27 @@
     stall_severity,
 )
 from rudderpass.exchange._prefixes import PrefixIndex
+from rudderpass.exchange._proximity import (
+    find_host_proximity,
+    network_cost,
+    network_delay,
+)
 from rudderpass.exchange._request import ExchangeRequest
 from rudderpass.exchange._slots import SlotContention
 from rudderpass.exchange._weights import (
-    COPY_SECONDS_PER_TOKEN,
-    COPY_SETUP_SECONDS,
     FAILURE_SECONDS,
     LINEAR_DELAY_WEIGHT,
     MAX_STALLED_STREAMS,
     MIN_COPY_TOKENS,
     MIN_TARGET_SECONDS,
-    OTHER_ZONE_SECONDS,
-    OTHER_ZONE_SECONDS_PER_KB,
     PREEMPTION_SECONDS,
     PREFILL_TOKENS_PER_SECOND,
     REREAD_SECONDS_PER_TOKEN,
-    RESPONSE_BYTES_PER_TOKEN,
     SECONDS_PER_RUNNING_REQUEST,
     SERVICE_SECONDS,
     STALLED_STREAM_SECONDS,
 )
+from rudderpass.learning import RoundTrips
 
 
 @dataclass(frozen=True)
@@ -57,7 +59,7 @@
         would stall, including this request's own, and for upstreams reserved for such
         streams.
     :param load: the estimated load of the upstream, without this request.
-    :param copy_from: where to copy the prompt's cache from, if that is worth it.
+    :param copy_source: where to copy the prompt's cache from, if that is worth it.
     :param reread_tokens: unread tokens that some upstream has read recently.
     """
 
@@ -69,9 +71,14 @@
     unread_tokens: int
     interference: float
     load: Load
-    copy_from: str | None = None
+    copy_source: RegisteredUpstream | None = None
     reread_tokens: int = 0
 
+    @property
+    def copy_from(self) -> str | None:
+        """The address of the upstream to copy the prompt's cache from, if any."""
+        return None if self.copy_source is None else self.copy_source.address
+
 
 @dataclass(frozen=True)
 class Choice:
@@ -92,12 +99,15 @@
     """The state that a choice is based on.
 
     :param reread_window: seconds within which reading a part again incurs a cost.
+    :param round_trips: the network's delay, by zone.
     """
 
     zone: AvailabilityZone
     prefixes: PrefixIndex
     health: dict[UpstreamId, UpstreamHealth]
     reread_window: float
+    regions: RegionMap = field(default_factory=RegionMap)
+    round_trips: RoundTrips = field(default_factory=RoundTrips)
 
     def health_of(self, upstream: UpstreamId) -> UpstreamHealth:
         """Return the health record of an upstream."""
@@ -142,8 +152,10 @@
     usable = [entry for entry in not_excluded if entry.upstream not in throttled]
     available = [entry for entry in copy_sources if entry.upstream not in throttled]
     eligible = available or usable
-    placement = Placement(request, stall_risk, eligible, loads, demand)
-    source = _find_source(request, copy_sources or eligible, state, engine, now)
+    placement = Placement(request, stall_risk, eligible, loads, demand, state.regions)
+    sources = CopySources(
+        request, copy_sources or eligible, state.prefixes, engine, state.regions, now
+    )
     candidates = sorted(
         (
             _score(
@@ -154,7 +166,7 @@
                 loads.get(entry.upstream, Load()),
                 placement,
                 state,
-                source,
+                sources.find(entry.zone),
                 slots,
                 now,
             )
@@ -191,37 +203,6 @@
     return replace(choice, chosen=chosen)
 
 
-@dataclass(frozen=True)
-class _CopySource:
-    """The upstream that caches most of a prompt, from which others can copy it."""
-
-    entry: RegisteredUpstream
-    cached_tokens: int
-    seconds_per_token: float
-
-
-def _find_source(
-    request: ExchangeRequest,
-    upstreams: Sequence[RegisteredUpstream],
-    state: RoutingState,
-    engine: EngineTraits | None,
-    now: float,
-) -> _CopySource | None:
-    if engine is None or engine.link_bytes_per_second is None:
-        return None
-    cached = [
-        (state.prefixes.copyable_tokens(entry.upstream, request.parts, now), entry)
-        for entry in upstreams
-    ]
-    if not cached:
-        return None
-    tokens, entry = max(cached, key=lambda item: (item[0], item[1].upstream))
-    if tokens < MIN_COPY_TOKENS:
-        return None
-    seconds = engine.token_bytes / engine.link_bytes_per_second
-    return _CopySource(entry, tokens, seconds)
-
-
 def _score(
     request: ExchangeRequest,
     stall_risk: StallRisk,
@@ -230,42 +211,46 @@
     load: Load,
     placement: Placement,
     state: RoutingState,
-    source: _CopySource | None,
+    source: CopySource | None,
     slots: SlotContention,
     now: float,
 ) -> Candidate:
     health = state.health_of(entry.upstream)
     cached = state.prefixes.cached_tokens(entry.upstream, request.parts, now)
-    reread = _reread_tokens(request, cached, state, now)
+    region = state.regions.group_of(entry.zone)
+    reread = _reread_tokens(request, cached, region, state, now)
     prefill_seconds = reread * (
         REREAD_SECONDS_PER_TOKEN + 1 / PREFILL_TOKENS_PER_SECOND
     )
     copied_tokens = 0 if source is None else source.cached_tokens - cached
-    copy_seconds = _copy_seconds(copied_tokens, entry, source)
-    copy_from = None
+    copy_source = None
+    copy_seconds = 0.0
+    if source is not None:
+        copy_seconds = source.copy_seconds(copied_tokens, entry.zone, state.regions)
     if (
         source is not None
         and copied_tokens >= MIN_COPY_TOKENS
         and copy_seconds < prefill_seconds
     ):
-        copy_from = source.entry.address
+        copy_source = source.entry
         cached += copied_tokens
         transfer_seconds = copy_seconds
-        reread = _reread_tokens(request, cached, state, now)
+        reread = _reread_tokens(request, cached, region, state, now)
     else:
         transfer_seconds = 0.0
     unread = request.prompt_tokens - cached
     service_seconds = _service_seconds(request, entry, load, unread, slots.rank)
     slot_wait = slots.wait(load, entry.slots) if request.parts else 0.0
-    nominal = max(service_seconds, slot_wait)
-    expected = max(service_seconds * health.slowness(now), slot_wait)
+    proximity = find_host_proximity(state.regions, state.zone, entry.zone)
+    delay = network_delay(proximity, entry.zone, state.round_trips, now)
+    nominal = max(service_seconds, slot_wait) + delay
+    expected = max(service_seconds * health.slowness(now), slot_wait) + delay
     cost = (
         _delay_cost(expected, target)
         + transfer_seconds
         + FAILURE_SECONDS * health.failure_rate(now)
     )
-    if entry.zone != state.zone:
-        cost += _cross_zone_cost(request)
+    cost += network_cost(proximity, request)
     interference = placement.cost(entry.upstream, unread)
     interference += STALLED_STREAM_SECONDS * _estimate_stalled(
         stall_risk, entry.upstream, unread, load
@@ -283,7 +268,7 @@
         unread,
         interference,
         load,
-        copy_from,
+        copy_source,
         reread,
     )
 
@@ -297,23 +282,6 @@
     return expected * (LINEAR_DELAY_WEIGHT + expected / max(target, MIN_TARGET_SECONDS))
 
 
-def _cross_zone_cost(request: ExchangeRequest) -> float:
-    """Return the cost of an exchange with an upstream in another zone."""
-    size = len(request.body) + request.output_tokens * RESPONSE_BYTES_PER_TOKEN
-    return OTHER_ZONE_SECONDS + OTHER_ZONE_SECONDS_PER_KB * size / 1024
-
-
-def _copy_seconds(
-    tokens: int, entry: RegisteredUpstream, source: _CopySource | None
-) -> float:
-    """Return the cost of copying tokens from ``source`` to an upstream."""
-    if source is None:
-        return 0.0
-    hops = 1.0 if entry.zone == source.entry.zone else 2.0
-    seconds = tokens * source.seconds_per_token * hops
-    return COPY_SETUP_SECONDS + seconds + tokens * COPY_SECONDS_PER_TOKEN
-
-
 def _service_seconds(
     request: ExchangeRequest,
     entry: RegisteredUpstream,
@@ -347,14 +315,22 @@
 
 
 def _reread_tokens(
-    request: ExchangeRequest, cached: int, state: RoutingState, now: float
+    request: ExchangeRequest,
+    cached: int,
+    region: Region | None,
+    state: RoutingState,
+    now: float,
 ) -> int:
-    """Return the number of tokens beyond ``cached`` that were read recently."""
+    """Return the number of tokens beyond ``cached`` that were read recently.
+
+    :param region: the upstream's group. Each region reads a part once, since sending
+        all prompts that share it to another region costs more.
+    """
     earliest = now - state.reread_window
     position = 0
     tokens = 0
     for part in request.parts:
         position += part.tokens
-        if position > cached and state.prefixes.used_since(part.part, earliest):
+        if position > cached and state.prefixes.used_since(part.part, earliest, region):
             tokens += part.tokens
     return tokens
--- a/src/rudderpass/exchange/_connections.py
+++ b/src/rudderpass/exchange/_connections.py
@@ -48,17 +48,23 @@
 
     :param connection: an established connection.
     :param is_reused: whether it has carried an exchange before.
+    :param connect_seconds: how long connecting took; None if it is reused.
     :ivar write_error: why the request could not be sent completely.
     """
 
     def __init__(
-        self, connection: http.client.HTTPConnection, address: str, is_reused: bool
+        self,
+        connection: http.client.HTTPConnection,
+        address: str,
+        is_reused: bool,
+        connect_seconds: float | None = None,
     ) -> None:
         self._connection = connection
         self._address = address
         self._responded_early = False
         self.write_error: OSError | None = None
         self.is_reused = is_reused
+        self.connect_seconds = connect_seconds
 
     @property
     def address(self) -> str:
@@ -157,6 +163,7 @@
                 return UpstreamConnection(idle, address, is_reused=True)
         limit = min(CONNECT_TIMEOUT_SECONDS, max(0.01, timeout))
         connection = http.client.HTTPConnection(address, timeout=limit)
+        began = _clock.now()
         try:
             connection.connect()
         except OSError as error:
@@ -165,8 +172,9 @@
             raise error_type(
                 f"could not connect: {error}", sent=False, step="connect", peer=address
             ) from error
+        seconds = _clock.now() - began
         set_tcp_options(connection.sock)
-        return UpstreamConnection(connection, address, is_reused=False)
+        return UpstreamConnection(connection, address, False, seconds)
 
     def has_crashed(self, address: str) -> bool:
         """Return whether the port refuses connections, after a connection was cut.
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -23,6 +23,7 @@
 from rudderpass.exchange._caches import CacheTracker
 from rudderpass.exchange._choice import RoutingState, choose_upstream, isolate_choice
 from rudderpass.exchange._crashes import CrashDetector
+from rudderpass.exchange._eligibility import Eligibility
 from rudderpass.exchange._forecast import Forecasts
 from rudderpass.exchange._load import LoadReport, LoadTracker, request_load
 from rudderpass.exchange._overload import find_retry_after
@@ -70,7 +71,10 @@
         rank_host: Callable[[UpstreamId, float], HostRank] | None = None,
     ) -> None:
         self._directory = directory
-        self._state = RoutingState(zone, PrefixIndex(), {}, reread_window)
+        self._state = RoutingState(
+            zone, PrefixIndex(), {}, reread_window, directory.regions
+        )
+        self._eligibility = Eligibility(directory)
         self._loads = LoadTracker()
         self._forecasts = Forecasts(directory, self._loads)
         self._hold_times = HoldTimes()
@@ -183,7 +187,11 @@
         if self._is_stale:
             return Refused(RefusalReason.SUSPENDED, SUSPENDED_RETRY_SECONDS)
         self._directory.expire(now)
-        upstreams = self._directory.serving(accepted.service)
+        upstreams = self._eligibility.find_eligible(
+            accepted, self._directory.serving(accepted.service)
+        )
+        if isinstance(upstreams, Refused):
+            return upstreams
         stall_risk = self._forecasts.stall_risk(accepted, upstreams, now)
         throttled = self._throttling.find_throttled(
             [entry.upstream for entry in upstreams], now
@@ -245,12 +253,17 @@
             self._directory.list_age(now),
             chosen.copy_from,
             throttled=len(throttled),
+            region=self._directory.regions.region_of(chosen.upstream.zone),
         )
 
-    def accepts_requests(self, assignment: Assignment, now: float) -> bool:
-        """Return whether the chosen upstream still accepts new requests."""
+    def accepts_requests(
+        self, accepted: Accepted, assignment: Assignment, now: float
+    ) -> bool:
+        """Return whether an assigned request may still be sent to its upstream."""
         if self._is_stale:
             return False
+        if not self._eligibility.is_allowed(accepted, assignment):
+            return False
         if self._throttling.has_active_retry_after(assignment.upstream, now):
             return False
         return self._directory.accepts_requests(assignment.upstream, now)
@@ -346,6 +359,14 @@
         self._state.health_of(assignment.upstream).record_replaced()
         self._state.prefixes.forget_upstream(assignment.upstream)
 
+    def record_connected(
+        self, assignment: Assignment, seconds: float, now: float
+    ) -> None:
+        """Record how long connecting to an upstream took."""
+        if self._directory.regions.has_several:
+            for entry in assignment.involved[:1]:
+                self._state.round_trips.record(entry.zone, seconds, now)
+
     def record_unreachable(self, assignment: Assignment, now: float) -> None:
         """Record that no connection to an upstream could be established."""
         load = request_load(assignment.unread_tokens, assignment.tight, assignment.rank)
--- a/src/rudderpass/exchange/_logging.py
+++ b/src/rudderpass/exchange/_logging.py
@@ -6,7 +6,7 @@
 from rudderpass._ids import Fingerprint, NodeId, UpstreamId
 from rudderpass.errors import ConnectionCut, ConnectionRefused, UpstreamError
 from rudderpass.eventlog import log, round_age
-from rudderpass.exchange._assignment import Accepted, Assignment, Refused
+from rudderpass.exchange._assignment import Accepted, Assignment, RefusalReason, Refused
 from rudderpass.exchange._budget import RetryDecision
 from rudderpass.exchange._load import Load
 from rudderpass.exchange._progress import ExchangeSummary
@@ -29,6 +29,7 @@
             route=accepted.route.name,
             service=accepted.service,
             config_version=accepted.config_version,
+            **_describe_regions(assigned),
         )
         return
     choice = assigned.choice
@@ -65,9 +66,17 @@
         config_version=accepted.config_version,
         list_offset=assigned.list_offset,
         list_age=round_age(assigned.list_age),
+        **({} if assigned.region is None else {"region": assigned.region}),
     )
 
 
+def _describe_regions(refused: Refused) -> dict[str, object]:
+    """Return the log fields of a refusal that is due to the allowed regions."""
+    if refused.reason is not RefusalReason.NO_REGION:
+        return {}
+    return {"allowed_regions": list(refused.allowed_regions)}
+
+
 def log_attempt(
     request: ExchangeRequest,
     assigned: Assignment,
--- a/src/rudderpass/exchange/_placement.py
+++ b/src/rudderpass/exchange/_placement.py
@@ -8,13 +8,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 import xxhash
 
-from rudderpass._ids import UpstreamId
-from rudderpass.directory import RegisteredUpstream
+from rudderpass._ids import Region, UpstreamId
+from rudderpass.directory import RegionMap, RegisteredUpstream
 from rudderpass.exchange._load import Load, PrefillRate
 from rudderpass.exchange._request import ExchangeRequest
 from rudderpass.exchange._weights import (
@@ -81,6 +81,9 @@
 class Placement:
     """Computes the placement cost of each upstream for one request.
 
+    With several regions, each has its own reserved upstreams, and the preferred one is
+    in the host's region if that has any candidate.
+
     :param upstreams: the candidates.
 
     .. versionadded:: 0.2
@@ -93,6 +96,7 @@
         upstreams: Sequence[RegisteredUpstream],
         loads: Mapping[UpstreamId, Load],
         demand: Demand,
+        regions: RegionMap,
     ) -> None:
         self._stall_risk = stall_risk
         self._loads = loads
@@ -100,8 +104,10 @@
         self._reserved: frozenset[UpstreamId] = frozenset()
         self._preferred: UpstreamId | None = None
         if request.parts and upstreams:
-            self._reserved = _reserve(upstreams, loads, demand)
-            self._preferred = self._prefer(request, upstreams)
+            by_region = _group(upstreams, regions)
+            self._reserved = _reserve(by_region.values(), loads, demand)
+            home = by_region.get(regions.own) if regions.own else None
+            self._preferred = self._prefer(request, home or upstreams)
 
     def cost(self, upstream: UpstreamId, unread_tokens: int) -> float:
         """Return the placement cost of an upstream, in seconds.
@@ -137,7 +143,37 @@
         return _rendezvous_order(shared[-1].part, suitable or upstreams)[0]
 
 
+def _group(
+    upstreams: Sequence[RegisteredUpstream], regions: RegionMap
+) -> dict[Region | None, list[RegisteredUpstream]]:
+    """Return the upstreams of each region; a single group unless there are several."""
+    groups: dict[Region | None, list[RegisteredUpstream]] = {}
+    for entry in upstreams:
+        groups.setdefault(regions.group_of(entry.zone), []).append(entry)
+    return groups
+
+
 def _reserve(
+    groups: Iterable[Sequence[RegisteredUpstream]],
+    loads: Mapping[UpstreamId, Load],
+    demand: Demand,
+) -> frozenset[UpstreamId]:
+    """Return the upstreams reserved for tight streams in all regions.
+
+    Prompts are assumed to be read in each region in proportion to its upstreams.
+    """
+    known = list(groups)
+    total = sum(len(group) for group in known)
+    reserved: set[UpstreamId] = set()
+    for group in known:
+        share = len(group) / total
+        rate = demand.prefill_rate
+        rate = PrefillRate(rate.tight * share, rate.other * share)
+        reserved |= _reserve_in(group, loads, Demand(rate, demand.slowness))
+    return frozenset(reserved)
+
+
+def _reserve_in(
     upstreams: Sequence[RegisteredUpstream],
     loads: Mapping[UpstreamId, Load],
     demand: Demand,
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -126,6 +126,11 @@
             with self._context.lock:
                 self._context.core.record_unreachable(self._assigned, _clock.now())
             raise
+        seconds = self._connection.connect_seconds
+        if seconds is not None:
+            with self._context.lock:
+                core = self._context.core
+                core.record_connected(self._assigned, seconds, _clock.now())
         return self._connection
 
     def _check_leaving(self, connection: UpstreamConnection) -> None:
@@ -135,7 +140,9 @@
         requests assigned near the end of the drain period would arrive after it.
         """
         with self._context.lock:
-            if self._context.core.accepts_requests(self._assigned, _clock.now()):
+            if self._context.core.accepts_requests(
+                self._accepted, self._assigned, _clock.now()
+            ):
                 return
         raise UpstreamError(
             "the upstream no longer accepts requests",
--- a/src/rudderpass/exchange/_weights.py
+++ b/src/rudderpass/exchange/_weights.py
@@ -39,6 +39,15 @@
 """Cost of sending to another availability zone, in addition to its delay: ties go to
 the own zone, and 100 kB outweigh a delay that nobody notices."""
 
+OTHER_REGION_SECONDS = 0.1
+OTHER_REGION_SECONDS_PER_KB = 4 * OTHER_ZONE_SECONDS_PER_KB
+"""The same for another region, where each byte costs four times as much. The constant
+part is ten times as high: hosts know the loads in other regions late, so that a small
+difference would send all of them there and back."""
+
+OTHER_REGION_COPY_SETUP_SECONDS = 0.12
+"""Additional time to set up a copy between regions: two round trips of 60 ms."""
+
 RESPONSE_BYTES_PER_TOKEN = 20
 """An event with four tokens takes about 75 bytes: an id and some text per token."""
 
--- a/tests/exchange/test_leaving.py
+++ b/tests/exchange/test_leaving.py
@@ -6,7 +6,7 @@
 from rudderpass.directory._upstreams import MAX_REMEMBERED
 from rudderpass.exchange import ResponseHead, ResponseKind
 from tests.directory.builders import make_route, upstream_record, upstream_tombstone
-from tests.exchange.builders import assign, make_core, make_request
+from tests.exchange.builders import accept, assign, make_core, make_request
 from tests.exchange.harness import raw, respond
 from tests.exchange.test_serve import MakeHarness, make_harness
 
@@ -27,6 +27,7 @@
 
 def test_a_later_ready_entry_does_not_clear_a_leaving_report() -> None:
     core = make_core(upstreams=2)
+    accepted = accept(core, make_request(), 0.5)
     assigned = assign(core, make_request(), 0.5)
     head = ResponseHead(
         ResponseKind.SUCCESS, 200, "OK", (), False, 2.0, is_leaving=True
@@ -40,7 +41,7 @@
     now = 1.5 + DRAIN_SECONDS
     upstreams = {assign(core, make_request(), now).upstream for _ in range(10)}
     assert assigned.upstream not in upstreams
-    assert not core.accepts_requests(assigned, now)
+    assert not core.accepts_requests(accepted, assigned, now)
 
 
 def test_an_upstream_listed_again_after_expiry_is_still_leaving() -> None:
--- a/tests/exchange/test_retry_after.py
+++ b/tests/exchange/test_retry_after.py
@@ -66,7 +66,8 @@
     refuse_at(core, refused, 0.1)
     core.record_response_start(earlier, 0.2)
     core.record_end(earlier, True, 0.3)
-    assert not core.accepts_requests(refused, 1.0)
+    accepted = accept(core, make_request(), 0.0)
+    assert not core.accepts_requests(accepted, refused, 1.0)
 
 
 def test_requests_are_refused_while_retry_after_rules_out_all_upstreams(
@@ -117,12 +118,13 @@
     kind: ResponseKind, status: int, applies: bool
 ) -> None:
     core = make_core(upstreams=1)
+    accepted = accept(core, make_request(), 0.0)
     assigned = assign(core, make_request(), 0.0)
     head = ResponseHead(
         kind, status, "", (), False, 0.0, retry_after=RETRY_AFTER_SECONDS
     )
     core.record_head(assigned, head, 0.0)
-    assert core.accepts_requests(assigned, 1.0) is not applies
+    assert core.accepts_requests(accepted, assigned, 1.0) is not applies
 
 
 def test_a_refusal_names_the_shortest_retry_after_of_the_upstreams() -> None:
