--- a/tests/exchange/test_proximity.py
+++ b/tests/exchange/test_proximity.py
@@ -189,12 +189,16 @@
     """Guards against sending each prompt across because reading it here costs once."""
     deployment = Deployment(ALL_ZONES)
     core = deployment.core
-    far = make_request(parts=LONG, body=b"x" * 4000)
-    core.assign(far, accept(core, far, 0.0), {UpstreamId("u1"), UpstreamId("u2")}, 0.0)
+    far = make_request(parts=LONG)
+    others = {UpstreamId("u1"), UpstreamId("u2")}
+    away = core.assign(far, accept(core, far, 0.0), others, 0.0)
+    assert not isinstance(away, Refused)
+    core.record_response_start(away, 0.5)
+    core.record_end(away, True, 1.0)
     sent = []
     for number in range(1, 7):
         prompt = parts(("shared", 13_000), (f"own-{number}", 200))
-        request = make_request(parts=prompt, body=b"x" * 50_000)
+        request = make_request(parts=prompt, body=b"x" * 40_000)
         assigned = assign(core, request, 2.0 * number)
         sent.append((ZONES[zone_of(deployment, assigned)], assigned.unread_tokens))
         core.record_response_start(assigned, 2.0 * number + 0.5)
