Order the load of evacuated zones in the other zones

Cause: the plan knows no evacuations: it would order in an evacuated zone, and count what runs there as capacity.

Change: ScaledService has the set of evacuated zones, empty by default. They get no orders in either direction, the others are planned as if they were all zones, and a zone where none are available passes what it lacks to the others while a zone is evacuated. What evacuations required is held until the window of the peak load has passed and every zone has its upstreams. Groups where none are available no longer come before groups with a smaller increase; with many of them, those were never tried. HostDuties takes a callable for the evacuated zones, and drops an order whose zone was evacuated after the plan. The plan itself moves to duties/_planning.py.

--- a/src/rudderpass/duties/__init__.py
+++ b/src/rudderpass/duties/__init__.py
@@ -27,15 +27,12 @@
     WindowUsage as WindowUsage,
     make_token as make_token,
 )
+from rudderpass.duties._planning import ScaledService as ScaledService
 from rudderpass.duties._reports import (
     ReportPolicy as ReportPolicy,
     UsageReports as UsageReports,
 )
-from rudderpass.duties._scaling import (
-    ScaledService as ScaledService,
-    ScaleOrders as ScaleOrders,
-    plan_upstreams as plan_upstreams,
-)
+from rudderpass.duties._scaling import ScaleOrders as ScaleOrders
 from rudderpass.duties._usage import (
     UsageCounter as UsageCounter,
     UsageTracker as UsageTracker,
--- a/src/rudderpass/host/_duties.py
+++ b/src/rudderpass/host/_duties.py
@@ -13,7 +13,7 @@
 from functools import singledispatchmethod
 
 from rudderpass import _clock
-from rudderpass._ids import FencingToken, NodeId, PoolId, TeamId
+from rudderpass._ids import AvailabilityZone, FencingToken, NodeId, PoolId, TeamId
 from rudderpass.directory import LogPosition, ScalingTraits
 from rudderpass.duties import (
     Action,
@@ -66,6 +66,8 @@
     :param read_view: returns the host's view of itself and its peers; called with the
         lock held.
     :param stopping: set when the host stops.
+    :param read_evacuated: returns the zones that are evacuated now; called with the
+        lock held.
 
     .. versionadded:: 0.2
     """
@@ -80,6 +82,7 @@
         lock: threading.RLock,
         read_view: Callable[[float], ClusterView],
         stopping: threading.Event,
+        read_evacuated: Callable[[], frozenset[AvailabilityZone]] = frozenset,
     ) -> None:
         now, wall = _clock.now(), time.time()
         start = int(wall * _MS)
@@ -91,6 +94,7 @@
         self._lock = lock
         self._read_view = read_view
         self._stopping = stopping
+        self._read_evacuated = read_evacuated
         self._clock = WindowClock(settings.window, now, wall)
         self._counter = UsageCounter(self._clock, start)
         self._usage_tracker = UsageTracker()
@@ -210,7 +214,8 @@
         listed = self._core.directory.listed.values()
         upstreams = [r.entry for r in listed if r.entry.service == service]
         busy = estimate_busy_upstreams(self._core.loads, service, upstreams, now)
-        return ScaledService(service, traits, upstreams, busy)
+        evacuated = self._read_evacuated()
+        return ScaledService(service, traits, upstreams, busy, evacuated)
 
     def _start_thread(self) -> None:
         """Start the thread for platform calls; most hosts never make any."""
@@ -237,6 +242,8 @@
         with self._lock:
             previous_token = self._coordinator.token
             action = self._coordinator.next_action(self._read_view(now), now)
+            if isinstance(action, SendOrder) and self._is_evacuated(action.group):
+                action = None  # Evacuated since the orders were last updated.
         if action is None or self._stopping.is_set():
             return False
         self._perform(action)
@@ -319,10 +326,15 @@
         with self._lock:
             self._coordinator.record_order_result(action, result, _clock.now())
 
-    def _describe_order(self, group: ScalingGroup) -> dict[str, float]:
+    def _is_evacuated(self, group: ScalingGroup) -> bool:
+        return group.zone in self._read_evacuated()
+
+    def _describe_order(self, group: ScalingGroup) -> dict[str, object]:
         """Return the inputs of a scaling decision; call with the lock held."""
         assert self._orders is not None
+        evacuated = sorted(self._read_evacuated())
         return {
+            **({"evacuated": evacuated} if evacuated else {}),
             "seen": self._orders.count_present(group),
             "peak_busy": round(self._orders.peak_busy(group.service), 2),
             "list_age": round(self._core.directory.list_age(_clock.now()), 3),
--- a/tests/duties/test_scaling.py
+++ b/tests/duties/test_scaling.py
@@ -9,7 +9,8 @@
 from rudderpass._ids import AvailabilityZone, PoolId, UpstreamId, UpstreamName
 from rudderpass.directory import RegisteredUpstream, ScalingTraits
 from rudderpass.duties import CallResult, ScaledService, ScaleOrders, ScalingGroup
-from rudderpass.duties._scaling import PEAK_WINDOW_SECONDS, STABLE_SECONDS
+from rudderpass.duties._planning import PEAK_WINDOW_SECONDS
+from rudderpass.duties._scaling import STABLE_SECONDS
 
 SERVICE = PoolId("engines")
 ZONES = [AvailabilityZone(f"hall-{letter}") for letter in "abc"]
@@ -36,6 +37,7 @@
         self.now = 0.0
         self.busy = 0.0
         self.spot_unavailable: set[AvailabilityZone] = set()
+        self.evacuated: set[AvailabilityZone] = set()
         self.orders = ScaleOrders()
         self.log: list[tuple[float, ScalingGroup, int]] = []
         self.present = {ScalingGroup(SERVICE, zone, False): per_zone for zone in ZONES}
@@ -67,7 +69,8 @@
             for group, count in self.present.items()
             for number in range(count)
         ]
-        return ScaledService(SERVICE, self.traits, listed, self.busy)
+        evacuated = frozenset(self.evacuated)
+        return ScaledService(SERVICE, self.traits, listed, self.busy, evacuated)
 
     def _execute_order(self, group: ScalingGroup, count: int) -> None:
         self.log.append((self.now, group, count))
@@ -217,6 +220,35 @@
     assert orders.find_order(STABLE_SECONDS + 1.0) == first
 
 
+def test_groups_without_available_upstreams_do_not_delay_the_others() -> None:
+    """With many of them, a round of attempts takes longer than RETRY_SECONDS.
+
+    Each attempt takes a call and a read of the log, and the largest increase comes
+    first.
+    """
+    orders = ScaleOrders()
+    zones = [AvailabilityZone(f"hall-{number}") for number in range(12)]
+    traits = replace(TRAITS, zone_prices=dict.fromkeys(zones, 1.0))
+    present = [entry(number, zones[-1], True) for number in range(20)]
+    now, last = 0.0, ScalingGroup(SERVICE, zones[-1], True)
+    tried: dict[ScalingGroup, int] = {}
+    while now < 20.0:
+        orders.update([ScaledService(SERVICE, traits, present)], now)
+        order = orders.find_order(now)
+        now += 0.2
+        if order is not None:
+            tried[order[0]] = tried.get(order[0], 0) + 1
+            is_available = order[0] == last or not order[0].is_spot
+            result = CallResult.DONE if is_available else CallResult.CONFLICT
+            orders.record_result(*order, result, now)
+    assert last in tried, "it lacks the fewest upstreams, and none are refused there"
+    counts = [
+        count for group, count in tried.items() if group.is_spot and group != last
+    ]
+    assert len(counts) == 11
+    assert max(counts) - min(counts) <= 1, "the others are tried in turn"
+
+
 def test_equal_bounds_are_respected() -> None:
     tight = replace(TRAITS, min_upstreams=2, max_upstreams=2)
     fleet = Fleet(tight, per_zone=2)
