Shift only what zones require, and test the loss of a whole zone

Cause: while the peak load is unknown, what is present in a zone is kept. What a zone without available upstreams lacks was added to that, so each order raised the next one up to the bound, every quarter of a second.

Change: the shortage is added to what a zone requires, and what is present is kept afterwards.

--- a/src/rudderpass/duties/_planning.py
+++ b/src/rudderpass/duties/_planning.py
@@ -15,13 +15,13 @@
 
 import math
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from rudderpass._ids import AvailabilityZone, PoolId
 from rudderpass.directory import RegisteredUpstream, ScalingTraits
 from rudderpass.duties._messages import ScalingGroup
-from rudderpass.duties._moved_load import ZoneCounts, count_moved
+from rudderpass.duties._moved_load import ZoneCounts, count_moved, shift_shortage
 
 PEAK_WINDOW_SECONDS = 600.0
 """Window of the peak load: bursts come some minutes apart."""
@@ -107,29 +107,53 @@
         return now - self.since >= PEAK_WINDOW_SECONDS
 
 
-def plan_totals(scaled: ScaledService, peak: PeakLoad, now: float) -> ZoneCounts:
+def plan_totals(
+    scaled: ScaledService,
+    peak: PeakLoad,
+    now: float,
+    refused: Collection[AvailabilityZone] = (),
+) -> ZoneCounts:
     """Return the wanted number of upstreams of each zone that is not evacuated.
 
     While the peak load is not known, none are released, and spot upstreams are ordered
     up to the upper bound.
+
+    :param refused: the zones where none were available for the last order; they pass
+        what they lack to the other zones while a zone is evacuated.
     """
+    traits, present = scaled.traits, scaled.count_present()
+    is_known = peak.is_known(now)
+    required = _plan_required(scaled, peak, present, is_known)
+    if scaled.evacuated:
+        required = shift_shortage(
+            required, present, refused, traits.zone_prices, traits.max_upstreams
+        )
+    # What is kept must not be shifted: each order would raise the next one.
+    kept = ZoneCounts() if is_known else present
+    return {
+        zone: min(traits.max_upstreams, max(count, kept.get(zone, 0)))
+        for zone, count in required.items()
+    }
+
+
+def _plan_required(
+    scaled: ScaledService, peak: PeakLoad, present: ZoneCounts, is_known: bool
+) -> ZoneCounts:
+    """Return how many upstreams each open zone requires, whatever is present there."""
     traits = scaled.traits
     zones = [zone for zone in scaled.zones if zone not in scaled.evacuated]
     needed = peak.busy / TARGET_UTILIZATION
     if scaled.prefers_spot and len(zones) > 1:
         needed *= len(zones) / (len(zones) - 1)  # All of one zone may be lost.
     per_zone = math.ceil(needed / max(1, len(zones)))
-    present = scaled.count_present()
-    left = [count for zone, count in present.items() if zone in scaled.evacuated]
-    moved = count_moved(left, len(present), len(zones))
-    totals: ZoneCounts = {}
-    for zone in zones:
-        least = max(1, traits.min_upstreams)
-        if not peak.is_known(now):
-            known = max(least, present[zone], moved)
-            least = traits.max_upstreams if scaled.prefers_spot else known
-        totals[zone] = min(traits.max_upstreams, max(least, per_zone))
-    return totals
+    least = max(1, traits.min_upstreams)
+    if not is_known and scaled.prefers_spot:
+        least = traits.max_upstreams
+    elif not is_known:
+        left = [count for zone, count in present.items() if zone in scaled.evacuated]
+        least = max(least, count_moved(left, len(present), len(zones)))
+    count = min(traits.max_upstreams, max(least, per_zone))
+    return dict.fromkeys(zones, count)
 
 
 def plan_upstreams(
--- a/src/rudderpass/duties/_scaling.py
+++ b/src/rudderpass/duties/_scaling.py
@@ -8,7 +8,7 @@
 
 from rudderpass._ids import PoolId
 from rudderpass.duties._messages import CallResult, ScalingGroup
-from rudderpass.duties._moved_load import HeldCounts, ZoneCounts, shift_shortage
+from rudderpass.duties._moved_load import HeldCounts, ZoneCounts
 from rudderpass.duties._planning import (
     PEAK_WINDOW_SECONDS,
     PeakLoad,
@@ -135,15 +135,13 @@
         self, scaled: ScaledService, peak: PeakLoad, now: float
     ) -> ZoneCounts:
         """Return the wanted totals, with the capacity that evacuations require."""
-        totals = plan_totals(scaled, peak, now)
-        traits, present = scaled.traits, scaled.count_present()
-        if scaled.evacuated:
-            refused = {g.zone for g in self._refused if g.service == scaled.service}
-            totals = shift_shortage(
-                totals, present, refused, traits.zone_prices, traits.max_upstreams
-            )
-        held = self._held.apply(scaled.service, scaled.evacuated, totals, present, now)
-        return {z: min(traits.max_upstreams, count) for z, count in held.items()}
+        refused = {g.zone for g in self._refused if g.service == scaled.service}
+        totals = plan_totals(scaled, peak, now, refused)
+        held = self._held.apply(
+            scaled.service, scaled.evacuated, totals, scaled.count_present(), now
+        )
+        most = scaled.traits.max_upstreams
+        return {zone: min(most, count) for zone, count in held.items()}
 
     def _rank(self, group: ScalingGroup, count: int, now: float) -> tuple[bool, float]:
         """Return the rank of a due order; the one with the highest comes next."""
--- a/tests/duties/simulation.py
+++ b/tests/duties/simulation.py
@@ -131,6 +131,7 @@
     received: list[Call] = field(default_factory=list)
     delayed: list[tuple[float, Call]] = field(default_factory=list)
     has_spot: bool = True
+    empty_zones: set[AvailabilityZone] = field(default_factory=set)
     counts: dict[CallTarget, int] = field(default_factory=dict)
     _highest_tokens: dict[CallTarget, FencingToken] = field(default_factory=dict)
 
@@ -151,7 +152,8 @@
         if isinstance(call.target, ScalingGroup):
             assert isinstance(call.value, int)
             grows = call.value > self.counts.get(call.target, 0)
-            if call.target.is_spot and grows and not self.has_spot:
+            is_empty = call.target.zone in self.empty_zones
+            if grows and (is_empty or call.target.is_spot and not self.has_spot):
                 return CallResult.CONFLICT
             self.counts[call.target] = call.value
         self.completed.append(call)
@@ -241,6 +243,10 @@
         window = int((EPOCH + self.now) // WINDOW)
         self.started_requests[window] = self.started_requests.get(window, 0) + requests
 
+    def describe_service(self) -> ScaledService:
+        """Return the scaled service as every host sees it."""
+        return ScaledService(SERVICE, TRAITS, [])
+
     def find_violations(self) -> list[str]:
         """Return the violations of the platform's rules."""
         found = []
@@ -327,7 +333,7 @@
         if host.reaches_store and self.now - self.log.restored_at > ERA_DELAY_SECONDS:
             host.coordinator.record_era(self.log.era)
         host.coordinator.tick(view, self.now)
-        host.orders.update([ScaledService(SERVICE, TRAITS, [])], self.now)
+        host.orders.update([self.describe_service()], self.now)
         for _ in range(MAX_CALLS_PER_STEP):
             next_action = host.coordinator.next_action(view, self.now)
             if next_action is None:
--- a/tests/duties/test_evacuated_zones.py
+++ b/tests/duties/test_evacuated_zones.py
@@ -211,6 +211,15 @@
     assert fleet.count_in(ZONES[1]) > fleet.count_in(ZONES[0])
 
 
+def test_shifted_orders_do_not_raise_one_another() -> None:
+    """What is present is kept while the peak load is unknown, on top of no shift."""
+    fleet = TroubledFleet(EXPENSIVE_SPOT, per_zone=4)
+    fleet.unavailable = {ZONES[1]}
+    fleet.evacuated = {ZONES[0]}
+    fleet.run(60.0)
+    assert [fleet.count_in(zone) for zone in ZONES] == [4, 4, 8]
+
+
 def test_upstreams_in_an_evacuated_zone_are_not_wanted() -> None:
     fleet = make_calm_fleet(EXPENSIVE_SPOT, 3.0)
     price = fleet.orders.price
@@ -267,6 +276,10 @@
     for kind, zone, seconds in events:
         apply_event(fleet, kind, zone)
         fleet.run(seconds, step=0.5)
+    fleet.run(60.0, step=0.5)
+    settled = fleet.orders.wanted
+    fleet.run(20.0, step=0.5)
+    assert fleet.orders.wanted <= settled, "orders do not raise one another"
     fleet.evacuated.clear()
     fleet.unavailable.clear()
     fleet.spot_unavailable.clear()
--- a/tests/host/test_duties.py
+++ b/tests/host/test_duties.py
@@ -8,8 +8,10 @@
 
 import pytest
 
-from rudderpass.duties import LeasePolicy
+from rudderpass._ids import AvailabilityZone, PoolId
+from rudderpass.duties import LeasePolicy, ScalingGroup
 from rudderpass.host import DutySettings, ExchangeHost, OrderMode
+from rudderpass.host._duties import HostDuties
 from tests.host.test_host import Deployment, read_gauge, wait_for
 from tests.platform.cloud import StandInCloud
 
@@ -157,3 +159,60 @@
     duties.send_requests(1.5)
     duties.cloud.status = 200
     wait_for(lambda: duties.reported_count() == duties.request_count)
+
+
+@pytest.fixture
+def evacuated(monkeypatch: pytest.MonkeyPatch) -> set[AvailabilityZone]:
+    """Return the zones that are evacuated at all hosts that are started later."""
+    zones: set[AvailabilityZone] = set()
+    make_duties = ExchangeHost._make_duties
+
+    def make(host: ExchangeHost) -> HostDuties | None:
+        duties = make_duties(host)
+        if duties is not None:
+            monkeypatch.setattr(duties, "_read_evacuated", lambda: frozenset(zones))
+        return duties
+
+    monkeypatch.setattr(ExchangeHost, "_make_duties", make)
+    return zones
+
+
+def test_an_evacuated_zone_is_not_ordered_until_it_returns(
+    duties: DutyDeployment, evacuated: set[AvailabilityZone]
+) -> None:
+    duties.settings = replace(
+        duties.settings, reports_usage=False, orders_upstreams=True, most_upstreams=5
+    )
+    duties.deployment.publish(2, "k1", scaling=SCALING)
+    evacuated.add(AvailabilityZone("hall-b"))
+    duties.start(1)
+    wait_for(lambda: orders(duties) == [("hall-a", 4, True)])
+    wait_for(lambda: read_gauge(duties.hosts[0], "upstreams_wanted") == 5)
+    threading.Event().wait(1.0)
+    assert {zone for zone, _, _ in orders(duties)} == {"hall-a"}
+    evacuated.clear()
+    wait_for(lambda: len(orders(duties)) == 3)
+    assert set(orders(duties)[1:]) == {("hall-b", 4, True), ("hall-b", 1, False)}
+
+
+def test_an_order_is_dropped_if_its_zone_is_evacuated_before_the_call(
+    duties: DutyDeployment,
+    evacuated: set[AvailabilityZone],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The plan is computed some times a second, and a call follows later."""
+    duties.settings = replace(
+        duties.settings, reports_usage=False, orders_upstreams=True, most_upstreams=5
+    )
+    duties.deployment.publish(2, "k1", scaling=SCALING)
+    evacuated |= {AvailabilityZone("hall-a"), AvailabilityZone("hall-b")}
+    duties.start(1)
+    host_duties = duties.hosts[0]._duties
+    assert host_duties is not None and host_duties._orders is not None
+    wait_for(lambda: host_duties.holds)
+    group = ScalingGroup(PoolId("engines"), AvailabilityZone("hall-b"), True)
+    monkeypatch.setattr(host_duties._orders, "find_order", lambda now: (group, 4))
+    threading.Event().wait(1.0)
+    assert orders(duties) == []
+    evacuated.clear()
+    wait_for(lambda: ("hall-b", 4, True) in orders(duties))
