Order in other zones before the log is read after a refusal

Cause: an order that is refused makes the holder read the log of the duties before its next call, since its token may be outdated. While the store does not answer, one zone without available upstreams stops the orders of all.

Change: after a conflict, due orders of groups where none was refused are sent first, with the same token; the platform refuses them if another host holds the duties. The log is read after that, before any other call.

--- a/src/rudderpass/duties/_coordinator.py
+++ b/src/rudderpass/duties/_coordinator.py
@@ -117,6 +117,7 @@
         self._may_claim = False
         self._may_lack_usage = False
         self._needs_new_token = False
+        self._has_conflict = False
         self._next_attempt_at = float("-inf")
 
     @property
@@ -149,6 +150,12 @@
             return None
         if self.token is None:
             return self._next_claim(view, now)
+        if self._has_conflict:
+            order = self._next_available_order(self.token, now)
+            if order is not None:
+                return order
+            self._has_conflict = False
+            self._election.mark_stale()
         must_claim = self._election.needs_renewal
         if self._log is None or (self._election.needs_check and not must_claim):
             return ReadLog()
@@ -219,7 +226,8 @@
         An order without a response may be carried out after newer ones. Using a new
         token for these makes the platform refuse it. A conflict means either that no
         upstreams are available or that another host holds the duties; the log shows
-        which.
+        which. Orders of other groups are sent first, so that they do not wait for the
+        log; the platform refuses them if another host holds the duties.
         """
         assert self._orders is not None
         self._orders.record_result(sent.group, sent.count, result, now)
@@ -228,7 +236,17 @@
         if result is CallResult.UNKNOWN:
             self._needs_new_token = True
         elif result is CallResult.CONFLICT:
-            self._election.mark_stale()
+            self._has_conflict = True
+
+    def _next_available_order(
+        self, token: FencingToken, now: float
+    ) -> SendOrder | None:
+        """Return the due order of a group where none was refused, after a conflict."""
+        must_claim = self._needs_new_token or self._election.needs_renewal
+        if must_claim or self._orders is None or not self._election.may_act(now):
+            return None
+        order = self._orders.find_order(now, skips_refused=True)
+        return None if order is None else SendOrder(token, *order)
 
     def _next_claim(self, view: ClusterView, now: float) -> Action | None:
         if view.rank is None or not self._election.should_claim(view.rank, now):
@@ -269,7 +287,7 @@
         """Resume the duties as the holder, from the contents of the log."""
         self._may_claim = False
         if self.token != previous_token:
-            self._needs_new_token = False
+            self._needs_new_token = self._has_conflict = False
         if self._reports is not None:
             self._resume_reports(self._reports, log, previous_token is None, now)
         if self._orders is not None and previous_token is None:
--- a/src/rudderpass/duties/_scaling.py
+++ b/src/rudderpass/duties/_scaling.py
@@ -98,12 +98,16 @@
                 {group: find_price(scaled.traits, group) for group in wanted}
             )
 
-    def find_order(self, now: float) -> tuple[ScalingGroup, int] | None:
+    def find_order(
+        self, now: float, skips_refused: bool = False
+    ) -> tuple[ScalingGroup, int] | None:
         """Return the order that is due; the largest increase comes first.
 
         Groups where none were available come after the others, the one that has waited
         longest first: otherwise they would delay the others once attempts take as long
         as the interval between them.
+
+        :param skips_refused: whether to leave those groups out.
         """
         if self._started_at is None or not self._is_stable(now):
             return None
@@ -111,6 +115,7 @@
             (self._rank(group, count, now), group, count)
             for group, count in self._wanted.items()
             if self._is_due(group, count, now)
+            and not (skips_refused and group in self._refused)
         ]
         if not due:
             return None
--- a/tests/duties/test_zone_loss.py
+++ b/tests/duties/test_zone_loss.py
@@ -144,3 +144,23 @@
     assert attempts[last] <= 2
     assert len(simulation.holders) == 1
     assert simulation.find_violations() == []
+
+
+def test_other_zones_are_ordered_if_the_log_cannot_be_read_after_a_refusal(
+    simulation: ZonedSimulation,
+) -> None:
+    """The refusal makes the holder read the log before its next calls."""
+    lost, empty, last = ZONES
+    began = simulation.now
+    for host in simulation.hosts.values():
+        host.reaches_store = False
+    simulation.platform.empty_zones = {empty}
+    simulation.evacuated = frozenset({lost})
+    simulation.run(1.0)
+    assert simulation.orders_since(began)[last] >= 6
+    for host in simulation.hosts.values():
+        host.reaches_store = True
+    simulation.run(20.0)
+    assert simulation.orders_since(began)[last] == 8
+    assert len(simulation.holders) == 1
+    assert simulation.find_violations() == []
--- a/tests/host/test_duties.py
+++ b/tests/host/test_duties.py
@@ -211,7 +211,7 @@
     assert host_duties is not None and host_duties._orders is not None
     wait_for(lambda: host_duties.holds)
     group = ScalingGroup(PoolId("engines"), AvailabilityZone("hall-b"), True)
-    monkeypatch.setattr(host_duties._orders, "find_order", lambda now: (group, 4))
+    monkeypatch.setattr(host_duties._orders, "find_order", lambda now, **_: (group, 4))
     threading.Event().wait(1.0)
     assert orders(duties) == []
     evacuated.clear()
