Keep the newest statement on each evacuated zone, and send nothing there

Cause: operators evacuate a zone by a record under evacuate/ZONE in the configuration's topic, which the directory passed over. Directory applies changes and lists of the topic apart, and leaves upstreams of evacuated zones out of serving and accepts_requests. CrashDetector asks is_ready instead, since an evacuated upstream still renews its entry.

--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -13,6 +13,10 @@
     ServiceSpec as ServiceSpec,
 )
 from rudderpass.directory._directory import Directory as Directory
+from rudderpass.directory._evacuations import (
+    Evacuations as Evacuations,
+    EvacuationStatement as EvacuationStatement,
+)
 from rudderpass.directory._follower import (
     STALE_AFTER_SECONDS as STALE_AFTER_SECONDS,
     Clock as Clock,
--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import replace
 
-from rudderpass._ids import PoolId, StoreEra, UpstreamId, UpstreamName
+from rudderpass._ids import AvailabilityZone, PoolId, StoreEra, UpstreamId, UpstreamName
 from rudderpass.directory._active_config import ActiveConfig
 from rudderpass.directory._config import EngineTraits, ExchangeConfig
+from rudderpass.directory._evacuations import Evacuations
 from rudderpass.directory._messages import (
     DirectoryChange,
     DirectoryState,
@@ -50,6 +51,8 @@
     :param drain_bound: seconds for which a leaving upstream may still get new requests.
     :param entry_lifetime: seconds after which the platform removes the entry of an
         upstream that does not renew it.
+    :param evacuation_prefix: of the keys of evacuations, in the configuration's topic.
+    :param zones: the availability zones that the settings name.
 
     Not thread-safe: callers hold the host's lock.
 
@@ -62,7 +65,11 @@
         config_key: str,
         drain_bound: float = DRAIN_BOUND_SECONDS,
         entry_lifetime: float = ENTRY_LIFETIME_SECONDS,
+        evacuation_prefix: str | None = None,
+        zones: Collection[AvailabilityZone] = (),
     ) -> None:
+        self._evacuations = Evacuations(evacuation_prefix)
+        self._setting_zones = frozenset(zones)
         self._confirm_seconds = entry_lifetime + CONFIRM_MARGIN_SECONDS
         self._reader = RecordReader(decoders)
         self._active = ActiveConfig(self._reader, config_key)
@@ -144,7 +151,26 @@
 
     def serving(self, service: PoolId) -> list[RegisteredUpstream]:
         """Return a service's upstreams that accept new requests."""
-        return self._upstreams.serving(service)
+        ready = self._upstreams.serving(service)
+        evacuated = self._evacuations.zones
+        return [entry for entry in ready if entry.zone not in evacuated]
+
+    @property
+    def evacuations(self) -> Evacuations:
+        """The availability zones to which nothing may be sent."""
+        return self._evacuations
+
+    def is_evacuated(self, service: PoolId) -> bool:
+        """Return whether only evacuated zones have upstreams ready for a service."""
+        return bool(self._upstreams.serving(service)) and not self.serving(service)
+
+    def is_address_evacuated(self, address: str) -> bool:
+        """Return whether an upstream at an address is in an evacuated zone."""
+        evacuated = self._evacuations.zones
+        return bool(evacuated) and any(
+            record.entry.address == address and record.entry.zone in evacuated
+            for record in self._upstreams.records.values()
+        )
 
     @property
     def listed(self) -> Mapping[UpstreamId, UpstreamRecord]:
@@ -157,7 +183,14 @@
         return self._upstreams.expiring_count
 
     def accepts_requests(self, upstream: UpstreamId, now: float) -> bool:
-        """Return whether a chosen upstream still accepts new requests."""
+        """Return whether a chosen upstream may still get new requests."""
+        if not self.is_ready(upstream, now):
+            return False
+        zone = self._upstreams.records[upstream].entry.zone
+        return not self._evacuations.is_evacuated(zone)
+
+    def is_ready(self, upstream: UpstreamId, now: float) -> bool:
+        """Return whether an upstream is listed and not leaving, in any zone."""
         self.expire(now)
         return self._upstreams.accepts_requests(upstream)
 
@@ -212,6 +245,50 @@
         """
         return self._active.apply(records, end, source, era)
 
+    def apply_config_changes(
+        self,
+        records: Collection[KeyedRecord],
+        end: int,
+        source: str,
+        now: float,
+        era: StoreEra = UNKNOWN_ERA,
+    ) -> list[DirectoryChange]:
+        """Apply changes of the configuration's topic, in the log's order.
+
+        :param era: of the store that returned the records.
+        """
+        changes = self.apply_config(records, end, source, era)
+        self._evacuations.apply_changes(records, source, era, now)
+        return changes + self.pop_evacuation_changes()
+
+    def apply_config_list(
+        self,
+        records: Collection[KeyedRecord],
+        end: int,
+        source: str,
+        now: float,
+        era: StoreEra = UNKNOWN_ERA,
+    ) -> list[DirectoryChange]:
+        """Apply the newest record of each key of the configuration's topic.
+
+        :param end: the offset as of which the list is complete.
+        :param era: of the store that returned the list.
+        """
+        changes = self.apply_config(records, end, source, era)
+        self._evacuations.apply_list(records, end, source, era, now)
+        return changes + self.pop_evacuation_changes()
+
+    def pop_evacuation_changes(self) -> list[DirectoryChange]:
+        """Return the changes of evacuations since the last call, by any method."""
+        if self._has_list:
+            self._evacuations.check_known(self._read_zones)
+        return self._evacuations.pop_changes()
+
+    def _read_zones(self) -> set[AvailabilityZone]:
+        """Return the zones that the settings or any upstream name."""
+        zones = {record.entry.zone for record in self._upstreams.records.values()}
+        return zones | self._setting_zones
+
     def apply_upstream_changes(
         self,
         records: Iterable[KeyedRecord],
@@ -442,8 +519,9 @@
         )
 
     def expire(self, now: float) -> None:
-        """Remove upstreams whose retention has ended."""
+        """Remove upstreams whose retention has ended, and ends of evacuations."""
         self._upstreams.expire(now)
+        self._evacuations.expire(now)
 
     def pop_removed(self) -> list[RegisteredUpstream]:
         """Return all upstreams removed since the last call, by any method.
--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -159,8 +159,12 @@
         self._topics = (
             FollowedTopic(
                 config_topic,
-                self._apply_config,
-                lambda page, as_of: self._apply_config(page),
+                lambda page: directory.apply_config_list(
+                    page.records, page.end, "store", self._clock.now(), page.era
+                ),
+                lambda page, as_of: directory.apply_config_changes(
+                    page.records, page.end, "store", self._clock.now(), page.era
+                ),
                 lambda: directory.config_position,
                 lambda called_at: None,
             ),
@@ -344,9 +348,6 @@
             self._on_history(HistoryChange(topic.topic, error.show()))
         state.is_history_lost = True
 
-    def _apply_config(self, page: KeyedPage) -> list[DirectoryChange]:
-        return self._directory.apply_config(page.records, page.end, "store", page.era)
-
     def _record_unavailable(
         self, topic: FollowedTopic, called_at: float, error: Exception
     ) -> None:
--- a/src/rudderpass/directory/_messages.py
+++ b/src/rudderpass/directory/_messages.py
@@ -52,12 +52,14 @@
     :param text: the start of the log line.
     :param retained_for: seconds for which an upstream whose entry ended is still
         retained; None where no entry ended.
+    :param era: in which the offset is valid; None for that of the list of upstreams.
     """
 
     text: str
     source: str
     offset: int
     retained_for: float | None = None
+    era: StoreEra | None = None
 
 
 def describe_registration(
--- a/src/rudderpass/exchange/_crashes.py
+++ b/src/rudderpass/exchange/_crashes.py
@@ -57,5 +57,5 @@
         if self._directory.list_age(now) > MAX_LIST_AGE_SECONDS:
             return
         for upstream in self._quarantine.crashed_before(now - CRASH_DISPROOF_SECONDS):
-            if self._directory.accepts_requests(upstream, now):
+            if self._directory.is_ready(upstream, now):
                 self._quarantine.retract_crash(upstream, now)
--- a/src/rudderpass/host/_command.py
+++ b/src/rudderpass/host/_command.py
@@ -24,6 +24,7 @@
     CONFIG_KEY,
     CONFIG_TOPIC,
     DUTIES_TOPIC,
+    EVACUATION_PREFIX,
     HOSTS_TOPIC,
     SETTINGS_VARIABLE,
     UPSTREAMS_TOPIC,
@@ -57,6 +58,7 @@
         upstreams_topic=UPSTREAMS_TOPIC,
         hosts_topic=HOSTS_TOPIC,
         duties=duties,
+        evacuation_prefix=EVACUATION_PREFIX,
     )
 
 
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -68,6 +68,7 @@
     upstreams_topic: str
     hosts_topic: str
     duties: DutyAccess | None = None
+    evacuation_prefix: str | None = None
 
 
 class ExchangeHost:
@@ -97,6 +98,8 @@
             platform.config_key,
             settings.drain_bound,
             settings.entry_lifetime,
+            platform.evacuation_prefix,
+            {settings.zone, *settings.zones},
         )
         self._core = ExchangeCore(
             settings.zone,
@@ -350,7 +353,11 @@
                 f"{change.text}, from {change.source}.",
                 source=change.source,
                 offset=change.offset,
-                era=self._directory.view_position.era,
+                era=(
+                    self._directory.view_position.era
+                    if change.era is None
+                    else change.era
+                ),
                 believed_for=change.retained_for,
             )
         if self._directory.is_complete:
--- a/src/rudderpass/platform/__init__.py
+++ b/src/rudderpass/platform/__init__.py
@@ -18,6 +18,7 @@
     CONFIG_KEY as CONFIG_KEY,
     CONFIG_TOPIC as CONFIG_TOPIC,
     DUTIES_TOPIC as DUTIES_TOPIC,
+    EVACUATION_PREFIX as EVACUATION_PREFIX,
     HOSTS_TOPIC as HOSTS_TOPIC,
     UPSTREAMS_TOPIC as UPSTREAMS_TOPIC,
     KeyedStore as KeyedStore,
--- a/src/rudderpass/platform/_store.py
+++ b/src/rudderpass/platform/_store.py
@@ -20,6 +20,9 @@
 
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+"""Of the keys of evacuations, in the configuration's topic; the zone's name follows."""
+
 UPSTREAMS_TOPIC = "keyed.servers"
 HOSTS_TOPIC = "keyed.rudderpass-hosts"
 """This router's own topic for the addresses at which hosts reach each other."""
