Tell peers which zones are evacuated, and show it to operators

Cause: in large deployments three hosts follow the store; the others know only peers. A change of the evacuated zones wakes the next heartbeat. Requests whose upstreams are all in evacuated zones are refused with 503 and Retry-After; a cache copy from such a zone is dropped right before the send is written, and starting hosts check before each query. Metrics, /evacuations and 'rudderpass evacuations list' show the zones.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -93,6 +93,15 @@
   3: optional double rate /* requests per second; absent if the limit was removed */
 }
 
+/* What the platform's log says at one position about the evacuation of a zone. */
+struct Evacuation {
+  1: string zone
+  2: i64 offset
+  3: i64 era
+  4: bool active /* false: it has ended */
+  5: optional i32 ended_ms /* since a host learned the end */
+}
+
 /* What a host keeps of itself in the platform's log, under its address. */
 struct HostRecord {
   1: string zone
@@ -153,6 +162,7 @@
   22: optional list<string> leaving /* upstreams that reported that they are leaving */
   23: optional i64 era /* of the store, which rises when it comes back from a copy */
   24: optional i64 config_version /* of the configuration in force */
+  25: optional list<Evacuation> evacuations /* the newest statement on each zone */
 }
 
 /* All that the sender believes to be kept in caches. */
--- a/src/rudderpass/cli/_base.py
+++ b/src/rudderpass/cli/_base.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import logging
 from collections.abc import Callable
@@ -9,9 +10,10 @@
 
 import click
 
-from rudderpass.errors import RudderpassError
+from rudderpass.errors import PeerError, RudderpassError
 
 _F = TypeVar("_F", bound=Callable[..., Any])
+_HOST_TIMEOUT_SECONDS = 3.0
 
 
 class CommandGroup(click.Group):
@@ -36,6 +38,23 @@
     click.echo(json.dumps(value, default=str))
 
 
+def request_host(host: str, method: str, path: str, step: str) -> str:
+    """Send a request to a host's metrics address and return the response body.
+
+    :raises PeerError: when the host does not answer, or answers with an error.
+    """
+    try:
+        connection = http.client.HTTPConnection(host, timeout=_HOST_TIMEOUT_SECONDS)
+        connection.request(method, path)
+        response = connection.getresponse()
+        text = response.read().decode()
+    except (OSError, ValueError, http.client.HTTPException) as error:
+        raise PeerError(f"no answer: {error}", step=step, peer=host) from error
+    if response.status != http.client.OK:
+        raise PeerError(text.strip(), step=step, peer=host)
+    return text
+
+
 def json_option(command: _F) -> _F:
     """Add ``--json``."""
     return click.option(
--- a/src/rudderpass/cli/_main.py
+++ b/src/rudderpass/cli/_main.py
@@ -13,6 +13,7 @@
 )
 from rudderpass.cli._declarations import apply, check, diff, get, history, snapshot
 from rudderpass.cli._demo import demo
+from rudderpass.cli._evacuations import evacuations
 from rudderpass.cli._logs import logs
 from rudderpass.cli._nodes import node, status
 from rudderpass.cli._quarantine import quarantine
@@ -43,6 +44,7 @@
     status,
     logs,
     quarantine,
+    evacuations,
     replay,
     make_trace,
     compare,
--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -14,6 +14,7 @@
 )
 from rudderpass.directory._directory import Directory as Directory
 from rudderpass.directory._evacuations import (
+    MAX_ZONES as MAX_ZONES,
     Evacuations as Evacuations,
     EvacuationStatement as EvacuationStatement,
 )
--- a/src/rudderpass/exchange/_acceptance.py
+++ b/src/rudderpass/exchange/_acceptance.py
@@ -16,6 +16,10 @@
 seconds after the store. Callers wait at most a third of their remaining time, and fail
 for good if they retry too soon."""
 
+EVACUATED_RETRY_SECONDS = 2.0
+"""Retry-After while all zones with upstreams are evacuated: until an operator ends it,
+or until upstreams have started in another zone, which takes seconds at least."""
+
 SUSPENDED_RETRY_SECONDS = 0.3
 """Retry-After of a host that has just resumed from suspension: other hosts serve at
 once, and this one does as soon as the store or a peer has responded."""
--- a/src/rudderpass/exchange/_assignment.py
+++ b/src/rudderpass/exchange/_assignment.py
@@ -23,6 +23,7 @@
     QUARANTINED = "upstreams crashed under this request"
     ON_TRIAL = "another copy of this request is on trial"
     THROTTLED = "no upstream accepts a request from this host now"
+    EVACUATED = "all zones with upstreams to send it to are evacuated"
     OVERLOAD = "no upstream can answer in time"
     SUSPENDED = "this host slept and asks for news"
     STOPPING = "this host is stopping"
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -7,6 +7,7 @@
 from rudderpass._ids import AvailabilityZone, Fingerprint, NodeId, PoolId, UpstreamId
 from rudderpass.directory import Directory, RegisteredUpstream
 from rudderpass.exchange._acceptance import (
+    EVACUATED_RETRY_SECONDS,
     STOPPING_RETRY_SECONDS,
     SUSPENDED_RETRY_SECONDS,
     accept_request,
@@ -183,6 +184,8 @@
         if self._is_stale:
             return Refused(RefusalReason.SUSPENDED, SUSPENDED_RETRY_SECONDS)
         self._directory.expire(now)
+        if self._directory.is_evacuated(accepted.service):
+            return Refused(RefusalReason.EVACUATED, EVACUATED_RETRY_SECONDS)
         upstreams = self._directory.serving(accepted.service)
         stall_risk = self._forecasts.stall_risk(accepted, upstreams, now)
         throttled = self._throttling.find_throttled(
@@ -255,6 +258,12 @@
             return False
         return self._directory.accepts_requests(assignment.upstream, now)
 
+    def withdraw_copy(self, assignment: Assignment) -> None:
+        """Copy no cache from an upstream in a zone evacuated since the assignment."""
+        source = assignment.copy_from
+        if source is not None and self._directory.is_address_evacuated(source):
+            assignment.copy_from = None
+
     def spend_retry(self, service: PoolId, now: float) -> RetryDecision:
         """Spend one retry from the shared budget, if one is left."""
         return self._budget.spend(service, self._count_hosts(), now)
@@ -377,14 +386,24 @@
         self._forecasts.merge_streams(streams, now)
 
     def engine_upstreams(self) -> list[RegisteredUpstream]:
-        """Return the engines that accept new requests."""
+        """Return the engines that accept new requests, outside of evacuated zones."""
         return [
             record.entry
             for record in self._directory.listed.values()
             if not record.entry.leaving
+            and not self._directory.evacuations.is_evacuated(record.entry.zone)
             and self._directory.find_engine(record.entry.service) is not None
         ]
 
+    def running_by_evacuated_zone(self) -> dict[AvailabilityZone, int]:
+        """Return this host's requests still running in each evacuated zone."""
+        running = dict.fromkeys(self._directory.evacuations.zones, 0)
+        for upstream, load in self._loads.own.items():
+            record = self._directory.listed.get(upstream)
+            if record is not None and record.entry.zone in running:
+                running[record.entry.zone] += load.running
+        return running
+
     def drain_streams(self) -> list[StreamSample]:
         """Return and clear the stream samples to send to peers."""
         return self._forecasts.drain_streams()
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -134,8 +134,10 @@
         Connecting may take CONNECT_TIMEOUT_SECONDS, 0.4 s; without this check,
         requests assigned near the end of the drain period would arrive after it.
         """
+        core = self._context.core
         with self._context.lock:
-            if self._context.core.accepts_requests(self._assigned, _clock.now()):
+            if core.accepts_requests(self._assigned, _clock.now()):
+                core.withdraw_copy(self._assigned)
                 return
         raise UpstreamError(
             "the upstream no longer accepts requests",
--- a/src/rudderpass/gossip/_codec.py
+++ b/src/rudderpass/gossip/_codec.py
@@ -22,6 +22,7 @@
 from rudderpass.exchange import Load, PartId, PrefillRate, PromptPart, SentPrompt
 from rudderpass.gossip._digest import Digest, Member
 from rudderpass.gossip._duties import usage_from_wire, usage_to_wire
+from rudderpass.gossip._evacuations import evacuations_from_wire, evacuations_to_wire
 from rudderpass.gossip._gen.wire import ttypes as wire
 from rudderpass.gossip._heartbeat import Heartbeat
 from rudderpass.gossip._rate_limits import rate_limit_from_wire, rate_limit_to_wire
@@ -85,6 +86,7 @@
             list(heartbeat.leaving) or None,
             _era_to_wire(heartbeat.era),
             heartbeat.config_version,
+            evacuations_to_wire(heartbeat.evacuations),
         )
     )
     return data if len(data) < MIN_DEFLATED_BYTES else _deflate(data)
@@ -123,6 +125,7 @@
             tuple(UpstreamId(name) for name in raw.leaving or ()),
             raw.config_version,
             _era_from_wire(raw.era),
+            evacuations_from_wire(raw.evacuations),
         )
     except TypeError as error:
         raise PeerError(f"invalid heartbeat: {error}", step="decode") from error
--- a/src/rudderpass/gossip/_gen/wire/ttypes.py
+++ b/src/rudderpass/gossip/_gen/wire/ttypes.py
@@ -1242,6 +1242,122 @@
         return not (self == other)
 
 
+class Evacuation(object):
+    """
+    Attributes:
+     - zone
+     - offset
+     - era
+     - active
+     - ended_ms
+
+    """
+
+    __slots__ = (
+        'zone',
+        'offset',
+        'era',
+        'active',
+        'ended_ms',
+    )
+
+
+    def __init__(self, zone=None, offset=None, era=None, active=None, ended_ms=None,):
+        self.zone = zone
+        self.offset = offset
+        self.era = era
+        self.active = active
+        self.ended_ms = ended_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.active = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.ended_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Evacuation')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 2)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 3)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.active is not None:
+            oprot.writeFieldBegin('active', TType.BOOL, 4)
+            oprot.writeBool(self.active)
+            oprot.writeFieldEnd()
+        if self.ended_ms is not None:
+            oprot.writeFieldBegin('ended_ms', TType.I32, 5)
+            oprot.writeI32(self.ended_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HostRecord(object):
     """
     Attributes:
@@ -1753,6 +1869,7 @@
      - leaving
      - era
      - config_version
+     - evacuations
 
     """
 
@@ -1780,10 +1897,11 @@
         'leaving',
         'era',
         'config_version',
+        'evacuations',
     )
 
 
-    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None, era=None, config_version=None,):
+    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None, era=None, config_version=None, evacuations=None,):
         self.config_offset = config_offset
         self.upstreams_end = upstreams_end
         self.stopping = stopping
@@ -1807,6 +1925,7 @@
         self.leaving = leaving
         self.era = era
         self.config_version = config_version
+        self.evacuations = evacuations
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1980,6 +2099,17 @@
                     self.config_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.LIST:
+                    self.evacuations = []
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = Evacuation()
+                        _elem139.read(iprot)
+                        self.evacuations.append(_elem139)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2005,22 +2135,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter134 in self.loads:
-                iter134.write(oprot)
+            for iter140 in self.loads:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter135 in self.prompts:
-                iter135.write(oprot)
+            for iter141 in self.prompts:
+                iter141.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.peers))
-            for iter136 in self.peers:
-                oprot.writeString(iter136.encode('utf-8') if sys.version_info[0] == 2 else iter136)
+            for iter142 in self.peers:
+                oprot.writeString(iter142.encode('utf-8') if sys.version_info[0] == 2 else iter142)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.warm is not None:
@@ -2034,15 +2164,15 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter137 in self.streams:
-                iter137.write(oprot)
+            for iter143 in self.streams:
+                iter143.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reading is not None:
             oprot.writeFieldBegin('reading', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.reading))
-            for iter138 in self.reading:
-                iter138.write(oprot)
+            for iter144 in self.reading:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.zone is not None:
@@ -2064,8 +2194,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter139 in self.suspects:
-                iter139.write(oprot)
+            for iter145 in self.suspects:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.duty_token is not None:
@@ -2087,15 +2217,15 @@
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter140 in self.rate_limits:
-                iter140.write(oprot)
+            for iter146 in self.rate_limits:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 22)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter141 in self.leaving:
-                oprot.writeString(iter141.encode('utf-8') if sys.version_info[0] == 2 else iter141)
+            for iter147 in self.leaving:
+                oprot.writeString(iter147.encode('utf-8') if sys.version_info[0] == 2 else iter147)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2106,6 +2236,13 @@
             oprot.writeFieldBegin('config_version', TType.I64, 24)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
+        if self.evacuations is not None:
+            oprot.writeFieldBegin('evacuations', TType.LIST, 25)
+            oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
+            for iter148 in self.evacuations:
+                iter148.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2158,11 +2295,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype145, _size142) = iprot.readListBegin()
-                    for _i146 in range(_size142):
-                        _elem147 = SentPrompt()
-                        _elem147.read(iprot)
-                        self.prompts.append(_elem147)
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = SentPrompt()
+                        _elem154.read(iprot)
+                        self.prompts.append(_elem154)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2179,8 +2316,8 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter148 in self.prompts:
-                iter148.write(oprot)
+            for iter155 in self.prompts:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2351,11 +2488,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = KeyedRecord()
-                        _elem154.read(iprot)
-                        self.upstreams.append(_elem154)
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = KeyedRecord()
+                        _elem161.read(iprot)
+                        self.upstreams.append(_elem161)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2367,11 +2504,11 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.ending_ms = {}
-                    (_ktype156, _vtype157, _size155) = iprot.readMapBegin()
-                    for _i159 in range(_size155):
-                        _key160 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val161 = iprot.readI32()
-                        self.ending_ms[_key160] = _val161
+                    (_ktype163, _vtype164, _size162) = iprot.readMapBegin()
+                    for _i166 in range(_size162):
+                        _key167 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val168 = iprot.readI32()
+                        self.ending_ms[_key167] = _val168
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2388,11 +2525,11 @@
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.held_ms = {}
-                    (_ktype163, _vtype164, _size162) = iprot.readMapBegin()
-                    for _i166 in range(_size162):
-                        _key167 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val168 = iprot.readI32()
-                        self.held_ms[_key167] = _val168
+                    (_ktype170, _vtype171, _size169) = iprot.readMapBegin()
+                    for _i173 in range(_size169):
+                        _key174 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val175 = iprot.readI32()
+                        self.held_ms[_key174] = _val175
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2413,8 +2550,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter169 in self.upstreams:
-                iter169.write(oprot)
+            for iter176 in self.upstreams:
+                iter176.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_end is not None:
@@ -2424,9 +2561,9 @@
         if self.ending_ms is not None:
             oprot.writeFieldBegin('ending_ms', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.ending_ms))
-            for kiter170, viter171 in self.ending_ms.items():
-                oprot.writeString(kiter170.encode('utf-8') if sys.version_info[0] == 2 else kiter170)
-                oprot.writeI32(viter171)
+            for kiter177, viter178 in self.ending_ms.items():
+                oprot.writeString(kiter177.encode('utf-8') if sys.version_info[0] == 2 else kiter177)
+                oprot.writeI32(viter178)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.changes_from is not None:
@@ -2440,9 +2577,9 @@
         if self.held_ms is not None:
             oprot.writeFieldBegin('held_ms', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.held_ms))
-            for kiter172, viter173 in self.held_ms.items():
-                oprot.writeString(kiter172.encode('utf-8') if sys.version_info[0] == 2 else kiter172)
-                oprot.writeI32(viter173)
+            for kiter179, viter180 in self.held_ms.items():
+                oprot.writeString(kiter179.encode('utf-8') if sys.version_info[0] == 2 else kiter179)
+                oprot.writeI32(viter180)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2557,6 +2694,15 @@
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.DOUBLE, 'rate', None, None, ),  # 3
 )
+all_structs.append(Evacuation)
+Evacuation.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'offset', None, None, ),  # 2
+    (3, TType.I64, 'era', None, None, ),  # 3
+    (4, TType.BOOL, 'active', None, None, ),  # 4
+    (5, TType.I32, 'ended_ms', None, None, ),  # 5
+)
 all_structs.append(HostRecord)
 HostRecord.thrift_spec = (
     None,  # 0
@@ -2618,6 +2764,7 @@
     (22, TType.LIST, 'leaving', (TType.STRING, 'UTF8', False), None, ),  # 22
     (23, TType.I64, 'era', None, None, ),  # 23
     (24, TType.I64, 'config_version', None, None, ),  # 24
+    (25, TType.LIST, 'evacuations', (TType.STRUCT, [Evacuation, None], False), None, ),  # 25
 )
 all_structs.append(Prompts)
 Prompts.thrift_spec = (
--- a/src/rudderpass/gossip/_heartbeat.py
+++ b/src/rudderpass/gossip/_heartbeat.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from rudderpass._ids import AvailabilityZone, NodeId, PoolId, StoreEra, UpstreamId
-from rudderpass.directory import UNKNOWN_ERA, ViewPosition
+from rudderpass.directory import UNKNOWN_ERA, EvacuationStatement, ViewPosition
 from rudderpass.duties import DutyStatus, HostUsage
 from rudderpass.exchange import Load, PrefillRate, RateLimitUpdate, SentPrompt
 from rudderpass.gossip._digest import Digest
@@ -40,6 +40,7 @@
     :param config_version: of the configuration in force there; None before the first,
         and from hosts that do not tell it.
     :param era: of the platform's store, as its list of upstreams has it.
+    :param evacuations: what it knows of evacuated zones.
     """
 
     sender: NodeId
@@ -64,6 +65,7 @@
     leaving: tuple[UpstreamId, ...] = ()
     config_version: int | None = None
     era: StoreEra = UNKNOWN_ERA
+    evacuations: tuple[EvacuationStatement, ...] = ()
 
     @property
     def position(self) -> ViewPosition:
--- a/src/rudderpass/host/_admin.py
+++ b/src/rudderpass/host/_admin.py
@@ -1,4 +1,4 @@
-"""HTTP endpoints of a host for readiness, metrics and quarantined requests."""
+"""HTTP endpoints of a host for readiness, metrics and what operators list."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
 
 QUARANTINE_PATH = "/quarantine"
 LIFT_PATH = "/quarantine/lift"
+EVACUATIONS_PATH = "/evacuations"
 
 _LIMITS = ServerLimits(threads=2, connections=32)
 _TEXT = "text/plain; version=0.0.4"
@@ -35,6 +36,19 @@
     seconds_left: float
 
 
+@dataclass(frozen=True)
+class EvacuatedZone:
+    """An evacuated availability zone, as listed for operators.
+
+    :param seconds_known: since this host learned of the evacuation.
+    :param running: requests of this host that still run there.
+    """
+
+    zone: str
+    seconds_known: float
+    running: int
+
+
 class QuarantineAdmin(Protocol):
     """Operators' access to quarantined requests."""
 
@@ -59,9 +73,15 @@
 
 
 def make_metrics_server(
-    address: str, expose: Callable[[], bytes], quarantine: QuarantineAdmin
+    address: str,
+    expose: Callable[[], bytes],
+    quarantine: QuarantineAdmin,
+    list_evacuated: Callable[[], Sequence[EvacuatedZone]] = tuple,
 ) -> HttpServer:
-    """Return the operators' server: quarantine, and metrics on all other paths."""
+    """Return the operators' server.
+
+    It lists quarantines and evacuations, and serves metrics on all other paths.
+    """
 
     def respond(
         environ: dict[str, Any], start_response: Callable[..., Any]
@@ -71,6 +91,10 @@
             listed = [asdict(request) for request in quarantine.list_quarantined()]
             body = json.dumps(listed).encode() + b"\n"
             return _reply(start_response, HTTPStatus.OK, body, _JSON)
+        if path == EVACUATIONS_PATH:
+            zones = [asdict(zone) for zone in list_evacuated()]
+            body = json.dumps(zones).encode() + b"\n"
+            return _reply(start_response, HTTPStatus.OK, body, _JSON)
         if path == LIFT_PATH:
             status, text = _lift(environ, quarantine)
             return _reply(start_response, status, f"{text}\n".encode())
--- a/src/rudderpass/host/_gossip_protocol.py
+++ b/src/rudderpass/host/_gossip_protocol.py
@@ -150,6 +150,9 @@
     def receive(self, heartbeat: Heartbeat, now: float) -> bool:
         """Apply a peer's heartbeat; return whether the peer was not live before."""
         is_new = self._peer_table.receive_heartbeat(heartbeat, now)
+        source = f"peer {heartbeat.sender}"
+        evacuations = self._core.directory.evacuations
+        evacuations.merge(heartbeat.evacuations, source, now)
         if heartbeat.loads is not None:
             self._heartbeat_numbers[heartbeat.sender] = heartbeat.number
             self._core.record_peer_load(
@@ -353,4 +356,5 @@
             tuple(directory.reported_leaving[-MAX_LEAVING_REPORTED:]),
             position.config_version,
             position.era,
+            directory.evacuations.statements(now),
         )
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -27,7 +27,7 @@
     ExchangeDialect,
     UpstreamConnectionPool,
 )
-from rudderpass.host._admin import make_metrics_server, make_ready_server
+from rudderpass.host._admin import EvacuatedZone, make_metrics_server, make_ready_server
 from rudderpass.host._duties import HostDuties
 from rudderpass.host._duty_access import DutyAccess
 from rudderpass.host._metrics import HostGauges, HostMetrics
@@ -155,7 +155,10 @@
             self._stopping,
         )
         self._metrics_server = make_metrics_server(
-            settings.metrics, self._metrics.expose, self._quarantine
+            settings.metrics,
+            self._metrics.expose,
+            self._quarantine,
+            self._list_evacuated,
         )
         self._follower = StoreFollower(
             platform.store,
@@ -299,6 +302,9 @@
         self._quarantine.tick(now)
         with self._lock:
             removed = self._core.tick(now)
+            learned = self._directory.pop_evacuation_changes()
+        if learned:
+            self._record_store_update(learned)
         for entry in removed:
             self._connections.discard(entry.address)
             log("upstream", f"{entry.upstream} was removed.", upstream=entry.upstream)
@@ -394,6 +400,18 @@
             if has_no_source and not self._core.is_stale:
                 self._initialized.set()
 
+    def _list_evacuated(self) -> list[EvacuatedZone]:
+        now = _clock.now()
+        with self._lock:
+            evacuations = self._directory.evacuations
+            running = self._core.running_by_evacuated_zone()
+            return [
+                EvacuatedZone(
+                    zone, round(evacuations.known_for(zone, now), 1), running[zone]
+                )
+                for zone in sorted(evacuations.zones)
+            ]
+
     def _read_gauges(self) -> HostGauges:
         with self._lock:
             config = self._directory.config
@@ -416,6 +434,10 @@
                 suspect_requests=self._core.quarantine.suspect_count,
                 quarantined_requests=len(self._core.quarantine.quarantined),
                 upstreams_rate_limited=len(self._core.rate_limits.rates),
+                zones_evacuated=len(self._directory.evacuations.zones),
+                requests_in_evacuated_zones=sum(
+                    self._core.running_by_evacuated_zone().values()
+                ),
                 duty_token=0 if duties is None else duties.token or 0,
                 usage_reports_waiting=0 if duties is None else duties.reports_waiting,
                 upstreams_wanted=0 if duties is None else duties.upstreams_wanted,
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -41,6 +41,8 @@
     suspect_requests: int
     quarantined_requests: int
     upstreams_rate_limited: int
+    zones_evacuated: int
+    requests_in_evacuated_zones: int
     duty_token: int
     usage_reports_waiting: int
     upstreams_wanted: int
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -82,6 +82,7 @@
         self._on_confirmed = on_confirmed
         self._follower: StoreFollower | None = None
         self._is_large = False
+        self._announced_zones: frozenset[AvailabilityZone] = frozenset()
         self._is_relayed = False
         self._next_heartbeat_at = 0.0
         self._fetch_at: float | None = None
@@ -221,7 +222,20 @@
             none either, as after an outage of the store.
         """
         if self._is_large or is_first:
+            self._announced_zones = self._directory.evacuations.zones
             self.send_heartbeats(now, has_store_update=True)
+        else:
+            self._announce_evacuations()
+
+    def _announce_evacuations(self) -> None:
+        """Send the next heartbeat at once after zones were evacuated or reopened.
+
+        Relays pass it on, and hosts that are cut off from the store learn of it.
+        """
+        zones = self._directory.evacuations.zones
+        if zones != self._announced_zones:
+            self._announced_zones = zones
+            self.send_soon()
 
     def greet_all(self, now: float) -> None:
         """Greet all peers; those that do not count this host as live answer."""
@@ -311,6 +325,7 @@
         now = _clock.now()
         with self._lock:
             is_new = self._protocol.receive(heartbeat, now)
+            learned = self._directory.pop_evacuation_changes()
             if self._duties is not None:
                 self._duties.receive(heartbeat, now)
             greeting = (
@@ -327,6 +342,9 @@
                 and self._directory.is_confirmed_by(position)
             )
             is_urgent = not (self._directory.is_complete and self._is_large)
+        if learned:
+            self._on_learned(learned)
+            self._announce_evacuations()
         if is_behind and (not self._receives_store_updates or self._core.is_stale):
             self._schedule_fetch(is_urgent or self._core.is_stale, now)
         if is_confirmed:
--- a/src/rudderpass/host/_warmup.py
+++ b/src/rudderpass/host/_warmup.py
@@ -115,6 +115,9 @@
                 self._query_upstream(entry)
 
     def _query_upstream(self, entry: RegisteredUpstream) -> None:
+        if self._is_evacuated(entry):
+            log("cache", f"{entry.upstream} is not queried, its zone is evacuated.")
+            return
         try:
             cached = self._parts.read_parts(entry)
         except UpstreamError as error:
@@ -131,6 +134,13 @@
             tokens=sum(part.tokens for part in cached),
         )
 
+    def _is_evacuated(self, entry: RegisteredUpstream) -> bool:
+        """Check again right before a query; those before it may have taken long."""
+        with self._parts.lock:
+            directory = self._parts.core.directory
+            directory.expire(_clock.now())
+            return directory.evacuations.is_evacuated(entry.zone)
+
 
 def should_query(own: NodeId, hosts: list[NodeId], upstream: UpstreamId) -> bool:
     """Return whether ``own`` is the host that queries an upstream (rendezvous hash)."""
