--- a/tests/directory/builders.py
+++ b/tests/directory/builders.py
@@ -32,6 +32,7 @@
 ZONE = AvailabilityZone("hall-a")
 OTHER_ZONE = AvailabilityZone("hall-b")
 CONFIG_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 
 
 def make_route(**changes: Any) -> ExchangeRoute:
@@ -105,13 +106,23 @@
 
 
 def make_directory(records: FakeDecoders | None = None) -> Directory:
-    return Directory((records or FakeDecoders()).decoders, CONFIG_KEY)
+    return Directory(
+        (records or FakeDecoders()).decoders,
+        CONFIG_KEY,
+        evacuation_prefix=EVACUATION_PREFIX,
+    )
 
 
 def config_record(offset: int, version: int) -> KeyedRecord:
     return KeyedRecord(offset, CONFIG_KEY, str(version).encode())
 
 
+def evacuation_record(
+    offset: int, zone: AvailabilityZone = ZONE, value: bytes | None = b"{}"
+) -> KeyedRecord:
+    return KeyedRecord(offset, f"{EVACUATION_PREFIX}{zone}", value)
+
+
 def upstream_record(offset: int, number: int, value: bytes = b"here") -> KeyedRecord:
     return KeyedRecord(offset, f"u{number}", value)
 
