--- a/src/rudderpass/directory/_evacuations.py
+++ b/src/rudderpass/directory/_evacuations.py
@@ -175,14 +175,10 @@
             listed.add(zone)
             position = LogPosition(era, record.offset)
             learn(EvacuationStatement(zone, position, True), source, now)
-        ended = [
-            zone
-            for zone in self._zones - listed
-            if self._entries[zone].position.era == era
-            and self._entries[zone].position.offset < end
-        ]
-        for zone in ended:
-            self._end(zone, LogPosition(era, end - 1), source, now)
+        for zone in sorted(self._zones - listed):
+            if self._entries[zone].position.era == era:
+                # Changes nothing for one that began after the list.
+                self._end(zone, LogPosition(era, end - 1), source, now)
         self._cover(era, end, now)
 
     def merge(
--- a/tests/directory/test_evacuations.py
+++ b/tests/directory/test_evacuations.py
@@ -124,6 +124,18 @@
     assert statement(7, False) in evacuations.statements(1.0)
 
 
+def test_at_one_position_the_end_holds_in_either_order() -> None:
+    """A record removed between two pages of a list is missing from it."""
+    for has_list_first in (False, True):
+        evacuations = make_evacuations()
+        if has_list_first:
+            evacuations.apply_list([], 6, "store", ERA, 0.0)
+        evacuations.merge([statement(5)], "peer p", 0.0)
+        evacuations.apply_list([], 6, "store", ERA, 0.0)
+        evacuations.merge([statement(5)], "peer p", 0.0)
+        assert evacuations.zones == frozenset()
+
+
 def test_a_removal_without_value_in_a_list_is_no_evacuation() -> None:
     evacuations = make_evacuations()
     evacuations.apply_list([evacuation_record(1, value=b"")], 2, "store", ERA, 0.0)
