--- a/tests/host/test_evacuations.py
+++ b/tests/host/test_evacuations.py
@@ -4,17 +4,16 @@
 
 import json
 import threading
-import time
 from collections.abc import Iterator
 
 import pytest
 from click.testing import CliRunner
 
 from rudderpass import _clock
-from rudderpass._ids import AvailabilityZone, StoreEra
+from rudderpass._ids import AvailabilityZone, NodeId, StoreEra
 from rudderpass.cli import main
 from rudderpass.directory import EvacuationStatement, LogPosition
-from rudderpass.gossip import encode_heartbeat
+from rudderpass.gossip import Heartbeat, encode_heartbeat
 from rudderpass.gossip._transport import MAX_DATAGRAM_BYTES
 from rudderpass.host import ExchangeHost
 from rudderpass.host._warmup import CacheWarmup
@@ -47,6 +46,9 @@
 """Within this time all hosts of a fleet know, over relays and with lost datagrams."""
 
 GREETING_SECONDS = 0.05
+AT_ONCE_SECONDS = 2.0
+"""Silent peers are greeted after 3 s, which would also tell them."""
+
 DOWN_SECONDS = 4.0
 """Peers do not count a host as live that was down for so long."""
 
@@ -265,17 +267,49 @@
 
 
 def test_a_host_without_the_store_learns_at_once_from_a_peer(
-    deployment: Deployment, down: StandInStore
+    deployment: Deployment, down: StandInStore, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    """The change wakes the next heartbeat, which is otherwise far away here."""
     first = start(deployment)
     second = deployment.start(first.peer_address, store=down.address)
     wait_for(lambda: deployment.ask(second) == OK)
+    monkeypatch.setattr("rudderpass.host._peers.HEARTBEAT_SECONDS", 1000.0)
+    for host in (first, second):
+        wait_for(lambda: host._peers._next_heartbeat_at > _clock.now() + 100.0)
+    began = _clock.now()
     deployment.store.put(CONFIG_TOPIC, KEY, b"{}")
-    wait_for(lambda: bool(listed(first)))
-    began = time.monotonic()
     wait_for(lambda: bool(listed(second)))
-    assert time.monotonic() - began < 1.0
+    assert _clock.now() - began < AT_ONCE_SECONDS
     assert deployment.ask(second) == UNAVAILABLE
+    deployment.store.put(CONFIG_TOPIC, KEY, None)
+    wait_for(lambda: not listed(second))
+    assert deployment.ask(second) == OK
+
+
+def test_what_a_host_hears_from_a_peer_it_tells_on_at_once(
+    deployment: Deployment, down: StandInStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """As a relay must: only the second host hears the heartbeat."""
+    first = start(deployment)
+    second = deployment.start(first.peer_address, store=down.address)
+    wait_for(lambda: deployment.ask(second) == OK)
+    monkeypatch.setattr("rudderpass.host._peers.HEARTBEAT_SECONDS", 1000.0)
+    for host in (first, second):
+        wait_for(lambda: host._peers._next_heartbeat_at > _clock.now() + 100.0)
+    heartbeat = Heartbeat(
+        NodeId("127.0.0.1:1"),
+        -1,
+        0,
+        False,
+        None,
+        (),
+        (),
+        evacuations=(EvacuationStatement(HOST_ZONE, LogPosition(ERA, 99), True),),
+    )
+    began = _clock.now()
+    second._peers._receive_heartbeat(heartbeat)
+    wait_for(lambda: bool(listed(first)))
+    assert _clock.now() - began < AT_ONCE_SECONDS
 
 
 def test_a_host_started_without_the_store_sends_nothing_there(
