Look for evacuated zones only while there are any; mutate them in heartbeats

Cause: serving and is_evacuated built lists for each request without any evacuation, and the mutation test of heartbeats had none of their statements. Change: both return early. The mutated heartbeat carries statements; a mutation may evacuate the zone of all upstreams, so the test requires a refusal exactly then, where it required an assignment always.

--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -153,6 +153,8 @@
         """Return a service's upstreams that accept new requests."""
         ready = self._upstreams.serving(service)
         evacuated = self._evacuations.zones
+        if not evacuated:
+            return ready
         return [entry for entry in ready if entry.zone not in evacuated]
 
     @property
@@ -162,6 +164,8 @@
 
     def is_evacuated(self, service: PoolId) -> bool:
         """Return whether only evacuated zones have upstreams ready for a service."""
+        if not self._evacuations.zones:
+            return False
         return bool(self._upstreams.serving(service)) and not self.serving(service)
 
     def is_address_evacuated(self, address: str) -> bool:
--- a/tests/gossip/test_mutated.py
+++ b/tests/gossip/test_mutated.py
@@ -7,10 +7,15 @@
 
 from hypothesis import given, strategies as st
 
-from rudderpass._ids import NodeId, PoolId, UpstreamId, UpstreamName
-from rudderpass.directory import DirectoryState, KeyedRecord
+from rudderpass._ids import NodeId, PoolId, StoreEra, UpstreamId, UpstreamName
+from rudderpass.directory import (
+    DirectoryState,
+    EvacuationStatement,
+    KeyedRecord,
+    LogPosition,
+)
 from rudderpass.errors import PeerError
-from rudderpass.exchange import Load, PrefillRate, RateLimitUpdate, SentPrompt
+from rudderpass.exchange import Load, PrefillRate, RateLimitUpdate, Refused, SentPrompt
 from rudderpass.gossip import (
     Digest,
     Heartbeat,
@@ -25,8 +30,8 @@
 from rudderpass.gossip._codec import decode_heartbeat
 from rudderpass.host._gossip_protocol import GossipProtocol
 from rudderpass.learning import StreamSample
-from tests.directory.builders import ZONE, make_route
-from tests.exchange.builders import assign, make_core, make_request, parts
+from tests.directory.builders import OTHER_ZONE, ZONE, make_route
+from tests.exchange.builders import accept, assign, make_core, make_request, parts
 from tests.fuzz import make_settings
 from tests.quarantine.builders import BAD, GOOD, crash, make_update
 
@@ -56,6 +61,10 @@
             {PoolId("engines"): PrefillRate(9000.0, 1000.0)},
         ),
         rate_limits=(RateLimitUpdate(UPSTREAM, 1.5, 0.25),),
+        evacuations=(
+            EvacuationStatement(OTHER_ZONE, LogPosition(StoreEra(1), 7), True),
+            EvacuationStatement(ZONE, LogPosition(StoreEra(1), 9), False, 2.5),
+        ),
         suspects=(
             make_update(BAD, crash("u1", 2.0), crash("u2", 1.0)),
             make_update(GOOD),
@@ -96,7 +105,10 @@
     telling = GossipProtocol(OWN, ZONE, 100, core, peers, lambda now: False)
     telling.receive(heartbeat, 1.0)
     telling.compose(1.05, is_relayed=True)
-    assign(core, make_request(parts=PROMPT.parts), 1.1)
+    request = make_request(parts=PROMPT.parts)
+    assigned = core.assign(request, accept(core, request, 1.1), (), 1.1)
+    is_evacuated = core.directory.evacuations.is_evacuated(ZONE)
+    assert isinstance(assigned, Refused) is is_evacuated, "all upstreams are there"
 
 
 @make_settings(400)
