--- a/src/rudderpass/directory/_evacuations.py
+++ b/src/rudderpass/directory/_evacuations.py
@@ -11,13 +11,10 @@
 from dataclasses import dataclass
 
 from rudderpass._ids import AvailabilityZone, StoreEra
+from rudderpass.directory._coverage import LogCoverage
 from rudderpass.directory._messages import DirectoryChange, KeyedRecord
 from rudderpass.directory._position import UNKNOWN_ERA, LogPosition
 
-RESTORE_CONFIRM_SECONDS = 10.0
-"""How long the lists of a newer era must lack an evacuation before it ends: operators
-rewrite within this time the records that a restored store lost."""
-
 ENDED_SECONDS = 120.0
 """How long the end of an evacuation is remembered, so that an older statement that
 arrives late does not start it again."""
@@ -33,9 +30,6 @@
 """Maximum total length of the zone names in one heartbeat: 100 usual names take a third
 of it. A key may have 255 bytes, and 100 such names would not fit in a datagram."""
 
-MAX_ERAS = 8
-"""Eras of the store whose lists are remembered. One starts at each restore."""
-
 
 @dataclass(frozen=True)
 class EvacuationStatement:
@@ -67,17 +61,6 @@
     is_checked: bool = False
 
 
-@dataclass
-class _Coverage:
-    """How far the records of one era have been read completely.
-
-    :ivar since: when the first list of the era was read.
-    """
-
-    end: int
-    since: float
-
-
 class Evacuations:
     """The newest statement on each zone, from records, lists and peers.
 
@@ -93,7 +76,7 @@
         self._key_prefix = key_prefix
         self._entries: dict[AvailabilityZone, _Entry] = {}
         self._zones: frozenset[AvailabilityZone] = frozenset()
-        self._covered: dict[StoreEra, _Coverage] = {}
+        self._coverage = LogCoverage()
         self._changes: list[DirectoryChange] = []
         self._nameless: LogPosition | None = None
         self._has_evicted_active = False
@@ -103,10 +86,6 @@
         """The zones evacuated now."""
         return self._zones
 
-    @property
-    def _newest_era(self) -> StoreEra:
-        return max(self._covered, default=UNKNOWN_ERA)
-
     def is_evacuated(self, zone: AvailabilityZone) -> bool:
         """Return whether nothing may be sent to a zone."""
         return zone in self._zones
@@ -141,15 +120,13 @@
         """
         if era == UNKNOWN_ERA:
             return
-        coverage = self._covered.get(era)
         for record in records:
             zone = self._read_zone(record, source, era)
             if zone is not None:
                 position = LogPosition(era, record.offset)
                 statement = EvacuationStatement(zone, position, bool(record.value))
                 self._learn_unless_ended(statement, source, now)
-            if coverage is not None and record.offset == coverage.end:
-                coverage.end += 1
+            self._coverage.record_read(era, record.offset)
 
     def apply_list(
         self,
@@ -165,7 +142,8 @@
         """
         if era == UNKNOWN_ERA:
             return
-        is_late = end < self._covered_end(era) or era < self._newest_era
+        read = self._coverage
+        is_late = end < read.end(era) or era < read.newest_era
         learn = self._learn_unless_ended if is_late else self._learn
         listed: set[AvailabilityZone] = set()
         for record in records:
@@ -179,7 +157,7 @@
             if self._entries[zone].position.era == era:
                 # Changes nothing for one that began after the list.
                 self._end(zone, LogPosition(era, end - 1), source, now)
-        self._cover(era, end, now)
+        self._coverage.record_list(era, end, now)
 
     def merge(
         self, statements: Iterable[EvacuationStatement], source: str, now: float
@@ -218,7 +196,7 @@
             return
         for zone in sorted(self._zones):
             entry = self._entries[zone]
-            end = self._find_restored_end(entry.position, now)
+            end = self._coverage.find_restored_end(entry.position, now)
             if end is not None:
                 self._end(zone, end, "the restored store", now)
         self._entries = {
@@ -334,18 +312,6 @@
             zone for zone, entry in self._entries.items() if entry.is_active
         )
 
-    def _cover(self, era: StoreEra, end: int, now: float) -> None:
-        """Record that all records of an era below ``end`` have been read."""
-        coverage = self._covered.setdefault(era, _Coverage(end, now))
-        coverage.end = max(coverage.end, end)
-        while len(self._covered) > MAX_ERAS:
-            del self._covered[min(self._covered)]
-
-    def _covered_end(self, era: StoreEra) -> int:
-        """Return the offset below which all records of an era were read; 0 if none."""
-        coverage = self._covered.get(era)
-        return 0 if coverage is None else coverage.end
-
     def _find_end(
         self, statement: EvacuationStatement, now: float
     ) -> LogPosition | None:
@@ -356,23 +322,7 @@
         """
         if not statement.is_active or self._has_evicted_active:
             return None
-        era, offset = statement.position.era, statement.position.offset
-        end = self._covered_end(era)
-        if offset < end:
-            return LogPosition(era, end - 1)
-        return self._find_restored_end(statement.position, now)
-
-    def _find_restored_end(
-        self, position: LogPosition, now: float
-    ) -> LogPosition | None:
-        """Return where an evacuation ended that a newer era has lacked for a while."""
-        newest = self._newest_era
-        if newest <= position.era:
-            return None
-        coverage = self._covered[newest]
-        if now - coverage.since < RESTORE_CONFIRM_SECONDS:
-            return None
-        return LogPosition(newest, coverage.end - 1)
+        return self._coverage.find_end(statement.position, now)
 
     def _note(self, text: str, source: str, position: LogPosition) -> None:
         self._changes.append(
--- a/tests/directory/test_evacuations.py
+++ b/tests/directory/test_evacuations.py
@@ -14,10 +14,10 @@
     KeyedRecord,
     LogPosition,
 )
+from rudderpass.directory._coverage import RESTORE_CONFIRM_SECONDS
 from rudderpass.directory._evacuations import (
     ENDED_SECONDS,
     MAX_TOLD_BYTES,
-    RESTORE_CONFIRM_SECONDS,
     TOLD_ENDED_SECONDS,
 )
 from tests.directory.builders import (
--- a/tests/directory/test_evacuations_followed.py
+++ b/tests/directory/test_evacuations_followed.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rudderpass.directory._evacuations import RESTORE_CONFIRM_SECONDS
+from rudderpass.directory._coverage import RESTORE_CONFIRM_SECONDS
 from tests.directory.builders import (
     EVACUATION_PREFIX,
     OTHER_ZONE,
--- a/tests/directory/test_evacuations_property.py
+++ b/tests/directory/test_evacuations_property.py
@@ -14,7 +14,7 @@
     KeyedRecord,
     LogPosition,
 )
-from rudderpass.directory._evacuations import RESTORE_CONFIRM_SECONDS
+from rudderpass.directory._coverage import RESTORE_CONFIRM_SECONDS
 from tests.directory.builders import (
     SERVICE,
     FakeDecoders,
