Send to cold upstreams at a joint rate of three senders

Cause: an upstream that has just started fails when all hosts send to it at once, and no rule limits them together (docs/PLACEMENT.md, section 4).

Change: exchange/_cold_starts.py knows which upstreams are cold, from records, observed starts, responses, peers and the end of an evacuation. exchange/_joint_rate.py splits the rate among three senders, which PeerTable.rank_cold_sender chooses among known hosts. Heartbeats carry what responses told in field 26. There is no thrift compiler here: gossip/_gen was extended by hand, with the numbering that the compiler gives.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -153,6 +153,7 @@
   22: optional list<string> leaving /* upstreams that reported that they are leaving */
   23: optional i64 era /* of the store, which rises when it comes back from a copy */
   24: optional i64 config_version /* of the configuration in force */
+  26: optional map<string, i32> cold_ms /* for which upstreams stay cold, as responses told */
 }
 
 /* All that the sender believes to be kept in caches. */
--- a/src/rudderpass/directory/__init__.py
+++ b/src/rudderpass/directory/__init__.py
@@ -40,6 +40,7 @@
     ENTRY_LIFETIME_SECONDS as ENTRY_LIFETIME_SECONDS,
 )
 from rudderpass.directory._upstreams import (
+    LearnedTimes as LearnedTimes,
     RegisteredUpstream as RegisteredUpstream,
     UpstreamList as UpstreamList,
     UpstreamRecord as UpstreamRecord,
--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -34,6 +34,7 @@
     RetentionPolicy,
 )
 from rudderpass.directory._upstreams import (
+    LearnedTimes,
     RegisteredUpstream,
     UpstreamList,
     UpstreamRecord,
@@ -151,6 +152,10 @@
         """All upstreams not yet removed, including leaving and expiring ones."""
         return self._upstreams.records
 
+    def learned(self, upstream: UpstreamId) -> LearnedTimes | None:
+        """Return when an instance was learned; None if that makes it not cold."""
+        return self._upstreams.learned(upstream)
+
     @property
     def expiring_count(self) -> int:
         """Number of upstreams that are retained although their entries ended."""
@@ -265,7 +270,7 @@
                 changes.append(
                     describe_registration(read, source, self._find_previous(read))
                 )
-                self._upstreams.put(read)
+                self._upstreams.put(read, now)
             else:
                 changes += read
         return changes
@@ -346,7 +351,7 @@
             for entry in listed
             if entry.entry.upstream not in self._upstreams.records
         ]
-        ended = self._upstreams.replace_all(listed, end, retain_until)
+        ended = self._upstreams.replace_all(listed, end, retain_until, now)
         self._has_list = True
         self._recent_changes.clear()
         self._changes_from = end
@@ -400,6 +405,8 @@
             new_records, lambda upstream: deadlines.get(upstream, now), source, now
         )
         self._upstreams.advance(state.upstreams_end)
+        if self._has_list:
+            self._upstreams.record_complete()
         return changes
 
     def state_since(self, peer: ViewPosition, now: float) -> DirectoryState:
--- a/src/rudderpass/directory/_upstreams.py
+++ b/src/rudderpass/directory/_upstreams.py
@@ -76,6 +76,19 @@
     raw: bytes
 
 
+@dataclass(frozen=True)
+class LearnedTimes:
+    """When this host learned of an instance, kept only where that may make it cold.
+
+    :param record_at: when it learned the record in force.
+    :param started_at: when the instance appeared after the first complete list; None
+        if that list or an earlier record had it.
+    """
+
+    record_at: float
+    started_at: float | None = None
+
+
 def _mark_leaving(record: UpstreamRecord) -> UpstreamRecord:
     return replace(record, entry=replace(record.entry, leaving=True))
 
@@ -96,6 +109,8 @@
 
     def __init__(self) -> None:
         self._records: dict[UpstreamId, UpstreamRecord] = {}
+        self._learned: dict[UpstreamId, LearnedTimes] = {}
+        self._has_list = False
         self._instances: dict[UpstreamName, UpstreamId] = {}
         self._expiring: dict[UpstreamId, float] = {}
         self._leaving: dict[UpstreamId, bool] = {}
@@ -120,6 +135,14 @@
         instance = self._instances.get(name)
         return None if instance is None else self._records[instance]
 
+    def learned(self, upstream: UpstreamId) -> LearnedTimes | None:
+        """Return when an instance was learned; None if that makes it not cold."""
+        return self._learned.get(upstream)
+
+    def record_complete(self) -> None:
+        """Record that the list is complete: further instances have just started."""
+        self._has_list = True
+
     def serving(self, service: PoolId) -> list[RegisteredUpstream]:
         """Return a service's upstreams that accept new requests."""
         return [
@@ -128,7 +151,7 @@
             if record.entry.service == service and not record.entry.leaving
         ]
 
-    def put(self, record: UpstreamRecord) -> None:
+    def put(self, record: UpstreamRecord, now: float) -> None:
         """Apply a registration, unless a later one is known.
 
         Of two instances under one name, the one with the later record wins, whatever
@@ -139,6 +162,7 @@
         known = self.find(entry.name)
         if known is not None and known.offset >= record.offset:
             return
+        self._record_learned(record, known, now)
         if known is not None and known.entry.upstream != entry.upstream:
             self._delete(known.entry.upstream)
             _remember(self._ended, known.entry.upstream, None)
@@ -152,6 +176,23 @@
         self._instances[entry.name] = entry.upstream
         self._expiring.pop(entry.upstream, None)
 
+    def _record_learned(
+        self, record: UpstreamRecord, known: UpstreamRecord | None, now: float
+    ) -> None:
+        entry = record.entry
+        before = self._learned.pop(entry.upstream, None)
+        started_at = None if before is None else before.started_at
+        is_known = entry.upstream in self._records or entry.upstream in self._ended
+        if not is_known and self._has_list:
+            started_at = now
+        if entry.cold_seconds <= 0.0 and started_at is None:
+            return
+        record_at = now
+        if before is not None and known is not None and known.offset == _BEFORE_ERA:
+            # A restored store lists records again that were not written again.
+            record_at = before.record_at if known.raw == record.raw else now
+        self._learned[entry.upstream] = LearnedTimes(record_at, started_at)
+
     def remove(self, name: UpstreamName, offset: int, retain_until: float) -> None:
         """Record the end of a registration.
 
@@ -169,11 +210,12 @@
         self._expiring[instance] = min(until, retain_until)
 
     def replace_all(
-        self, records: list[UpstreamRecord], end: int, retain_until: float
+        self, records: list[UpstreamRecord], end: int, retain_until: float, now: float
     ) -> list[UpstreamId]:
         """Apply a complete list as of ``end``; return the upstreams missing from it."""
         for record in records:
-            self.put(record)
+            self.put(record, now)
+        self.record_complete()
         listed = {record.entry.name for record in records}
         missing = [
             upstream
@@ -274,7 +316,7 @@
             self._delete(upstream)
         for record, confirm_at in list(self._unconfirmed.values()):
             if confirm_at <= now:
-                self.put(record)
+                self.put(record, now)
 
     def pop_removed(self) -> list[RegisteredUpstream]:
         """Return all instances removed since the last call."""
@@ -283,6 +325,7 @@
 
     def _delete(self, upstream: UpstreamId) -> None:
         entry = self._records.pop(upstream).entry
+        self._learned.pop(upstream, None)
         self._instances.pop(entry.name)
         self._expiring.pop(upstream, None)
         self._removed.append(entry)
--- a/src/rudderpass/exchange/__init__.py
+++ b/src/rudderpass/exchange/__init__.py
@@ -18,6 +18,14 @@
     RoutingState as RoutingState,
     choose_upstream as choose_upstream,
 )
+from rudderpass.exchange._cold_starts import (
+    MAX_COLD_SECONDS as MAX_COLD_SECONDS,
+    MAX_SENT_COLD as MAX_SENT_COLD,
+    ColdChange as ColdChange,
+    ColdPeriod as ColdPeriod,
+    ColdSource as ColdSource,
+    ColdStarts as ColdStarts,
+)
 from rudderpass.exchange._connections import (
     UpstreamConnection as UpstreamConnection,
     UpstreamConnectionPool as UpstreamConnectionPool,
@@ -32,6 +40,12 @@
     EventSplitter as EventSplitter,
 )
 from rudderpass.exchange._health import UpstreamHealth as UpstreamHealth
+from rudderpass.exchange._joint_rate import (
+    SENDERS as SENDERS,
+    ColdLimit as ColdLimit,
+    JointRate as JointRate,
+    split_rate as split_rate,
+)
 from rudderpass.exchange._load import (
     Load as Load,
     LoadReport as LoadReport,
@@ -39,6 +53,7 @@
     PrefillRate as PrefillRate,
 )
 from rudderpass.exchange._logging import (
+    log_cold as log_cold,
     log_leaving as log_leaving,
     log_rate_limit as log_rate_limit,
 )
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -22,8 +22,10 @@
 from rudderpass.exchange._budget import BudgetRule, RetryDecision, SharedRetryBudget
 from rudderpass.exchange._caches import CacheTracker
 from rudderpass.exchange._choice import RoutingState, choose_upstream, isolate_choice
+from rudderpass.exchange._cold_starts import ColdStarts
 from rudderpass.exchange._crashes import CrashDetector
 from rudderpass.exchange._forecast import Forecasts
+from rudderpass.exchange._joint_rate import ColdLimit
 from rudderpass.exchange._load import LoadReport, LoadTracker, request_load
 from rudderpass.exchange._overload import find_retry_after
 from rudderpass.exchange._prefixes import PrefixIndex
@@ -52,6 +54,11 @@
     :param restarted_at: when this host restarted; None at the first start of the entire
         deployment.
     :param rank_host: returns this host's rank for an upstream's rate limit.
+    :param cold_limit: the bound on the requests to a cold upstream.
+    :param rank_cold_sender: returns this host's rank as a sender to a cold upstream;
+        None if it must not send to any.
+    :param evacuation_ended_at: returns when the evacuation of an availability zone
+        ended; None if there was none.
     :ivar is_warm: whether the host knows the contents of the upstreams' caches.
 
     Not thread-safe: the host's lock guards it.
@@ -68,6 +75,9 @@
         count_hosts: Callable[[], int],
         restarted_at: float | None = None,
         rank_host: Callable[[UpstreamId, float], HostRank] | None = None,
+        cold_limit: ColdLimit | None = None,
+        rank_cold_sender: Callable[[UpstreamId, float], HostRank | None] | None = None,
+        evacuation_ended_at: Callable[[AvailabilityZone], float | None] | None = None,
     ) -> None:
         self._directory = directory
         self._state = RoutingState(zone, PrefixIndex(), {}, reread_window)
@@ -78,7 +88,10 @@
         self._budget = SharedRetryBudget(rule, restarted_at)
         self._quarantine = QuarantineTracker()
         self._crashes = CrashDetector(directory, self._state, self._quarantine)
-        self._throttling = Throttling(self._state, rank_host)
+        self._cold_starts = ColdStarts(
+            directory, cold_limit, rank_cold_sender, evacuation_ended_at
+        )
+        self._throttling = Throttling(self._state, rank_host, self._cold_starts)
         self._count_hosts = count_hosts
         self._response_order = ResponseOrder()
         self._is_stopping = False
@@ -106,6 +119,11 @@
         """The rate limits that upstreams currently report."""
         return self._throttling.rate_limits
 
+    @property
+    def cold_starts(self) -> ColdStarts:
+        """The upstreams that are cold after a start."""
+        return self._cold_starts
+
     @property
     def caches(self) -> CacheTracker:
         """The estimated contents of the upstreams' caches."""
@@ -185,9 +203,7 @@
         self._directory.expire(now)
         upstreams = self._directory.serving(accepted.service)
         stall_risk = self._forecasts.stall_risk(accepted, upstreams, now)
-        throttled = self._throttling.find_throttled(
-            [entry.upstream for entry in upstreams], now
-        )
+        throttled = self._throttling.find_throttled(upstreams, now)
         choice = choose_upstream(
             request,
             stall_risk,
@@ -219,7 +235,7 @@
             if retry_after is not None:
                 return Refused(RefusalReason.OVERLOAD, retry_after)
         upstream = chosen.upstream.upstream
-        self.rate_limits.spend(upstream, now)
+        self._throttling.spend(upstream, now)
         rank = accepted.tier if request.parts else None
         load = request_load(chosen.unread_tokens, stall_risk.tightness, rank)
         self._loads.begin(upstream, load)
@@ -248,12 +264,17 @@
         )
 
     def accepts_requests(self, assignment: Assignment, now: float) -> bool:
-        """Return whether the chosen upstream still accepts new requests."""
+        """Return whether the chosen upstream still accepts new requests.
+
+        Called right before a request is written; a cold upstream's meter counts it.
+        """
         if self._is_stale:
             return False
         if self._throttling.has_active_retry_after(assignment.upstream, now):
             return False
-        return self._directory.accepts_requests(assignment.upstream, now)
+        if not self._directory.accepts_requests(assignment.upstream, now):
+            return False
+        return self._throttling.accept_write(assignment.upstream, now)
 
     def spend_retry(self, service: PoolId, now: float) -> RetryDecision:
         """Spend one retry from the shared budget, if one is left."""
@@ -292,11 +313,9 @@
     ) -> set[HeadChange]:
         """Record the upstream state in a response head; return what changed."""
         upstream = assignment.upstream
-        changes = set()
+        changes = self._throttling.record_head(upstream, head, assignment.sent, now)
         if head.is_leaving and self._directory.record_leaving(upstream):
             changes.add(HeadChange.LEAVING)
-        if self._throttling.record_head(upstream, head, assignment.sent, now):
-            changes.add(HeadChange.RATE_LIMIT)
         return changes
 
     def record_response_start(self, assignment: Assignment, now: float) -> None:
@@ -400,6 +419,7 @@
             self.rate_limits.forget_upstream(entry.upstream)
         self._crashes.retract_disproved(now)
         self.rate_limits.tick(now)
+        self._cold_starts.tick(now)
         self._forget_unlisted()
         self._caches.remove_expired(now)
         return removed
--- a/src/rudderpass/exchange/_logging.py
+++ b/src/rudderpass/exchange/_logging.py
@@ -8,6 +8,7 @@
 from rudderpass.eventlog import log, round_age
 from rudderpass.exchange._assignment import Accepted, Assignment, Refused
 from rudderpass.exchange._budget import RetryDecision
+from rudderpass.exchange._cold_starts import ColdChange
 from rudderpass.exchange._load import Load
 from rudderpass.exchange._progress import ExchangeSummary
 from rudderpass.exchange._request import ExchangeRequest
@@ -142,6 +143,18 @@
     log("leaving", text, upstream=upstream, peer=peer)
 
 
+def log_cold(change: ColdChange) -> None:
+    """Log that an upstream has become cold."""
+    text = f"{change.upstream} is cold for {change.seconds:.1f} s by"
+    log(
+        "cold",
+        f"{text} {change.source.value}.",
+        upstream=change.upstream,
+        source=change.source.name.lower(),
+        seconds=round(change.seconds, 3),
+    )
+
+
 def log_response(
     request: ExchangeRequest, summary: ExchangeSummary, status: int, cause: str
 ) -> None:
--- a/src/rudderpass/exchange/_progress.py
+++ b/src/rudderpass/exchange/_progress.py
@@ -72,6 +72,8 @@
         suspended.
     :param on_started: called with the team and start time of each request that started
         to run.
+    :param on_cold_upstream: called when a response told that its upstream is cold,
+        which peers must learn at once.
     """
 
     core: ExchangeCore
@@ -84,6 +86,7 @@
     on_suspect_request: Callable[[], None] = lambda: None
     before_decision: Callable[[], None] = lambda: None
     on_started: Callable[[TeamId | None, float], None] = lambda team, moment: None
+    on_cold_upstream: Callable[[], None] = lambda: None
 
 
 class Progress:
--- a/src/rudderpass/exchange/_request.py
+++ b/src/rudderpass/exchange/_request.py
@@ -90,6 +90,7 @@
 
     RATE_LIMIT = "the rate limit was set, changed or removed"
     LEAVING = "the upstream is leaving"
+    COLD = "the upstream has become cold"
 
 
 @dataclass(frozen=True)
@@ -103,6 +104,8 @@
     :param is_leaving: whether the upstream reports that it is leaving.
     :param retry_after: seconds that the upstream asked this host to wait before further
         requests; None if it sent no valid value.
+    :param cold_seconds: for which the upstream stays cold; 0 says that it is warm; None
+        if it tells no plausible time.
     """
 
     kind: ResponseKind
@@ -114,6 +117,7 @@
     rate_limit: float | None = None
     is_leaving: bool = False
     retry_after: float | None = None
+    cold_seconds: float | None = None
 
     @property
     def is_service_unavailable(self) -> bool:
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -349,6 +349,8 @@
             log_rate_limit(self._assigned.upstream, head.rate_limit)
         if HeadChange.LEAVING in changes:
             log_leaving(self._assigned.upstream)
+        if HeadChange.COLD in changes:
+            self._context.on_cold_upstream()
 
     def _record_refusal(self, error: UpstreamError) -> None:
         with self._context.lock:
--- a/src/rudderpass/gossip/_codec.py
+++ b/src/rudderpass/gossip/_codec.py
@@ -20,6 +20,7 @@
 from rudderpass.duties import DutyStatus
 from rudderpass.errors import PeerError
 from rudderpass.exchange import Load, PartId, PrefillRate, PromptPart, SentPrompt
+from rudderpass.gossip._cold_starts import cold_from_wire, cold_to_wire
 from rudderpass.gossip._digest import Digest, Member
 from rudderpass.gossip._duties import usage_from_wire, usage_to_wire
 from rudderpass.gossip._gen.wire import ttypes as wire
@@ -85,6 +86,7 @@
             list(heartbeat.leaving) or None,
             _era_to_wire(heartbeat.era),
             heartbeat.config_version,
+            cold_ms=cold_to_wire(heartbeat.cold) or None,
         )
     )
     return data if len(data) < MIN_DEFLATED_BYTES else _deflate(data)
@@ -123,6 +125,7 @@
             tuple(UpstreamId(name) for name in raw.leaving or ()),
             raw.config_version,
             _era_from_wire(raw.era),
+            cold=cold_from_wire(raw.cold_ms),
         )
     except TypeError as error:
         raise PeerError(f"invalid heartbeat: {error}", step="decode") from error
--- a/src/rudderpass/gossip/_gen/wire/ttypes.py
+++ b/src/rudderpass/gossip/_gen/wire/ttypes.py
@@ -1753,6 +1753,7 @@
      - leaving
      - era
      - config_version
+     - cold_ms
 
     """
 
@@ -1780,10 +1781,11 @@
         'leaving',
         'era',
         'config_version',
+        'cold_ms',
     )
 
 
-    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None, era=None, config_version=None,):
+    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None, era=None, config_version=None, cold_ms=None,):
         self.config_offset = config_offset
         self.upstreams_end = upstreams_end
         self.stopping = stopping
@@ -1807,6 +1809,7 @@
         self.leaving = leaving
         self.era = era
         self.config_version = config_version
+        self.cold_ms = cold_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1980,6 +1983,17 @@
                     self.config_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.MAP:
+                    self.cold_ms = {}
+                    (_ktype135, _vtype136, _size134) = iprot.readMapBegin()
+                    for _i138 in range(_size134):
+                        _key139 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val140 = iprot.readI32()
+                        self.cold_ms[_key139] = _val140
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2005,22 +2019,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter134 in self.loads:
-                iter134.write(oprot)
+            for iter141 in self.loads:
+                iter141.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter135 in self.prompts:
-                iter135.write(oprot)
+            for iter142 in self.prompts:
+                iter142.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.peers))
-            for iter136 in self.peers:
-                oprot.writeString(iter136.encode('utf-8') if sys.version_info[0] == 2 else iter136)
+            for iter143 in self.peers:
+                oprot.writeString(iter143.encode('utf-8') if sys.version_info[0] == 2 else iter143)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.warm is not None:
@@ -2034,15 +2048,15 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter137 in self.streams:
-                iter137.write(oprot)
+            for iter144 in self.streams:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reading is not None:
             oprot.writeFieldBegin('reading', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.reading))
-            for iter138 in self.reading:
-                iter138.write(oprot)
+            for iter145 in self.reading:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.zone is not None:
@@ -2064,8 +2078,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter139 in self.suspects:
-                iter139.write(oprot)
+            for iter146 in self.suspects:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.duty_token is not None:
@@ -2087,15 +2101,15 @@
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter140 in self.rate_limits:
-                iter140.write(oprot)
+            for iter147 in self.rate_limits:
+                iter147.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 22)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter141 in self.leaving:
-                oprot.writeString(iter141.encode('utf-8') if sys.version_info[0] == 2 else iter141)
+            for iter148 in self.leaving:
+                oprot.writeString(iter148.encode('utf-8') if sys.version_info[0] == 2 else iter148)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2106,6 +2120,14 @@
             oprot.writeFieldBegin('config_version', TType.I64, 24)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
+        if self.cold_ms is not None:
+            oprot.writeFieldBegin('cold_ms', TType.MAP, 26)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.cold_ms))
+            for kiter149, viter150 in self.cold_ms.items():
+                oprot.writeString(kiter149.encode('utf-8') if sys.version_info[0] == 2 else kiter149)
+                oprot.writeI32(viter150)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2158,11 +2180,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype145, _size142) = iprot.readListBegin()
-                    for _i146 in range(_size142):
-                        _elem147 = SentPrompt()
-                        _elem147.read(iprot)
-                        self.prompts.append(_elem147)
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = SentPrompt()
+                        _elem156.read(iprot)
+                        self.prompts.append(_elem156)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2179,8 +2201,8 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter148 in self.prompts:
-                iter148.write(oprot)
+            for iter157 in self.prompts:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2351,11 +2373,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = KeyedRecord()
-                        _elem154.read(iprot)
-                        self.upstreams.append(_elem154)
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = KeyedRecord()
+                        _elem163.read(iprot)
+                        self.upstreams.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2367,11 +2389,11 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.ending_ms = {}
-                    (_ktype156, _vtype157, _size155) = iprot.readMapBegin()
-                    for _i159 in range(_size155):
-                        _key160 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val161 = iprot.readI32()
-                        self.ending_ms[_key160] = _val161
+                    (_ktype165, _vtype166, _size164) = iprot.readMapBegin()
+                    for _i168 in range(_size164):
+                        _key169 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val170 = iprot.readI32()
+                        self.ending_ms[_key169] = _val170
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2388,11 +2410,11 @@
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.held_ms = {}
-                    (_ktype163, _vtype164, _size162) = iprot.readMapBegin()
-                    for _i166 in range(_size162):
-                        _key167 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val168 = iprot.readI32()
-                        self.held_ms[_key167] = _val168
+                    (_ktype172, _vtype173, _size171) = iprot.readMapBegin()
+                    for _i175 in range(_size171):
+                        _key176 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val177 = iprot.readI32()
+                        self.held_ms[_key176] = _val177
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2413,8 +2435,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter169 in self.upstreams:
-                iter169.write(oprot)
+            for iter178 in self.upstreams:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_end is not None:
@@ -2424,9 +2446,9 @@
         if self.ending_ms is not None:
             oprot.writeFieldBegin('ending_ms', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.ending_ms))
-            for kiter170, viter171 in self.ending_ms.items():
-                oprot.writeString(kiter170.encode('utf-8') if sys.version_info[0] == 2 else kiter170)
-                oprot.writeI32(viter171)
+            for kiter179, viter180 in self.ending_ms.items():
+                oprot.writeString(kiter179.encode('utf-8') if sys.version_info[0] == 2 else kiter179)
+                oprot.writeI32(viter180)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.changes_from is not None:
@@ -2440,9 +2462,9 @@
         if self.held_ms is not None:
             oprot.writeFieldBegin('held_ms', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.held_ms))
-            for kiter172, viter173 in self.held_ms.items():
-                oprot.writeString(kiter172.encode('utf-8') if sys.version_info[0] == 2 else kiter172)
-                oprot.writeI32(viter173)
+            for kiter181, viter182 in self.held_ms.items():
+                oprot.writeString(kiter181.encode('utf-8') if sys.version_info[0] == 2 else kiter181)
+                oprot.writeI32(viter182)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2618,6 +2640,8 @@
     (22, TType.LIST, 'leaving', (TType.STRING, 'UTF8', False), None, ),  # 22
     (23, TType.I64, 'era', None, None, ),  # 23
     (24, TType.I64, 'config_version', None, None, ),  # 24
+    None,  # 25
+    (26, TType.MAP, 'cold_ms', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 26
 )
 all_structs.append(Prompts)
 Prompts.thrift_spec = (
--- a/src/rudderpass/gossip/_heartbeat.py
+++ b/src/rudderpass/gossip/_heartbeat.py
@@ -40,6 +40,7 @@
     :param config_version: of the configuration in force there; None before the first,
         and from hosts that do not tell it.
     :param era: of the platform's store, as its list of upstreams has it.
+    :param cold: seconds for which upstreams stay cold, as their responses told.
     """
 
     sender: NodeId
@@ -64,6 +65,7 @@
     leaving: tuple[UpstreamId, ...] = ()
     config_version: int | None = None
     era: StoreEra = UNKNOWN_ERA
+    cold: Mapping[UpstreamId, float] = field(default_factory=dict)
 
     @property
     def position(self) -> ViewPosition:
--- a/src/rudderpass/gossip/_peer_table.py
+++ b/src/rudderpass/gossip/_peer_table.py
@@ -54,6 +54,11 @@
 may be partitioned and keep spending, and the spending of a dead one counts for a window
 of 10 s."""
 
+SETTLING_SECONDS = 2.0
+"""A host sends to cold upstreams only this long after it read the list of hosts. Until
+then the hosts that it greeted have ranked it, 0.5 s later at most, and a second has
+passed since the host that it replaces as a sender last sent."""
+
 MIN_HOSTS = 8
 """Hosts assumed to share the system's budgets when no peer is live: more assumed hosts
 mean a smaller share, so an isolated host stays within the budget."""
@@ -116,6 +121,9 @@
         self._rng = rng
         self._peers: dict[NodeId, _Peer] = {}
         self._behind_since: float | None = None
+        self._listed_at: float | None = None
+        self._last_received = -math.inf
+        self._receiving_since = -math.inf
 
     def add(self, peers: Iterable[NodeId]) -> None:
         """Add peers that may exist."""
@@ -123,8 +131,17 @@
             if peer != self._own and len(self._peers) < MAX_PEERS:
                 self._peers.setdefault(peer, _Peer())
 
+    def apply_list(self, peers: Iterable[NodeId], now: float) -> None:
+        """Add the peers of the store's list of hosts, which is complete."""
+        self.add(peers)
+        if self._listed_at is None:
+            self._listed_at = now
+
     def receive_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Process a heartbeat; return whether its sender was not live before."""
+        if now - self._last_received > LIVE_SECONDS:
+            self._receiving_since = now
+        self._last_received = now
         self.add([heartbeat.sender, *heartbeat.peers])
         peer = self._peers.get(heartbeat.sender)
         if peer is None:
@@ -222,6 +239,37 @@
         rank = sum(hash_host(key, name) > own for name in serving)
         return HostRank(rank, len(serving) + 1)
 
+    def rank_cold_sender(self, key: str, now: float) -> HostRank | None:
+        """Return this host's rendezvous rank among the hosts that it knows.
+
+        Peers count whether live or not, so that both sides of a partition agree.
+
+        :returns: None until this host has read the list of hosts and the others had
+            time to rank it.
+        """
+        if self._listed_at is None or now - self._listed_at < SETTLING_SECONDS:
+            return None
+        known = self._known_senders(now)
+        own = hash_host(key, self._own)
+        rank = sum(hash_host(key, name) > own for name in known)
+        return HostRank(rank, len(known) + 1)
+
+    def _known_senders(self, now: float) -> list[NodeId]:
+        """Return the peers without those that were replaced.
+
+        A peer was replaced if this host has not heard from it for REPLACED_SECONDS, and
+        has heard from others all that time. A host that was isolated or suspended
+        cannot tell; it would take itself for the only host.
+        """
+        is_receiving = now - self._last_received <= LIVE_SECONDS
+        if not is_receiving or now - self._receiving_since <= REPLACED_SECONDS:
+            return self.known
+        return [
+            name
+            for name, peer in self._peers.items()
+            if now - peer.last_heard <= REPLACED_SECONDS
+        ]
+
     @property
     def _contacted_count(self) -> int:
         return sum(peer.last_heard > float("-inf") for peer in self._peers.values())
--- a/src/rudderpass/host/_gossip_protocol.py
+++ b/src/rudderpass/host/_gossip_protocol.py
@@ -162,6 +162,7 @@
         self._core.quarantine.merge(heartbeat.suspects, self._relay_role.is_relay, now)
         for upstream, rate in self._core.rate_limits.merge(heartbeat.rate_limits, now):
             log_rate_limit(upstream, rate, heartbeat.sender)
+        self._core.cold_starts.merge(heartbeat.cold, now)
         for upstream in heartbeat.leaving:
             if self._core.directory.record_leaving(upstream):
                 log_leaving(upstream, heartbeat.sender)
@@ -353,4 +354,5 @@
             tuple(directory.reported_leaving[-MAX_LEAVING_REPORTED:]),
             position.config_version,
             position.era,
+            cold=self._core.cold_starts.describe_told(now),
         )
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -26,6 +26,7 @@
     ExchangeCore,
     ExchangeDialect,
     UpstreamConnectionPool,
+    log_cold,
 )
 from rudderpass.host._admin import make_metrics_server, make_ready_server
 from rudderpass.host._duties import HostDuties
@@ -106,6 +107,8 @@
             lambda: self._peers.peer_table.count_hosts(_clock.now()),
             None if settings.is_first_start else _clock.now(),
             lambda upstream, now: self._peers.peer_table.rank_host(upstream, now),
+            settings.cold_limit,
+            lambda name, now: self._peers.peer_table.rank_cold_sender(name, now),
         )
         self._peers = PeerGossip(
             settings.peer,
@@ -134,6 +137,7 @@
             self._peers.send_soon,
             lambda: self._suspension_recovery.check(),
             self._record_started,
+            self._peers.send_soon,
         )
         self._app = ExchangeApp(context)
         self._caller_server = HttpServer(
@@ -296,6 +300,9 @@
         self._quarantine.tick(now)
         with self._lock:
             removed = self._core.tick(now)
+            cold = self._core.cold_starts.pop_changes()
+        for change in cold:
+            log_cold(change)
         for entry in removed:
             self._connections.discard(entry.address)
             log("upstream", f"{entry.upstream} was removed.", upstream=entry.upstream)
@@ -327,7 +334,7 @@
     def _apply_registered(self, registered: RegistryContents | None) -> None:
         """Apply the hosts' records; None if the store does not answer."""
         if registered is None:
-            self._peers.add_peers(())
+            self._peers.add_peers(None)
             self._release_waiting_requests()
             return
         with self._lock:
@@ -409,6 +416,7 @@
                 suspect_requests=self._core.quarantine.suspect_count,
                 quarantined_requests=len(self._core.quarantine.quarantined),
                 upstreams_rate_limited=len(self._core.rate_limits.rates),
+                upstreams_cold=len(self._core.cold_starts.cold),
                 duty_token=0 if duties is None else duties.token or 0,
                 usage_reports_waiting=0 if duties is None else duties.reports_waiting,
                 upstreams_wanted=0 if duties is None else duties.upstreams_wanted,
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -41,6 +41,7 @@
     suspect_requests: int
     quarantined_requests: int
     upstreams_rate_limited: int
+    upstreams_cold: int
     duty_token: int
     usage_reports_waiting: int
     upstreams_wanted: int
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -140,14 +140,15 @@
         self._transport.start()
         self._greet_silent(_clock.now())
 
-    def add_peers(self, peers: Iterable[NodeId]) -> None:
+    def add_peers(self, peers: Iterable[NodeId] | None) -> None:
         """Add the peers listed in the store, and greet those not heard from yet.
 
-        :param peers: empty if the store does not answer.
+        :param peers: None if the store does not answer.
         """
         now = _clock.now()
         with self._lock:
-            self._peer_table.add(peers)
+            if peers is not None:
+                self._peer_table.apply_list(peers, now)
             self._follow_rule.record_peers_listed()
         self._greet_silent(now)
         self._update_following(now)
--- a/src/rudderpass/host/_settings.py
+++ b/src/rudderpass/host/_settings.py
@@ -9,7 +9,7 @@
 from rudderpass._ids import AvailabilityZone, Region
 from rudderpass.directory import ENTRY_LIFETIME_SECONDS
 from rudderpass.duties import LeasePolicy
-from rudderpass.exchange import BudgetRule
+from rudderpass.exchange import BudgetRule, ColdLimit
 
 
 class OrderMode(Enum):
@@ -45,18 +45,6 @@
     most_upstreams: int | None = None
 
 
-@dataclass(frozen=True)
-class ColdLimit:
-    """How far the requests to a cold upstream may exceed what it sustains.
-
-    In any second, all hosts together may send it its sustained rate times ``overage``
-    plus ``slack``.
-    """
-
-    overage: float = 1.0
-    slack: float = 0.0
-
-
 @dataclass(frozen=True)
 class HostSettings:
     """Settings of a host. Times are seconds.
--- a/src/rudderpass/platform/_dialect.py
+++ b/src/rudderpass/platform/_dialect.py
@@ -9,6 +9,7 @@
 
 from rudderpass._ids import RequestId
 from rudderpass.exchange import (
+    MAX_COLD_SECONDS,
     BadRequest,
     ExchangeRequest,
     Headers,
@@ -19,6 +20,7 @@
     SendContext,
 )
 from rudderpass.platform._headers import (
+    COLD_MS,
     COPY_FROM,
     CREDENTIAL,
     LAST_EVENT_ID,
@@ -149,6 +151,7 @@
             rate_limit=_parse_nonnegative(fields.get(RATE_LIMIT.lower())),
             is_leaving=fields.get(LEAVING.lower()) == _TRUE,
             retry_after=_parse_nonnegative(fields.get(RETRY_AFTER.lower())),
+            cold_seconds=_parse_cold_seconds(fields.get(COLD_MS.lower())),
         )
 
     def build_refusal_headers(
@@ -282,6 +285,14 @@
     return number if math.isfinite(number) and number >= 0.0 else None
 
 
+def _parse_cold_seconds(value: str | None) -> float | None:
+    """Return the remaining cold time; None if missing, invalid or implausible."""
+    milliseconds = _parse_nonnegative(value)
+    if milliseconds is None or milliseconds > MAX_COLD_SECONDS * _MS:
+        return None
+    return milliseconds / _MS
+
+
 def _reason_phrase(status: int) -> str:
     try:
         return HTTPStatus(status).phrase
--- a/src/rudderpass/platform/_headers.py
+++ b/src/rudderpass/platform/_headers.py
@@ -33,6 +33,7 @@
 RESPONSE_WEIGHTS_VERSIONS = "X-Weight-Versions"
 RATE_LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"
+COLD_MS = "X-Cold-Ms"
 RETRY_AFTER = "Retry-After"
 
 
@@ -72,6 +73,7 @@
     RESPONSE_WEIGHTS_VERSIONS: Owner.UPSTREAM,
     RATE_LIMIT: Owner.UPSTREAM,
     LEAVING: Owner.UPSTREAM,
+    COLD_MS: Owner.UPSTREAM,
 }
 
 _NOT_FORWARDED = frozenset(
