--- a/tests/exchange/harness.py
+++ b/tests/exchange/harness.py
@@ -239,7 +239,12 @@
     """One host's HTTP server and its upstreams, tried in the order given."""
 
     def __init__(
-        self, route: ExchangeRoute, *behaviours: Behaviour, unreachable: int = 0
+        self,
+        route: ExchangeRoute,
+        *behaviours: Behaviour,
+        unreachable: int = 0,
+        core: ExchangeCore | None = None,
+        on_cold_upstream: Callable[[], None] = lambda: None,
     ) -> None:
         self.upstreams = [FakeUpstream(behaviour) for behaviour in behaviours]
         self.summaries: list[ExchangeSummary] = []
@@ -249,7 +254,7 @@
         addresses = [upstream.address for upstream in self.upstreams]
         addresses = ["127.0.0.1:1"] * unreachable + addresses
         zone = AvailabilityZone("here")
-        self.core = self._make_core(route, addresses, zone)
+        self.core = core or self._make_core(route, addresses, zone)
         context = ExchangeContext(
             self.core,
             threading.RLock(),
@@ -258,6 +263,7 @@
             self.summaries.append,
             lambda service, retry: self.retries.append(retry),
             self.initialized,
+            on_cold_upstream=on_cold_upstream,
         )
         self.app = ExchangeApp(context)
         self._server = HttpServer(self.app, "127.0.0.1:0", ServerLimits(threads=16))
--- a/tests/gossip/test_mutated.py
+++ b/tests/gossip/test_mutated.py
@@ -56,6 +56,7 @@
             {PoolId("engines"): PrefillRate(9000.0, 1000.0)},
         ),
         rate_limits=(RateLimitUpdate(UPSTREAM, 1.5, 0.25),),
+        cold={UPSTREAM: 2.5},
         suspects=(
             make_update(BAD, crash("u1", 2.0), crash("u2", 1.0)),
             make_update(GOOD),
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -214,6 +214,27 @@
     assert DIALECT.parse_response_head(200, "OK", [], REQUEST).rate_limit is None
 
 
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [
+        ("2500", 2.5),
+        ("0", 0.0),
+        ("600000", 600.0),
+        ("600001", None),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("soon", None),
+        ("", None),
+    ],
+)
+def test_the_cold_time_header_is_parsed(value: str, seconds: float | None) -> None:
+    headers = [("X-Request-Id", "r1"), ("X-Cold-Ms", value)]
+    head = DIALECT.parse_response_head(200, "OK", headers, REQUEST)
+    assert head.cold_seconds == seconds
+    assert DIALECT.parse_response_head(200, "OK", [], REQUEST).cold_seconds is None
+
+
 @pytest.mark.parametrize(
     ("headers", "is_leaving", "retry_after"),
     [
