Test restarts, relays and the list of hosts with cold upstreams

Cause: a version without the pause after a start, or without the report through relays, passed all tests.

--- a/tests/host/test_cold_starts.py
+++ b/tests/host/test_cold_starts.py
@@ -15,15 +15,22 @@
 from __future__ import annotations
 
 import random
+import threading
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import pytest
 from hypothesis import Phase, find, given, settings as Settings, strategies as st
 
+from rudderpass import _clock
 from rudderpass._ids import NodeId, UpstreamId
+from rudderpass.directory import ColdStartTraits
 from rudderpass.exchange import SENDERS, ColdLimit, HostRank, split_rate
 from rudderpass.gossip import PeerTable
 from rudderpass.gossip._hashing import hash_host
+from rudderpass.host._peers import PeerGossip
+from tests.directory.builders import ZONE
+from tests.exchange.builders import make_core
 from tests.fuzz import make_settings
 from tests.host.cold_fleet import (
     BOUND,
@@ -33,6 +40,7 @@
     RankSender,
     rank_by_known,
 )
+from tests.host.fleet import Fleet
 
 HEALED_SECONDS = 30.0
 """From the end of a partition until all hosts have heard from one another again."""
@@ -134,6 +142,24 @@
         restarts.append((fleet.now + event.down, name, event.kind != NO_LIST))
 
 
+@pytest.fixture
+def free_peers() -> Iterator[PeerGossip]:
+    """Return the gossip of a host without any peers."""
+    peers = PeerGossip(
+        "127.0.0.1:0",
+        ZONE,
+        100,
+        (),
+        make_core(),
+        threading.RLock(),
+        lambda changes: None,
+        lambda now: None,
+    )
+    peers.transport.start()
+    yield peers
+    peers.close()
+
+
 def find_excess(
     hosts: int,
     rate: float,
@@ -206,6 +232,23 @@
     assert fleet.most_in_a_second() <= BOUND
 
 
+def test_hosts_that_restart_again_and_again_do_not_send_more() -> None:
+    """A start forgets what its host sent in the second before."""
+    fleet = ColdFleet(12)
+    fleet.run(70.0)
+    first = fleet.senders_since(60.0)
+    fleet.cut([fleet.names[:6], fleet.names[6:]])
+    fleet.run(100.0)
+    assert len(fleet.senders_since(fleet.now - 5.0)) == 2 * SENDERS
+    for _ in range(100):
+        fleet.run(0.4)
+        for name in first:
+            fleet.kill(name)
+            fleet.start(name)
+    fleet.run(5.0)
+    assert fleet.most_in_a_second() <= BOUND
+
+
 def test_the_guarantee_ends_with_three_sides_after_a_minute() -> None:
     """The assumption of at most SENDERS senders too many does not hold here."""
     fleet = ColdFleet(12)
@@ -218,6 +261,31 @@
     assert fleet.most_in_a_second() > BOUND
 
 
+@pytest.mark.parametrize("hosts", [8, 60])
+def test_all_hosts_learn_within_a_second_what_one_response_told(hosts: int) -> None:
+    """Through relays as well; each host then applies the joint rate."""
+    fleet = Fleet(hosts, zones=4, upstreams=1, cold_start=ColdStartTraits(3.0, RATE))
+    fleet.run(4.0)
+    sender = fleet.up()[5]
+    assert sender.core.cold_starts.record_response(UpstreamId("u1"), 5.0, fleet.now)
+    told_at = fleet.now
+    fleet.run(1.0)
+    for host in fleet.up():
+        period = host.core.cold_starts.find_cold(UpstreamId("u1"), fleet.now)
+        assert period is not None
+        assert period.until == pytest.approx(told_at + 5.0, abs=0.3)
+
+
+def test_only_a_list_that_the_store_returned_counts(free_peers: PeerGossip) -> None:
+    """Without an answer, a host knows too few others to rank itself."""
+    later = _clock.now() + 10.0
+    free_peers.add_peers(None)
+    assert free_peers.peer_table.rank_cold_sender("u1", later) is None
+    free_peers.add_peers({NodeId("127.0.0.1:9")})
+    rank = free_peers.peer_table.rank_cold_sender("u1", later)
+    assert rank is not None and rank.host_count == 2
+
+
 # Versions broken on purpose, which the checks above must catch.
 
 
