--- a/src/rudderpass/directory/_evacuations.py
+++ b/src/rudderpass/directory/_evacuations.py
@@ -23,6 +23,10 @@
 """How long the end is told to peers: less than ENDED_SECONDS, so that no host that has
 forgotten it learns it again from one that heard of it slightly later."""
 
+SAME_END_SECONDS = 1.0
+"""Ends of one zone that are further apart are the ends of two evacuations, of which
+this host has missed the second. Its upstreams may be cold again."""
+
 MAX_ZONES = 100
 """Maximum number of zones with a statement; ended ones, then the oldest, go first."""
 
@@ -275,10 +279,13 @@
             return
         zone, was_active = statement.zone, statement.zone in self._zones
         known = self._entries.get(zone)
+        ended_at = now - statement.ended_for
         if known is not None and known.is_active is statement.is_active:
             known.position = statement.position
+            is_other_end = ended_at > known.ended_at + SAME_END_SECONDS
+            if is_other_end and not statement.is_active:
+                known.learned_at, known.ended_at = now, ended_at
             return
-        ended_at = now - statement.ended_for
         self._entries[zone] = _Entry(
             statement.position, statement.is_active, now, ended_at
         )
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -23,9 +23,11 @@
 from rudderpass.exchange._budget import BudgetRule, RetryDecision, SharedRetryBudget
 from rudderpass.exchange._caches import CacheTracker
 from rudderpass.exchange._choice import RoutingState, choose_upstream, isolate_choice
+from rudderpass.exchange._cold_starts import ColdStarts
 from rudderpass.exchange._crashes import CrashDetector
 from rudderpass.exchange._eligibility import Eligibility
 from rudderpass.exchange._forecast import Forecasts
+from rudderpass.exchange._joint_rate import ColdLimit
 from rudderpass.exchange._load import LoadReport, LoadTracker, request_load
 from rudderpass.exchange._overload import find_retry_after
 from rudderpass.exchange._prefixes import PrefixIndex
@@ -54,6 +56,9 @@
     :param restarted_at: when this host restarted; None at the first start of the entire
         deployment.
     :param rank_host: returns this host's rank for an upstream's rate limit.
+    :param cold_limit: the bound on the requests to a cold upstream.
+    :param rank_cold_sender: returns this host's rank as a sender to a cold upstream;
+        None if it must not send to any.
     :ivar is_warm: whether the host knows the contents of the upstreams' caches.
 
     Not thread-safe: the host's lock guards it.
@@ -70,6 +75,8 @@
         count_hosts: Callable[[], int],
         restarted_at: float | None = None,
         rank_host: Callable[[UpstreamId, float], HostRank] | None = None,
+        cold_limit: ColdLimit | None = None,
+        rank_cold_sender: Callable[[UpstreamId, float], HostRank | None] | None = None,
     ) -> None:
         self._directory = directory
         self._state = RoutingState(
@@ -83,7 +90,13 @@
         self._budget = SharedRetryBudget(rule, restarted_at)
         self._quarantine = QuarantineTracker()
         self._crashes = CrashDetector(directory, self._state, self._quarantine)
-        self._throttling = Throttling(self._state, rank_host)
+        self._cold_starts = ColdStarts(
+            directory,
+            cold_limit,
+            rank_cold_sender,
+            directory.evacuations.ended_at,
+        )
+        self._throttling = Throttling(self._state, rank_host, self._cold_starts)
         self._count_hosts = count_hosts
         self._response_order = ResponseOrder()
         self._is_stopping = False
@@ -111,6 +124,11 @@
         """The rate limits that upstreams currently report."""
         return self._throttling.rate_limits
 
+    @property
+    def cold_starts(self) -> ColdStarts:
+        """The upstreams that are cold after a start."""
+        return self._cold_starts
+
     @property
     def caches(self) -> CacheTracker:
         """The estimated contents of the upstreams' caches."""
@@ -196,9 +214,7 @@
         if isinstance(upstreams, Refused):
             return upstreams
         stall_risk = self._forecasts.stall_risk(accepted, upstreams, now)
-        throttled = self._throttling.find_throttled(
-            [entry.upstream for entry in upstreams], now
-        )
+        throttled = self._throttling.find_throttled(upstreams, now)
         choice = choose_upstream(
             request,
             stall_risk,
@@ -230,7 +246,7 @@
             if retry_after is not None:
                 return Refused(RefusalReason.OVERLOAD, retry_after)
         upstream = chosen.upstream.upstream
-        self.rate_limits.spend(upstream, now)
+        self._throttling.spend(upstream, now)
         rank = accepted.tier if request.parts else None
         load = request_load(chosen.unread_tokens, stall_risk.tightness, rank)
         self._loads.begin(upstream, load)
@@ -262,14 +278,19 @@
     def accepts_requests(
         self, accepted: Accepted, assignment: Assignment, now: float
     ) -> bool:
-        """Return whether an assigned request may still be sent to its upstream."""
+        """Return whether an assigned request may still be sent to its upstream.
+
+        Called right before a request is written; a cold upstream's meter counts it.
+        """
         if self._is_stale:
             return False
         if not self._eligibility.is_allowed(accepted, assignment):
             return False
         if self._throttling.has_active_retry_after(assignment.upstream, now):
             return False
-        return self._directory.accepts_requests(assignment.upstream, now)
+        if not self._directory.accepts_requests(assignment.upstream, now):
+            return False
+        return self._throttling.accept_write(assignment.upstream, now)
 
     def withdraw_copy(self, assignment: Assignment) -> None:
         """Copy no cache from an upstream in a zone evacuated since the assignment."""
@@ -314,11 +335,9 @@
     ) -> set[HeadChange]:
         """Record the upstream state in a response head; return what changed."""
         upstream = assignment.upstream
-        changes = set()
+        changes = self._throttling.record_head(upstream, head, assignment.sent, now)
         if head.is_leaving and self._directory.record_leaving(upstream):
             changes.add(HeadChange.LEAVING)
-        if self._throttling.record_head(upstream, head, assignment.sent, now):
-            changes.add(HeadChange.RATE_LIMIT)
         return changes
 
     def record_response_start(self, assignment: Assignment, now: float) -> None:
@@ -440,6 +459,7 @@
             self.rate_limits.forget_upstream(entry.upstream)
         self._crashes.retract_disproved(now)
         self.rate_limits.tick(now)
+        self._cold_starts.tick(now)
         self._forget_unlisted()
         self._caches.remove_expired(now)
         return removed
--- a/src/rudderpass/gossip/_codec.py
+++ b/src/rudderpass/gossip/_codec.py
@@ -20,6 +20,7 @@
 from rudderpass.duties import DutyStatus
 from rudderpass.errors import PeerError
 from rudderpass.exchange import Load, PartId, PrefillRate, PromptPart, SentPrompt
+from rudderpass.gossip._cold_starts import cold_from_wire, cold_to_wire
 from rudderpass.gossip._digest import Digest, Member
 from rudderpass.gossip._duties import usage_from_wire, usage_to_wire
 from rudderpass.gossip._evacuations import evacuations_from_wire, evacuations_to_wire
@@ -87,6 +88,7 @@
             _era_to_wire(heartbeat.era),
             heartbeat.config_version,
             evacuations_to_wire(heartbeat.evacuations),
+            cold_ms=cold_to_wire(heartbeat.cold) or None,
         )
     )
     return data if len(data) < MIN_DEFLATED_BYTES else _deflate(data)
@@ -126,6 +128,7 @@
             raw.config_version,
             _era_from_wire(raw.era),
             evacuations_from_wire(raw.evacuations),
+            cold=cold_from_wire(raw.cold_ms),
         )
     except TypeError as error:
         raise PeerError(f"invalid heartbeat: {error}", step="decode") from error
--- a/src/rudderpass/gossip/_gen/wire/ttypes.py
+++ b/src/rudderpass/gossip/_gen/wire/ttypes.py
@@ -1870,6 +1870,7 @@
      - era
      - config_version
      - evacuations
+     - cold_ms
 
     """
 
@@ -1898,10 +1899,11 @@
         'era',
         'config_version',
         'evacuations',
+        'cold_ms',
     )
 
 
-    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None, era=None, config_version=None, evacuations=None,):
+    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None, era=None, config_version=None, evacuations=None, cold_ms=None,):
         self.config_offset = config_offset
         self.upstreams_end = upstreams_end
         self.stopping = stopping
@@ -1926,6 +1928,7 @@
         self.era = era
         self.config_version = config_version
         self.evacuations = evacuations
+        self.cold_ms = cold_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2110,6 +2113,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.MAP:
+                    self.cold_ms = {}
+                    (_ktype141, _vtype142, _size140) = iprot.readMapBegin()
+                    for _i144 in range(_size140):
+                        _key145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val146 = iprot.readI32()
+                        self.cold_ms[_key145] = _val146
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2135,22 +2149,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter140 in self.loads:
-                iter140.write(oprot)
+            for iter147 in self.loads:
+                iter147.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter141 in self.prompts:
-                iter141.write(oprot)
+            for iter148 in self.prompts:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.peers))
-            for iter142 in self.peers:
-                oprot.writeString(iter142.encode('utf-8') if sys.version_info[0] == 2 else iter142)
+            for iter149 in self.peers:
+                oprot.writeString(iter149.encode('utf-8') if sys.version_info[0] == 2 else iter149)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.warm is not None:
@@ -2164,15 +2178,15 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter143 in self.streams:
-                iter143.write(oprot)
+            for iter150 in self.streams:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reading is not None:
             oprot.writeFieldBegin('reading', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.reading))
-            for iter144 in self.reading:
-                iter144.write(oprot)
+            for iter151 in self.reading:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.zone is not None:
@@ -2194,8 +2208,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter145 in self.suspects:
-                iter145.write(oprot)
+            for iter152 in self.suspects:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.duty_token is not None:
@@ -2217,15 +2231,15 @@
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter146 in self.rate_limits:
-                iter146.write(oprot)
+            for iter153 in self.rate_limits:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 22)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter147 in self.leaving:
-                oprot.writeString(iter147.encode('utf-8') if sys.version_info[0] == 2 else iter147)
+            for iter154 in self.leaving:
+                oprot.writeString(iter154.encode('utf-8') if sys.version_info[0] == 2 else iter154)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2239,10 +2253,18 @@
         if self.evacuations is not None:
             oprot.writeFieldBegin('evacuations', TType.LIST, 25)
             oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
-            for iter148 in self.evacuations:
-                iter148.write(oprot)
+            for iter155 in self.evacuations:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.cold_ms is not None:
+            oprot.writeFieldBegin('cold_ms', TType.MAP, 26)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.cold_ms))
+            for kiter156, viter157 in self.cold_ms.items():
+                oprot.writeString(kiter156.encode('utf-8') if sys.version_info[0] == 2 else kiter156)
+                oprot.writeI32(viter157)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2295,11 +2317,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = SentPrompt()
-                        _elem154.read(iprot)
-                        self.prompts.append(_elem154)
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = SentPrompt()
+                        _elem163.read(iprot)
+                        self.prompts.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2316,8 +2338,8 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter155 in self.prompts:
-                iter155.write(oprot)
+            for iter164 in self.prompts:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2488,11 +2510,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype159, _size156) = iprot.readListBegin()
-                    for _i160 in range(_size156):
-                        _elem161 = KeyedRecord()
-                        _elem161.read(iprot)
-                        self.upstreams.append(_elem161)
+                    (_etype168, _size165) = iprot.readListBegin()
+                    for _i169 in range(_size165):
+                        _elem170 = KeyedRecord()
+                        _elem170.read(iprot)
+                        self.upstreams.append(_elem170)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2504,11 +2526,11 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.ending_ms = {}
-                    (_ktype163, _vtype164, _size162) = iprot.readMapBegin()
-                    for _i166 in range(_size162):
-                        _key167 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val168 = iprot.readI32()
-                        self.ending_ms[_key167] = _val168
+                    (_ktype172, _vtype173, _size171) = iprot.readMapBegin()
+                    for _i175 in range(_size171):
+                        _key176 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val177 = iprot.readI32()
+                        self.ending_ms[_key176] = _val177
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2525,11 +2547,11 @@
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.held_ms = {}
-                    (_ktype170, _vtype171, _size169) = iprot.readMapBegin()
-                    for _i173 in range(_size169):
-                        _key174 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val175 = iprot.readI32()
-                        self.held_ms[_key174] = _val175
+                    (_ktype179, _vtype180, _size178) = iprot.readMapBegin()
+                    for _i182 in range(_size178):
+                        _key183 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val184 = iprot.readI32()
+                        self.held_ms[_key183] = _val184
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2550,8 +2572,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter176 in self.upstreams:
-                iter176.write(oprot)
+            for iter185 in self.upstreams:
+                iter185.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_end is not None:
@@ -2561,9 +2583,9 @@
         if self.ending_ms is not None:
             oprot.writeFieldBegin('ending_ms', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.ending_ms))
-            for kiter177, viter178 in self.ending_ms.items():
-                oprot.writeString(kiter177.encode('utf-8') if sys.version_info[0] == 2 else kiter177)
-                oprot.writeI32(viter178)
+            for kiter186, viter187 in self.ending_ms.items():
+                oprot.writeString(kiter186.encode('utf-8') if sys.version_info[0] == 2 else kiter186)
+                oprot.writeI32(viter187)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.changes_from is not None:
@@ -2577,9 +2599,9 @@
         if self.held_ms is not None:
             oprot.writeFieldBegin('held_ms', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.held_ms))
-            for kiter179, viter180 in self.held_ms.items():
-                oprot.writeString(kiter179.encode('utf-8') if sys.version_info[0] == 2 else kiter179)
-                oprot.writeI32(viter180)
+            for kiter188, viter189 in self.held_ms.items():
+                oprot.writeString(kiter188.encode('utf-8') if sys.version_info[0] == 2 else kiter188)
+                oprot.writeI32(viter189)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2765,6 +2787,7 @@
     (23, TType.I64, 'era', None, None, ),  # 23
     (24, TType.I64, 'config_version', None, None, ),  # 24
     (25, TType.LIST, 'evacuations', (TType.STRUCT, [Evacuation, None], False), None, ),  # 25
+    (26, TType.MAP, 'cold_ms', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 26
 )
 all_structs.append(Prompts)
 Prompts.thrift_spec = (
--- a/src/rudderpass/gossip/_heartbeat.py
+++ b/src/rudderpass/gossip/_heartbeat.py
@@ -41,6 +41,7 @@
         and from hosts that do not tell it.
     :param era: of the platform's store, as its list of upstreams has it.
     :param evacuations: what it knows of evacuated zones.
+    :param cold: seconds for which upstreams stay cold, as their responses told.
     """
 
     sender: NodeId
@@ -66,6 +67,7 @@
     config_version: int | None = None
     era: StoreEra = UNKNOWN_ERA
     evacuations: tuple[EvacuationStatement, ...] = ()
+    cold: Mapping[UpstreamId, float] = field(default_factory=dict)
 
     @property
     def position(self) -> ViewPosition:
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -27,6 +27,7 @@
     ExchangeCore,
     ExchangeDialect,
     UpstreamConnectionPool,
+    log_cold,
 )
 from rudderpass.host._admin import EvacuatedZone, make_metrics_server, make_ready_server
 from rudderpass.host._duties import HostDuties
@@ -111,6 +112,8 @@
             lambda: self._peers.peer_table.count_hosts(_clock.now()),
             None if settings.is_first_start else _clock.now(),
             lambda upstream, now: self._peers.peer_table.rank_host(upstream, now),
+            settings.cold_limit,
+            lambda name, now: self._peers.peer_table.rank_cold_sender(name, now),
         )
         self._peers = PeerGossip(
             settings.peer,
@@ -139,6 +142,7 @@
             self._peers.send_soon,
             lambda: self._suspension_recovery.check(),
             self._record_started,
+            self._peers.send_soon,
         )
         self._app = ExchangeApp(context)
         self._caller_server = HttpServer(
@@ -305,8 +309,11 @@
         with self._lock:
             removed = self._core.tick(now)
             learned = self._directory.pop_evacuation_changes()
+            cold = self._core.cold_starts.pop_changes()
         if learned:
             self._record_store_update(learned)
+        for change in cold:
+            log_cold(change)
         for entry in removed:
             self._connections.discard(entry.address)
             log("upstream", f"{entry.upstream} was removed.", upstream=entry.upstream)
@@ -339,7 +346,7 @@
     def _apply_registered(self, registered: RegistryContents | None) -> None:
         """Apply the hosts' records; None if the store does not answer."""
         if registered is None:
-            self._peers.add_peers(())
+            self._peers.add_peers(None)
             self._release_waiting_requests()
             return
         with self._lock:
@@ -441,6 +448,7 @@
                 requests_in_evacuated_zones=sum(
                     self._core.running_by_evacuated_zone().values()
                 ),
+                upstreams_cold=len(self._core.cold_starts.cold),
                 duty_token=0 if duties is None else duties.token or 0,
                 usage_reports_waiting=0 if duties is None else duties.reports_waiting,
                 upstreams_wanted=0 if duties is None else duties.upstreams_wanted,
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -43,6 +43,7 @@
     upstreams_rate_limited: int
     zones_evacuated: int
     requests_in_evacuated_zones: int
+    upstreams_cold: int
     duty_token: int
     usage_reports_waiting: int
     upstreams_wanted: int
--- a/tests/directory/test_evacuations.py
+++ b/tests/directory/test_evacuations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from rudderpass._ids import AvailabilityZone, StoreEra, UpstreamId
@@ -353,3 +355,17 @@
     assert len(changes) == 2, "noted only once the list of upstreams is known"
     directory.apply_upstream_list([upstream_record(0, 1)], 1, "store", 0.0, ERA)
     assert directory.pop_evacuation_changes() == []
+
+
+def test_the_end_of_a_second_evacuation_that_was_missed_counts_as_new() -> None:
+    """Guards against upstreams that count as warm since only the first end is known."""
+    evacuations = Evacuations(EVACUATION_PREFIX)
+    era = StoreEra(0)
+    first = EvacuationStatement(ZONE, LogPosition(era, 11), False)
+    evacuations.merge([first], "peer", 10.0)
+    evacuations.merge([replace(first, position=LogPosition(era, 12))], "peer", 10.5)
+    assert evacuations.ended_at(ZONE) == 10.0, "the same end, read from a list"
+    second = EvacuationStatement(ZONE, LogPosition(era, 21), False, 0.5)
+    evacuations.merge([second], "peer", 30.0)
+    assert evacuations.ended_at(ZONE) == 30.0
+    assert evacuations.statements(130.0), "told from the second end on"
--- a/tests/gossip/test_mutated.py
+++ b/tests/gossip/test_mutated.py
@@ -65,6 +65,7 @@
             EvacuationStatement(OTHER_ZONE, LogPosition(StoreEra(1), 7), True),
             EvacuationStatement(ZONE, LogPosition(StoreEra(1), 9), False, 2.5),
         ),
+        cold={UPSTREAM: 2.5},
         suspects=(
             make_update(BAD, crash("u1", 2.0), crash("u2", 1.0)),
             make_update(GOOD),
