Add regions, evacuations and cold upstreams to the soak

Cause: the soak knows one region, no evacuation and no cold upstream, so it cannot show that rules HOME, EVAC and FAILBACK hold under faults.

Checks are computed from what upstreams received. Other modes draw the same random numbers as before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,10 +10,15 @@
 
 import click
 
+from tests.soak.placement_soak import run_placement_seed
 from tests.soak.soak import SoakResult, run_seed
 
 
-def _run_seed_in(folder: Path, has_fatal_bodies: bool, seed: int) -> SoakResult:
+def _run_seed_in(
+    folder: Path, has_fatal_bodies: bool, has_placement: bool, seed: int
+) -> SoakResult:
+    if has_placement:
+        return run_placement_seed(seed, folder / str(seed))
     return run_seed(seed, folder / str(seed), has_fatal_bodies=has_fatal_bodies)
 
 
@@ -31,13 +36,28 @@
 @click.option(
     "--fatal", is_flag=True, help="Also send request bodies that crash engines."
 )
-def main(first: int, seeds: int, jobs: int, folder: Path | None, fatal: bool) -> None:
+@click.option(
+    "--placement",
+    is_flag=True,
+    help="Run two regions, with evacuations, cold upstreams and allowed regions.",
+)
+def main(
+    first: int,
+    seeds: int,
+    jobs: int,
+    folder: Path | None,
+    fatal: bool,
+    placement: bool,
+) -> None:
     """Run seeds and print the violations."""
+    if fatal and placement:
+        raise click.UsageError("--fatal and --placement are modes of their own")
     folder = folder or Path(tempfile.mkdtemp(prefix="rudderpass-soak-"))
     failed_seeds = 0
     with ProcessPoolExecutor(jobs) as executor:
         seed_range = range(first, first + seeds)
-        for result in executor.map(partial(_run_seed_in, folder, fatal), seed_range):
+        run = partial(_run_seed_in, folder, fatal, placement)
+        for result in executor.map(run, seed_range):
             failed_seeds += bool(result.violations)
             counts = ", ".join(f"{s}: {n}" for s, n in sorted(result.statuses.items()))
             click.echo(
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,11 +9,12 @@
 from dataclasses import dataclass, field
 
 from tests.soak.deployment import (
-    API_KEY,
     MAX_ATTEMPTS,
     TEAM,
+    TEAM_KEYS,
     VIRTUAL_HOST,
     SoakDeployment,
+    service_of,
 )
 from tests.soak.upstreams import digest_of, event_count_of, response_body_of
 
@@ -33,6 +34,7 @@
 POPULAR_SHARE = 0.3
 
 ROUTES = ("plan", "quote", "book", "look")
+DESK_ROUTES = ("look", "vary")
 _PROMPT_PREFIX = "0a1b:300,{own}:900"
 
 
@@ -66,6 +68,7 @@
     is_complete: bool = False
     is_connection_refused: bool = False
     body: bytes = b""
+    team: str = TEAM
 
 
 @dataclass
@@ -73,13 +76,21 @@
     """All callers of one seed, and the violations they found.
 
     :param has_popular_body: whether a share of the requests has one common body.
+    :param routes: the routes that they request.
+    :param teams: the teams that they belong to.
+    :param desk_callers: additional callers per host that request only desks.
+    :ivar probes: requests that showed whether hosts serve again.
     """
 
     deployment: SoakDeployment
     seed: int
     has_popular_body: bool = False
+    routes: tuple[str, ...] = ROUTES
+    teams: tuple[str, ...] = (TEAM,)
+    desk_callers: int = 0
     stopping: threading.Event = field(default_factory=threading.Event)
     attempts: list[Attempt] = field(default_factory=list)
+    probes: list[Attempt] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
 
     def start(self) -> None:
@@ -87,7 +98,7 @@
         self._threads = [
             threading.Thread(target=self._run_caller, args=(host, number), daemon=True)
             for host in range(len(self.deployment.hosts))
-            for number in range(CALLERS_PER_HOST)
+            for number in range(CALLERS_PER_HOST + self.desk_callers)
         ]
         for thread in self._threads:
             thread.start()
@@ -103,7 +114,12 @@
                 )
 
     def send(
-        self, host: int, route: str, request_id: str, body: bytes | None = None
+        self,
+        host: int,
+        route: str,
+        request_id: str,
+        body: bytes | None = None,
+        team: str = TEAM,
     ) -> Attempt:
         """Send one request on its own connection.
 
@@ -112,7 +128,7 @@
         """
         connection = self._connect(host)
         try:
-            return self._send(connection, host, route, request_id, body)
+            return self._send(connection, host, route, request_id, body, team)
         finally:
             connection.close()
 
@@ -122,16 +138,19 @@
 
     def _run_caller(self, host: int, number: int) -> None:
         rng = random.Random(f"{self.seed} {host} {number}")
+        team_rng = random.Random(f"teams {self.seed} {host} {number}")
+        routes = self.routes if number < CALLERS_PER_HOST else DESK_ROUTES
         connection = self._connect(host)
         count = 0
         while not self.stopping.is_set():
             count += 1
             request_id = f"r{host}{number}x{count}"
-            route = rng.choice(ROUTES)
+            route = rng.choice(routes)
             is_popular = self.has_popular_body and route == "plan"
             is_popular = is_popular and rng.random() < POPULAR_SHARE
             body = POPULAR_BODY if is_popular else None
-            attempt = self._send(connection, host, route, request_id, body)
+            team = team_rng.choice(self.teams)
+            attempt = self._send(connection, host, route, request_id, body, team)
             self.attempts.append(attempt)
             # Connections are reused until the host or a failure closes them.
             if not attempt.is_complete or rng.random() < 0.1:
@@ -147,6 +166,7 @@
         route: str,
         request_id: str,
         shared_body: bytes | None = None,
+        team: str = TEAM,
     ) -> Attempt:
         process = self.deployment.hosts[host]
         resource = request_id if shared_body is None else resource_of(shared_body)
@@ -160,14 +180,15 @@
             f"POST {target} HTTP/1.1",
             digest_of(body),
             time.monotonic(),
+            team=team,
         )
         headers = {
             "Host": VIRTUAL_HOST,
             "X-Request-Id": request_id,
-            "X-Credential": API_KEY,
+            "X-Credential": TEAM_KEYS[team],
             "X-Deadline-Ms": str(DEADLINE_MS),
         }
-        if route in ("plan", "quote"):
+        if service_of(route) == "llm":
             own = digest_of(resource.encode())[:8]
             headers["X-Prompt-Prefix"] = _PROMPT_PREFIX.format(own=own)
             headers["X-Token-Count"] = "1200,80"
@@ -218,7 +239,7 @@
             self._add_violation(attempt, f"a valid request got {attempt.status}")
         if attempt.status != 200:
             return
-        if attempt.route in ("plan", "quote"):
+        if service_of(attempt.route) == "llm":
             self._check_events(attempt)
         elif attempt.is_complete and attempt.body != response_body_of(
             attempt.request_id
@@ -251,7 +272,7 @@
         for run in runs:
             if (run.request_line, run.digest) != (attempt.request_line, attempt.digest):
                 self._add_violation(attempt, f"ran as {run.request_line}")
-            if run.team != TEAM or run.has_key:
+            if run.team != attempt.team or run.has_key:
                 self._add_violation(
                     attempt, f"ran for team {run.team!r}, key {run.has_key}"
                 )
--- /dev/null
+++ b/tests/soak/cuttable_host.py
@@ -0,0 +1,55 @@
+"""Run a host from which a test can cut off addresses, without network privileges.
+
+The file ``cuts`` beside the settings lists what the host cannot reach: an IP address or
+``ip:port`` a line. Datagrams to it are lost and connections to it time out, as behind a
+partition. All connections come from the host's own IP address, by which a proxy tells
+the hosts apart.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from rudderpass import hostd
+from rudderpass.platform import SETTINGS_VARIABLE
+
+CUTS_FILE = "cuts"
+_MAX_CONNECT_SECONDS = 10.0
+"""Time-out of a connection to a cut-off address for a socket that has none."""
+
+
+def cut_sockets(own_ip: str, cuts: Path) -> None:
+    """Make all sockets of this process lose what goes to cut-off addresses."""
+    send_datagram, connect = socket.socket.sendto, socket.socket.connect
+
+    def is_cut(address: tuple[str, int]) -> bool:
+        listed = cuts.read_text().split() if cuts.exists() else []
+        return address[0] in listed or f"{address[0]}:{address[1]}" in listed
+
+    def send_unless_cut(sock: socket.socket, data: bytes, *rest: Any) -> int:
+        return len(data) if is_cut(rest[-1]) else send_datagram(sock, data, *rest)
+
+    def connect_unless_cut(sock: socket.socket, address: Any) -> None:
+        if is_cut(address):
+            timeout = sock.gettimeout()
+            time.sleep(_MAX_CONNECT_SECONDS if timeout is None else timeout)
+            raise TimeoutError("timed out")
+        sock.bind((own_ip, 0))
+        connect(sock, address)
+
+    setattr(socket.socket, "sendto", send_unless_cut)
+    setattr(socket.socket, "connect", connect_unless_cut)
+
+
+if __name__ == "__main__":
+    listen_address = hostd.find_listen_address(sys.argv[1:]) or ""
+    cut_sockets(
+        listen_address.rpartition(":")[0],
+        Path(os.environ[SETTINGS_VARIABLE]).with_name(CUTS_FILE),
+    )
+    hostd.main()
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
+from typing import Any, ClassVar
 
 from rudderpass.exchange import BudgetRule
 from rudderpass.platform import CONFIG_TOPIC, SETTINGS_VARIABLE, UPSTREAMS_TOPIC
@@ -27,6 +28,7 @@
 DESK_COUNT = 2
 TEAM = "crew"
 API_KEY = "soak-key"
+TEAM_KEYS = {TEAM: API_KEY, "guild": "guild-key"}
 VIRTUAL_HOST = "soak.example"
 MAX_ATTEMPTS = 2
 GRACE_SECONDS = 4.0
@@ -77,9 +79,12 @@
 class HostProcess:
     """One host: its process, settings, and links to the store and the cloud API.
 
-    :ivar ready_checks: when the process of each incarnation started.
+    :ivar started: when the process of each incarnation started.
+    :cvar module: the program that the process runs.
     """
 
+    module: ClassVar[str] = "rudderpass.hostd"
+
     name: str
     ip: str
     zone: str
@@ -88,6 +93,7 @@
     cloud_link: Proxy
     process: subprocess.Popen[bytes] | None = None
     incarnation: int = 0
+    started: list[float] = field(default_factory=list)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     @property
@@ -100,7 +106,11 @@
         return self.process is not None and self.process.poll() is None
 
     def write_settings(self, seeds: list[str], bootstrap: bool) -> None:
-        text = SETTINGS_TEMPLATE.format(
+        text = self.make_settings(seeds, bootstrap)
+        (self.folder / "settings.toml").write_text(text)
+
+    def make_settings(self, seeds: list[str], bootstrap: bool) -> str:
+        return SETTINGS_TEMPLATE.format(
             name=self.name,
             ip=self.ip,
             zone=self.zone,
@@ -116,7 +126,6 @@
             store=self.store_link.address,
             cloud=self.cloud_link.address,
         )
-        (self.folder / "settings.toml").write_text(text)
 
     def start(self) -> None:
         """Start the host program; its output is kept in log.jsonl for debugging."""
@@ -124,13 +133,14 @@
             if self.is_running:
                 return
             self.incarnation += 1
+            self.started.append(time.monotonic())
             environment = {
                 **os.environ,
                 SETTINGS_VARIABLE: str(self.folder / "settings.toml"),
             }
             with (self.folder / "log.jsonl").open("ab") as output:
                 self.process = subprocess.Popen(
-                    [sys.executable, "-m", "rudderpass.hostd"]
+                    [sys.executable, "-m", self.module]
                     + ["--listen", f"{self.ip}:{_FRONT_PORT}"],
                     env=environment,
                     stdout=output,
@@ -183,11 +193,21 @@
     :ivar crashes: engine crashes caused by a fatal body or :meth:`crash_engine`.
     :ivar leaving_since: by upstream, when it was marked as draining; infinity if it
         crashed.
+    :cvar host_type: how its hosts are configured and run.
     """
 
-    def __init__(self, seed: int, folder: Path, engines: int = ENGINE_COUNT) -> None:
+    host_type: ClassVar[type[HostProcess]] = HostProcess
+
+    def __init__(
+        self,
+        seed: int,
+        folder: Path,
+        engines: int = ENGINE_COUNT,
+        desks: int = DESK_COUNT,
+    ) -> None:
         self._seed = seed
         self._engines = engines
+        self._desks = desks
         self._lock = threading.Lock()
         self._timers: list[threading.Timer] = []
         self.crashes: list[EngineCrash] = []
@@ -204,7 +224,7 @@
         rng = random.Random(f"{os.getpid()} {seed}")
         prefix = f"127.{rng.randrange(16, 250)}.{rng.randrange(1, 250)}"
         self.hosts = [
-            HostProcess(
+            self.host_type(
                 f"host-{number}",
                 f"{prefix}.{number}",
                 f"hall-{number}",
@@ -222,7 +242,7 @@
         self.publish_config()
         for _ in range(self._engines):
             self.add_upstream("llm")
-        for _ in range(DESK_COUNT):
+        for _ in range(self._desks):
             self.add_upstream("desk")
         seeds = [host.ip for host in self.hosts[:2]]
         for host in self.hosts:
@@ -239,10 +259,22 @@
     def publish_config(self) -> None:
         """Publish a new configuration version, which has one more route."""
         self.version += 1
-        value = make_config(self.version)
+        value = self.make_config()
         self.store.put(CONFIG_TOPIC, "config", json.dumps(value).encode())
         self.published.append((self.version, time.monotonic()))
 
+    def make_config(self) -> dict[str, Any]:
+        """Return the newest configuration."""
+        return make_config(self.version)
+
+    def zone_of(self, name: str) -> str:
+        """Return the zone that an upstream registers."""
+        return f"hall-{self._upstream_count % HOST_COUNT + 1}"
+
+    def cold_ms_of(self, name: str) -> float:
+        """Return the remaining cold time that an upstream registers."""
+        return 0
+
     def add_upstream(self, service: str) -> SoakUpstream:
         """Start an upstream behind a proxied link, and register it."""
         with self._lock:
@@ -285,12 +317,12 @@
         value = {
             "service": name.split("-")[1],
             "address": self.links[name].address,
-            "zone": f"hall-{self._upstream_count % HOST_COUNT + 1}",
+            "zone": self.zone_of(name),
             "version": "v1",
             "slots": 8,
             "state": state,
             "sequence": 1,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": self.cold_ms_of(name),
         }
         self._entries[name] = json.dumps(value).encode()
         self.store.put(UPSTREAMS_TOPIC, name, self._entries[name])
@@ -302,7 +334,7 @@
 
     def rewrite_config(self) -> None:
         """Publish the newest configuration again if a restored store lacks it."""
-        value = json.dumps(make_config(self.version)).encode()
+        value = json.dumps(self.make_config()).encode()
         if self.store.newest(CONFIG_TOPIC).get("config") != value:
             self.store.put(CONFIG_TOPIC, "config", value)
 
@@ -351,15 +383,15 @@
         self.cloud.close()
 
 
-def make_config(version: int) -> dict[str, object]:
+def make_config(version: int) -> dict[str, Any]:
     """Return a configuration record; its routes ``probe-N`` identify the version."""
     routes = [
-        _route("plan", "streaming", "llm", streamResume=True, gapTargetMs=400),
-        _route("quote", "streaming", "llm", maxAttempts=1),
-        _route("book", "non_idempotent", "desk", maxAttempts=1),
-        _route("look", "idempotent", "desk"),
+        make_route("plan", "streaming", "llm", streamResume=True, gapTargetMs=400),
+        make_route("quote", "streaming", "llm", maxAttempts=1),
+        make_route("book", "non_idempotent", "desk", maxAttempts=1),
+        make_route("look", "idempotent", "desk"),
         *(
-            _route(f"probe-{number}", "idempotent", "desk")
+            make_route(f"probe-{number}", "idempotent", "desk")
             for number in range(1, version + 1)
         ),
     ]
@@ -379,10 +411,12 @@
 
 def service_of(route: str) -> str:
     """Return the service that a route leads to."""
-    return "llm" if route in ("plan", "quote") else "desk"
+    return "llm" if route in ("plan", "quote", "bound") else "desk"
 
 
-def _route(name: str, kind: str, service: str, **changes: object) -> dict[str, object]:
+def make_route(
+    name: str, kind: str, service: str, **changes: object
+) -> dict[str, object]:
     route: dict[str, object] = {
         "name": name,
         "host": VIRTUAL_HOST,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from typing import ClassVar
 
 from rudderpass.platform import UPSTREAMS_TOPIC
 from tests.soak.deployment import (
@@ -41,11 +42,15 @@
 
 @dataclass
 class Disturbance:
-    """A period in which a target was disturbed, on the monotonic clock."""
+    """A period in which a target was disturbed, on the monotonic clock.
+
+    :param hosts: the hosts that it affects; all if empty.
+    """
 
     target: str
     started: float
     ended: float = float("inf")
+    hosts: tuple[str, ...] = ()
 
 
 @dataclass
@@ -53,8 +58,11 @@
     """Injects faults into a deployment.
 
     :ivar disturbances: all disturbances so far, each with the name of its target.
+    :cvar mean_interval: mean seconds between two faults.
     """
 
+    mean_interval: ClassVar[float] = MEAN_INTERVAL_SECONDS
+
     deployment: SoakDeployment
     seed: int
     disturbances: list[Disturbance] = field(default_factory=list)
@@ -84,17 +92,13 @@
             self._publish_config,
             self._publish_config,
         ]
+        self._schedules = [self._fail_duty_api, self._restore_store]
 
     def run(self, seconds: float) -> None:
         """Inject faults for ``seconds``; return once the last one is over."""
         until = time.monotonic() + seconds
-        duty_faults = threading.Thread(
-            target=self._fail_duty_api, args=(until,), daemon=True
-        )
-        restores = threading.Thread(
-            target=self._restore_store, args=(until,), daemon=True
-        )
-        for thread in (duty_faults, restores):
+        for schedule in self._schedules:
+            thread = threading.Thread(target=schedule, args=(until,), daemon=True)
             thread.start()
             self._threads.append(thread)
         while time.monotonic() < until:
@@ -103,23 +107,31 @@
             thread = threading.Thread(target=injector, args=(duration,), daemon=True)
             thread.start()
             self._threads.append(thread)
-            time.sleep(self._rng.expovariate(1 / MEAN_INTERVAL_SECONDS))
+            time.sleep(self._rng.expovariate(1 / self.mean_interval))
         for thread in self._threads:
             thread.join()
 
-    def was_disturbed(self, target: str, started: float, ended: float) -> bool:
-        """Return whether a target was disturbed between ``started`` and ``ended``."""
+    def was_disturbed(
+        self, target: str, started: float, ended: float, host: str | None = None
+    ) -> bool:
+        """Return whether a target was disturbed between ``started`` and ``ended``.
+
+        :param host: count only what affected this host.
+        """
         return any(
             disturbance.target == target
+            and (host is None or not disturbance.hosts or host in disturbance.hosts)
             and disturbance.started < ended
             and disturbance.ended > started
             for disturbance in self.disturbances
         )
 
-    def _start_disturbance(self, target: str, fault: str) -> Disturbance:
+    def _start_disturbance(
+        self, target: str, fault: str, hosts: tuple[str, ...] = ()
+    ) -> Disturbance:
         now = time.monotonic()
         self.history.append(f"{now:.2f} {fault} {target}")
-        disturbance = Disturbance(target, now)
+        disturbance = Disturbance(target, now, hosts=hosts)
         self.disturbances.append(disturbance)
         return disturbance
 
@@ -239,7 +251,9 @@
     def _disturb_store_link(self, duration: float) -> None:
         host = self._pick_host()
         fault = self._pick_link_fault()
-        disturbance = self._start_disturbance("store", f"{fault.name} {host.name}")
+        disturbance = self._start_disturbance(
+            "store", f"{fault.name} {host.name}", (host.name,)
+        )
         host.store_link.set_fault(fault)
         time.sleep(duration)
         host.store_link.set_fault(LinkFault.NONE)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -34,6 +34,7 @@
     """Forwards connections to one server.
 
     :ivar fault: the current fault, for open and new connections.
+    :ivar cut_clients: IP addresses of clients whose connections are silent.
     """
 
     def __init__(self, target: str) -> None:
@@ -42,6 +43,7 @@
         self._open_sockets: set[socket.socket] = set()
         self._lock = threading.Lock()
         self.fault = LinkFault.NONE
+        self.cut_clients: frozenset[str] = frozenset()
         self._listener = Listener(self._handle_connection)
 
     @property
@@ -67,6 +69,7 @@
             _reset(client)
             return
         try:
+            client_ip = client.getpeername()[0]
             server = socket.create_connection(self._target, CONNECT_TIMEOUT_SECONDS)
         except OSError:
             _reset(client)
@@ -76,11 +79,11 @@
             self._open_sockets |= {client, server}
         return_thread = threading.Thread(
             target=self._forward,
-            args=(server, client, LinkFault.CUT_BACK),
+            args=(server, client, LinkFault.CUT_BACK, client_ip),
             daemon=True,
         )
         return_thread.start()
-        self._forward(client, server, LinkFault.CUT_FORWARD)
+        self._forward(client, server, LinkFault.CUT_FORWARD, client_ip)
         return_thread.join()
         with self._lock:
             self._open_sockets -= {client, server}
@@ -88,15 +91,19 @@
         server.close()
 
     def _forward(
-        self, source: socket.socket, destination: socket.socket, cut: LinkFault
+        self,
+        source: socket.socket,
+        destination: socket.socket,
+        cut: LinkFault,
+        client_ip: str,
     ) -> None:
         try:
             while data := source.recv(_CHUNK_BYTES):
-                self._wait_while_cut(cut)
+                self._wait_while_cut(cut, client_ip)
                 if self.fault is LinkFault.DELAYED:
                     time.sleep(DELAY_SECONDS)
                 destination.sendall(data)
-            self._wait_while_cut(cut)
+            self._wait_while_cut(cut, client_ip)
             if self.fault is LinkFault.RESET:
                 raise ConnectionResetError("reset fault is set")
             destination.shutdown(socket.SHUT_WR)
@@ -106,8 +113,8 @@
                 _enable_reset_on_close(sock)
                 _shut_down_reads(sock)
 
-    def _wait_while_cut(self, cut: LinkFault) -> None:
-        while self.fault in (cut, LinkFault.SILENT):
+    def _wait_while_cut(self, cut: LinkFault, client_ip: str) -> None:
+        while self.fault in (cut, LinkFault.SILENT) or client_ip in self.cut_clients:
             time.sleep(_POLL_SECONDS)
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -73,15 +73,27 @@
         faults.run(fault_seconds)
         fatal.join()
         deployment.clear_faults()
-        _await_recovery(deployment, callers)
+        await_recovery(deployment, callers, f"probe-{deployment.version}")
         callers.stop()
         callers.check()
     finally:
         deployment.close()
+    more = fatal.find_violations(faults) if has_fatal_bodies else []
+    return summarize(seed, deployment, faults, callers, more)
+
+
+def summarize(
+    seed: int,
+    deployment: SoakDeployment,
+    faults: Faults,
+    callers: Callers,
+    more_violations: list[str],
+) -> SoakResult:
+    """Return the outcome of a seed, with the violations of all general checks."""
     violations = [
         *_filter_caller_violations(callers, faults),
         *faults.violations,
-        *(fatal.find_violations(faults) if has_fatal_bodies else ()),
+        *more_violations,
         *find_requests_after_drain(deployment, faults),
         *find_retry_budget_overruns(deployment.run_tracker, callers.attempts),
         *deployment.cloud.find_violations(),
@@ -90,16 +102,17 @@
     return SoakResult(seed, dict(statuses), tuple(violations), tuple(faults.history))
 
 
-def _await_recovery(deployment: SoakDeployment, callers: Callers) -> None:
-    """Request the newest route from every host until each serves it."""
-    newest = f"probe-{deployment.version}"
+def await_recovery(deployment: SoakDeployment, callers: Callers, newest: str) -> None:
+    """Request a route from every host until each serves it."""
     not_recovered = set(range(HOST_COUNT))
     until = time.monotonic() + RECOVERY_TIMEOUT_SECONDS
     count = 0
     while not_recovered and time.monotonic() < until:
         for host in sorted(not_recovered):
             count += 1
-            if callers.send(host, newest, f"probe{host}x{count}").status == 200:
+            probe = callers.send(host, newest, f"{newest}-{host}x{count}")
+            callers.probes.append(probe)
+            if probe.status == 200:
                 not_recovered.discard(host)
         time.sleep(0.1)
     for host in sorted(not_recovered):
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -56,6 +56,21 @@
     at: float
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached the instance for which it was meant.
+
+    :ivar deadline_ms: the remaining time that the host told.
+    :ivar copy_from: address of the upstream from which to copy the prompt's cache.
+    """
+
+    request_id: str
+    upstream: str
+    at: float
+    deadline_ms: float
+    copy_from: str | None
+
+
 @dataclass
 class RunTracker:
     """Records all runs on all upstreams, as the upstreams observed them.
@@ -118,7 +133,11 @@
     :param on_fatal: called to crash an engine that read a fatal body, with its id.
     :ivar headers: additional header lines of its responses.
     :ivar retry_after: Retry-After of the 503 sent to every request; None to serve them.
+    :ivar cold_until: when the cold time ends that its responses report.
+    :ivar unmarked_refusal_share: share of requests that it runs and then answers 503
+        or 429, without X-Not-Executed.
     :ivar arrivals: arrival times of requests, on the monotonic clock.
+    :ivar received: the same requests in detail.
     """
 
     def __init__(
@@ -134,10 +153,14 @@
         self.fault = UpstreamFault.NONE
         self.headers: tuple[str, ...] = ()
         self.retry_after: float | None = None
+        self.cold_until = 0.0
+        self.unmarked_refusal_share = 0.0
         self.arrivals: list[float] = []
+        self.received: list[Arrival] = []
         self._streams = streams
         self._run_tracker = run_tracker
         self._rng = random.Random(f"{seed} {name}")
+        self._refusals = random.Random(f"refusals {seed} {name}")
         self._slots = threading.BoundedSemaphore(SLOT_COUNT)
         self._lock = threading.Lock()
         self._open: set[socket.socket] = set()
@@ -148,6 +171,12 @@
     def address(self) -> str:
         return self._listener.address
 
+    @property
+    def _extra_headers(self) -> list[str]:
+        """Additional header lines, with the remaining cold time if there is any."""
+        cold_ms = (self.cold_until - time.monotonic()) * 1000
+        return [*self.headers, *([f"X-Cold-Ms: {cold_ms:.0f}"] if cold_ms > 0 else [])]
+
     def is_running(self, digest: str) -> bool:
         """Return whether a request with this body digest is in flight."""
         with self._lock:
@@ -177,7 +206,7 @@
 
     def _respond(self, sock: socket.socket, request: ReceivedRequest) -> None:
         if "/-/kv-list" in request.line:
-            _send(sock, "200 OK", [], b'{"epoch": 1, "held": []}')
+            _send(sock, "200 OK", self._extra_headers, b'{"epoch": 1, "held": []}')
             return
         self._run_tracker.record_arrival(
             self.name.split("-")[1], request.request_id, request.at
@@ -186,12 +215,21 @@
             _send(sock, "421 Misdirected", [f"X-Instance-Id: {self.name}"], b"")
             return
         self.arrivals.append(request.at)
+        self.received.append(
+            Arrival(
+                request.request_id,
+                self.name,
+                request.at,
+                float(request.headers.get("x-deadline-ms", "inf")),
+                request.headers.get("kv-fetch"),
+            )
+        )
         if self.retry_after is not None:
             head = ["X-Not-Executed: 1", f"Retry-After: {self.retry_after}"]
-            _send(sock, "503 Busy", [*head, *self.headers], b"")
+            _send(sock, "503 Busy", [*head, *self._extra_headers], b"")
             return
         if not self._slots.acquire(blocking=False):
-            _send(sock, "503 Full", ["X-Not-Executed: 1", *self.headers], b"")
+            _send(sock, "503 Full", ["X-Not-Executed: 1", *self._extra_headers], b"")
             return
         digest = digest_of(request.body)
         try:
@@ -230,8 +268,12 @@
         head = [
             f"X-Request-Id: {request.request_id}",
             f"X-Response-Signature: {self.name}.{request.request_id}",
-            *self.headers,
+            *self._extra_headers,
         ]
+        if self._refusals.random() < self.unmarked_refusal_share:
+            status = self._refusals.choice(("503 Failed", "429 Failed"))
+            _send(sock, status, [*head, "Retry-After: 1"], b"failed after it ran\n")
+            return
         if fault is UpstreamFault.SILENT:
             while sock.recv(1):
                 pass
