--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,12 +12,8 @@
 from typing import ClassVar
 
 from rudderpass.platform import UPSTREAMS_TOPIC
-from tests.soak.deployment import (
-    ENTRY_EXPIRY_SECONDS,
-    GRACE_SECONDS,
-    HostProcess,
-    SoakDeployment,
-)
+from tests.soak.deployment import ENTRY_EXPIRY_SECONDS, SoakDeployment
+from tests.soak.host_process import GRACE_SECONDS, HostProcess
 from tests.soak.proxy import LinkFault
 from tests.soak.upstreams import UpstreamFault
 
--- a/tests/soak/placement.py
+++ b/tests/soak/placement.py
@@ -13,7 +13,8 @@
 
 from rudderpass.platform import CONFIG_TOPIC
 from tests.soak.cuttable_host import CUTS_FILE
-from tests.soak.deployment import TEAM_KEYS, HostProcess, SoakDeployment, make_route
+from tests.soak.deployment import TEAM_KEYS, SoakDeployment, make_route
+from tests.soak.host_process import HostProcess
 
 REGIONS = {"hall-1": "east", "hall-2": "east", "hall-3": "west"}
 """The region of each zone."""
@@ -133,15 +134,15 @@
         self.changed_regions: Regions = None
         self.region_changes: list[RegionChange] = []
 
+    @property
+    def placed_hosts(self) -> list[PlacedHost]:
+        """The hosts, as hosts that know regions."""
+        return [host for host in self.hosts if isinstance(host, PlacedHost)]
+
     def start(self) -> None:
         super().start()
         self._has_traffic = True
 
-    def placed_hosts(self, region: str) -> list[PlacedHost]:
-        """Return the hosts of a region."""
-        hosts = [host for host in self.hosts if isinstance(host, PlacedHost)]
-        return [host for host in hosts if host.region == region]
-
     def region_of(self, upstream: str) -> str:
         """Return the region of an upstream."""
         return REGIONS[self.zones[upstream]]
@@ -256,28 +257,24 @@
 
     def set_links_cut(self, region: str, is_cut: bool) -> None:
         """Cut the upstreams of a region off from the hosts of the other, or rejoin."""
-        names = [name for name in self.zones if self.region_of(name) == region]
-        hosts = [host for host in self.hosts if REGIONS[host.zone] != region]
-        addresses = [self.links[name].address for name in names] if is_cut else []
-        for name in names:
-            ips = frozenset(host.ip for host in hosts) if is_cut else frozenset()
-            self.links[name].cut_clients = ips
+        names = [name for name in list(self.zones) if self.region_of(name) == region]
+        hosts = [host for host in self.placed_hosts if host.region != region]
         for host in hosts:
-            assert isinstance(host, PlacedHost)
-            host.set_cuts(f"upstreams of {region}", addresses)
+            addresses = [self.links[name].address for name in names]
+            host.set_cuts(f"upstreams of {region}", addresses if is_cut else [])
+        for name in names:
+            ips = [host.ip for host in hosts if is_cut]
+            self.links[name].cut_clients = frozenset(ips)
 
     def set_peers_cut(self, region: str, is_cut: bool) -> None:
         """Cut the hosts of a region off from those of the other, or rejoin them."""
-        inside = self.placed_hosts(region)
-        outside = [
-            h
-            for other in {*REGIONS.values()} - {region}
-            for h in self.placed_hosts(other)
-        ]
-        for group, others in ((inside, outside), (outside, inside)):
-            for host in group:
-                ips = [other.ip for other in others] if is_cut else []
-                host.set_cuts(f"peers of {region}", ips)
+        for host in self.placed_hosts:
+            ips = [
+                other.ip
+                for other in self.placed_hosts
+                if (other.region == region) != (host.region == region)
+            ]
+            host.set_cuts(f"peers of {region}", ips if is_cut else [])
 
     def clear_faults(self) -> None:
         """Also end evacuations and partitions, and write again what was lost."""
--- a/tests/soak/placement_checks.py
+++ b/tests/soak/placement_checks.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import chain
 
 from tests.soak.callers import DEADLINE_MS, Attempt
 from tests.soak.placement import (
@@ -86,17 +87,16 @@
 
     def find_violations(self) -> list[str]:
         """Return all violations."""
-        sends = [send for sends in self._sends_by_upstream.values() for send in sends]
+        sends = list(chain.from_iterable(self._sends_by_upstream.values()))
         return [
-            *(text for send in sends for text in self._check_home(send)),
-            *(text for send in sends for text in self._check_evacuated(send)),
-            *(
-                text
-                for period in self._deployment.cold_periods
-                for text in self._check_cold(period)
-            ),
+            *chain.from_iterable(map(self._check_home, sends)),
+            *chain.from_iterable(map(self._check_evacuated, sends)),
+            *chain.from_iterable(map(self._check_cold, self._deployment.cold_periods)),
         ]
 
+    def _is_in_touch(self, send: Send) -> bool:
+        return self._faults.is_in_touch(send.host, send.sent, send.arrival.at)
+
     def _upstreams_of(self, send: Send) -> list[str]:
         """Return the upstream of a send, and the one to copy a prompt's cache from."""
         source = self._upstream_by_address.get(send.arrival.copy_from or "")
@@ -126,7 +126,7 @@
 
     def _find_changed_regions(self, send: Send) -> Regions:
         """Return what the route ``vary`` allowed, on hosts in touch."""
-        if not self._faults.is_in_touch(send.host, send.sent, send.arrival.at):
+        if not self._is_in_touch(send):
             return None
         changes = self._deployment.region_changes
         allowed: frozenset[str] = frozenset()
@@ -141,32 +141,19 @@
         return allowed
 
     def _check_evacuated(self, send: Send) -> Iterable[str]:
-        for name in self._upstreams_of(send):
-            for evacuation in self._deployment.evacuations:
-                late = send.sent - evacuation.acked
-                if (
-                    evacuation.zone != self._deployment.zones[name]
-                    or late <= EVACUATION_SECONDS
-                    or send.arrival.at >= evacuation.ended
-                ):
-                    continue
-                if self._faults.is_in_touch(send.host, send.sent, send.arrival.at):
+        is_in_touch = self._is_in_touch(send)
+        for evacuation in self._deployment.evacuations if is_in_touch else ():
+            late = send.sent - evacuation.acked
+            if late <= EVACUATION_SECONDS or send.arrival.at >= evacuation.ended:
+                continue
+            self.checked["EVAC"] += 1
+            for name in self._upstreams_of(send):
+                if self._deployment.zones[name] == evacuation.zone:
                     yield (
                         f"EVAC: {send.attempt.request_id} from {send.host} reached "
                         f"{name} {late:.2f} s after {evacuation.zone} was evacuated"
                     )
 
-    def count_evacuation_checks(self) -> int:
-        """Return how many requests hosts in touch sent while rule EVAC held."""
-        sends = [send for sends in self._sends_by_upstream.values() for send in sends]
-        return sum(
-            evacuation.acked + EVACUATION_SECONDS < send.sent
-            and send.arrival.at < evacuation.ended
-            and self._faults.is_in_touch(send.host, send.sent, send.arrival.at)
-            for send in sends
-            for evacuation in self._deployment.evacuations
-        )
-
     def _check_cold(self, period: ColdPeriod) -> Iterable[str]:
         sends = [
             send
@@ -195,7 +182,7 @@
             case ColdSource.RECORD:
                 return (
                     send.sent >= period.started + COLD_RECORD_SECONDS
-                    and self._faults.is_in_touch(send.host, send.sent, send.arrival.at)
+                    and self._is_in_touch(send)
                 )
             case ColdSource.HEADER:
                 return not has_restarted and self._has_read_header(send, period)
@@ -234,11 +221,8 @@
 
     :param spans: when each request was sent, and when it arrived.
     """
-    return (
-        max(
-            (sum(since <= sent and at <= since + 1.0 for sent, at in spans))
-            for since, _ in spans
-        )
-        if spans
-        else 0
-    )
+    counts = [
+        sum(since <= sent and at <= since + 1.0 for sent, at in spans)
+        for since, _ in spans
+    ]
+    return max(counts, default=0)
--- a/tests/soak/placement_faults.py
+++ b/tests/soak/placement_faults.py
@@ -139,7 +139,7 @@
     def _isolate_region(self, duration: float) -> None:
         """Cut all hosts of a region off from the other hosts and from the store."""
         region = self._rng.choice(("east", "west"))
-        hosts = self.deployment.placed_hosts(region)
+        hosts = [h for h in self.deployment.placed_hosts if h.region == region]
         names = tuple(host.name for host in hosts)
         disturbance = self._start_disturbance("store", f"isolate {region}", names)
         self.deployment.set_peers_cut(region, is_cut=True)
--- a/tests/soak/placement_soak.py
+++ b/tests/soak/placement_soak.py
@@ -51,6 +51,5 @@
         deployment.close()
     checks = PlacementChecks(deployment, faults, callers.attempts + callers.probes)
     violations = checks.find_violations()
-    checks.checked["EVAC"] = checks.count_evacuation_checks()
     faults.history.append(f"checked {checks.checked}")
     return summarize(seed, deployment, faults, callers, violations)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -8,15 +8,10 @@
 from pathlib import Path
 
 from tests.soak.callers import Attempt, Callers
-from tests.soak.deployment import (
-    ENGINE_COUNT,
-    HOST_COUNT,
-    RETRY_BUDGET,
-    SoakDeployment,
-    service_of,
-)
+from tests.soak.deployment import ENGINE_COUNT, HOST_COUNT, SoakDeployment, service_of
 from tests.soak.fatal import FatalBodies
 from tests.soak.faults import DRAIN_SECONDS, Faults
+from tests.soak.host_process import RETRY_BUDGET
 from tests.soak.upstreams import RunTracker
 
 FAULT_SECONDS = 10.0
--- a/tests/soak/test_placement.py
+++ b/tests/soak/test_placement.py
@@ -13,7 +13,8 @@
 import pytest
 
 from tests.soak.callers import Attempt, Callers
-from tests.soak.deployment import TEAM, HostProcess
+from tests.soak.deployment import TEAM
+from tests.soak.host_process import HostProcess
 from tests.soak.placement import GUILD, ColdSource, PlacementDeployment
 from tests.soak.placement_checks import PlacementChecks, max_per_second
 from tests.soak.placement_faults import PlacementFaults
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,8 +15,9 @@
 
 from tests.listener import Listener
 from tests.soak.callers import Attempt, Callers
-from tests.soak.deployment import RETRY_BUDGET, SoakDeployment
+from tests.soak.deployment import SoakDeployment
 from tests.soak.faults import DRAIN_SECONDS, Disturbance, Faults
+from tests.soak.host_process import RETRY_BUDGET
 from tests.soak.proxy import LinkFault, Proxy
 from tests.soak.soak import (
     FAULT_SECONDS,
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -134,8 +134,7 @@
     :ivar headers: additional header lines of its responses.
     :ivar retry_after: Retry-After of the 503 sent to every request; None to serve them.
     :ivar cold_until: when the cold time ends that its responses report.
-    :ivar unmarked_refusal_share: share of requests that it runs and then answers 503
-        or 429, without X-Not-Executed.
+    :ivar unmarked_refusal_share: share of requests run but answered 503 or 429.
     :ivar arrivals: arrival times of requests, on the monotonic clock.
     :ivar received: the same requests in detail.
     """
@@ -215,14 +214,10 @@
             _send(sock, "421 Misdirected", [f"X-Instance-Id: {self.name}"], b"")
             return
         self.arrivals.append(request.at)
+        deadline_ms = float(request.headers.get("x-deadline-ms", "inf"))
+        copy_from = request.headers.get("kv-fetch")
         self.received.append(
-            Arrival(
-                request.request_id,
-                self.name,
-                request.at,
-                float(request.headers.get("x-deadline-ms", "inf")),
-                request.headers.get("kv-fetch"),
-            )
+            Arrival(request.request_id, self.name, request.at, deadline_ms, copy_from)
         )
         if self.retry_after is not None:
             head = ["X-Not-Executed: 1", f"Retry-After: {self.retry_after}"]
