--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -6,19 +6,17 @@
 import os
 import random
 import signal
-import socket
-import subprocess
-import sys
 import threading
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
+from typing import Any, ClassVar
 
-from rudderpass.exchange import BudgetRule
-from rudderpass.platform import CONFIG_TOPIC, SETTINGS_VARIABLE, UPSTREAMS_TOPIC
+from rudderpass.platform import CONFIG_TOPIC, UPSTREAMS_TOPIC
 from tests.platform.cloud import StandInCloud
 from tests.platform.store import StandInStore
+from tests.soak.host_process import HostProcess
 from tests.soak.proxy import LinkFault, Proxy
 from tests.soak.upstreams import RunTracker, SoakUpstream
 
@@ -27,13 +25,9 @@
 DESK_COUNT = 2
 TEAM = "crew"
 API_KEY = "soak-key"
+TEAM_KEYS = {TEAM: API_KEY, "guild": "guild-key"}
 VIRTUAL_HOST = "soak.example"
 MAX_ATTEMPTS = 2
-GRACE_SECONDS = 4.0
-RETRY_BUDGET = BudgetRule(ratio=0.2, slack=20, window=10.0)
-"""Retry budget of a service: the users' ratio, and a fixed part in proportion to the
-number of hosts (users have 54 for seven hosts)."""
-
 START_TIMEOUT_SECONDS = 10.0
 """Time limit for hosts to become ready; each loads in 0.3 s on an idle machine."""
 
@@ -41,128 +35,6 @@
 ENTRY_EXPIRY_SECONDS = 3.0
 """After a crash, the engine restarts under a new id and later its old entry expires."""
 
-_FRONT_PORT, _READY_PORT, _PEER_PORT = 7801, 7802, 7803
-
-SETTINGS_TEMPLATE = """
-node = "{name}"
-ip = "{ip}"
-zone = "{zone}"
-bootstrap = {bootstrap}
-internalPortRange = [{peer}, {peer}]
-seeds = [{seeds}]
-[listen]
-front = "{ip}:{front}"
-ready = "{ip}:{ready}"
-[bounds]
-drainMs = 2000
-graceS = {grace}
-retryBudgetRatio = {retry_ratio}
-retryWindowS = {retry_window}
-retrySlack = {retry_slack}
-retryAfterS = 10
-leaseMs = 3000
-thawSlackMs = 300
-fencingRequired = true
-reportWindowS = 2
-usageLateS = 4
-[platform]
-address = "{store}"
-[cloud]
-address = "{cloud}"
-duties = ["usage_report"]
-"""
-
-
-@dataclass
-class HostProcess:
-    """One host: its process, settings, and links to the store and the cloud API.
-
-    :ivar ready_checks: when the process of each incarnation started.
-    """
-
-    name: str
-    ip: str
-    zone: str
-    folder: Path
-    store_link: Proxy
-    cloud_link: Proxy
-    process: subprocess.Popen[bytes] | None = None
-    incarnation: int = 0
-    lock: threading.Lock = field(default_factory=threading.Lock)
-
-    @property
-    def front_address(self) -> tuple[str, int]:
-        """The address at which callers reach the host."""
-        return self.ip, _FRONT_PORT
-
-    @property
-    def is_running(self) -> bool:
-        return self.process is not None and self.process.poll() is None
-
-    def write_settings(self, seeds: list[str], bootstrap: bool) -> None:
-        text = SETTINGS_TEMPLATE.format(
-            name=self.name,
-            ip=self.ip,
-            zone=self.zone,
-            bootstrap=str(bootstrap).lower(),
-            peer=_PEER_PORT,
-            seeds=", ".join(f'"{seed}:1"' for seed in seeds),
-            front=_FRONT_PORT,
-            ready=_READY_PORT,
-            grace=GRACE_SECONDS,
-            retry_ratio=RETRY_BUDGET.ratio,
-            retry_window=RETRY_BUDGET.window,
-            retry_slack=RETRY_BUDGET.slack,
-            store=self.store_link.address,
-            cloud=self.cloud_link.address,
-        )
-        (self.folder / "settings.toml").write_text(text)
-
-    def start(self) -> None:
-        """Start the host program; its output is kept in log.jsonl for debugging."""
-        with self.lock:
-            if self.is_running:
-                return
-            self.incarnation += 1
-            environment = {
-                **os.environ,
-                SETTINGS_VARIABLE: str(self.folder / "settings.toml"),
-            }
-            with (self.folder / "log.jsonl").open("ab") as output:
-                self.process = subprocess.Popen(
-                    [sys.executable, "-m", "rudderpass.hostd"]
-                    + ["--listen", f"{self.ip}:{_FRONT_PORT}"],
-                    env=environment,
-                    stdout=output,
-                    stderr=output,
-                )
-
-    def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal to this host's process if it is running."""
-        with self.lock:
-            if self.process is not None and self.is_running:
-                self.process.send_signal(number)
-
-    def wait(self, seconds: float) -> bool:
-        """Wait for the process to end; return whether it did."""
-        if self.process is None:
-            return True
-        try:
-            self.process.wait(seconds)
-        except subprocess.TimeoutExpired:
-            return False
-        return True
-
-    def is_ready(self) -> bool:
-        """Query the readiness endpoint as the load balancer does."""
-        try:
-            with socket.create_connection((self.ip, _READY_PORT), 0.5) as sock:
-                sock.settimeout(0.5)
-                sock.sendall(b"GET /-/readyz HTTP/1.0\r\n\r\n")
-                return b" 200 " in sock.recv(100)
-        except OSError:
-            return False
-
 
 @dataclass(frozen=True)
 class EngineCrash:
@@ -183,11 +55,21 @@
     :ivar crashes: engine crashes caused by a fatal body or :meth:`crash_engine`.
     :ivar leaving_since: by upstream, when it was marked as draining; infinity if it
         crashed.
+    :cvar host_type: how its hosts are configured and run.
     """
 
-    def __init__(self, seed: int, folder: Path, engines: int = ENGINE_COUNT) -> None:
+    host_type: ClassVar[type[HostProcess]] = HostProcess
+
+    def __init__(
+        self,
+        seed: int,
+        folder: Path,
+        engines: int = ENGINE_COUNT,
+        desks: int = DESK_COUNT,
+    ) -> None:
         self._seed = seed
         self._engines = engines
+        self._desks = desks
         self._lock = threading.Lock()
         self._timers: list[threading.Timer] = []
         self.crashes: list[EngineCrash] = []
@@ -204,7 +86,7 @@
         rng = random.Random(f"{os.getpid()} {seed}")
         prefix = f"127.{rng.randrange(16, 250)}.{rng.randrange(1, 250)}"
         self.hosts = [
-            HostProcess(
+            self.host_type(
                 f"host-{number}",
                 f"{prefix}.{number}",
                 f"hall-{number}",
@@ -222,7 +104,7 @@
         self.publish_config()
         for _ in range(self._engines):
             self.add_upstream("llm")
-        for _ in range(DESK_COUNT):
+        for _ in range(self._desks):
             self.add_upstream("desk")
         seeds = [host.ip for host in self.hosts[:2]]
         for host in self.hosts:
@@ -239,10 +121,22 @@
     def publish_config(self) -> None:
         """Publish a new configuration version, which has one more route."""
         self.version += 1
-        value = make_config(self.version)
+        value = self.make_config()
         self.store.put(CONFIG_TOPIC, "config", json.dumps(value).encode())
         self.published.append((self.version, time.monotonic()))
 
+    def make_config(self) -> dict[str, Any]:
+        """Return the newest configuration."""
+        return make_config(self.version)
+
+    def zone_of(self, name: str) -> str:
+        """Return the zone that an upstream registers."""
+        return f"hall-{self._upstream_count % HOST_COUNT + 1}"
+
+    def cold_ms_of(self, name: str) -> float:
+        """Return the remaining cold time that an upstream registers."""
+        return 0
+
     def add_upstream(self, service: str) -> SoakUpstream:
         """Start an upstream behind a proxied link, and register it."""
         with self._lock:
@@ -285,12 +179,12 @@
         value = {
             "service": name.split("-")[1],
             "address": self.links[name].address,
-            "zone": f"hall-{self._upstream_count % HOST_COUNT + 1}",
+            "zone": self.zone_of(name),
             "version": "v1",
             "slots": 8,
             "state": state,
             "sequence": 1,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": self.cold_ms_of(name),
         }
         self._entries[name] = json.dumps(value).encode()
         self.store.put(UPSTREAMS_TOPIC, name, self._entries[name])
@@ -302,7 +196,7 @@
 
     def rewrite_config(self) -> None:
         """Publish the newest configuration again if a restored store lacks it."""
-        value = json.dumps(make_config(self.version)).encode()
+        value = json.dumps(self.make_config()).encode()
         if self.store.newest(CONFIG_TOPIC).get("config") != value:
             self.store.put(CONFIG_TOPIC, "config", value)
 
@@ -351,15 +245,15 @@
         self.cloud.close()
 
 
-def make_config(version: int) -> dict[str, object]:
+def make_config(version: int) -> dict[str, Any]:
     """Return a configuration record; its routes ``probe-N`` identify the version."""
     routes = [
-        _route("plan", "streaming", "llm", streamResume=True, gapTargetMs=400),
-        _route("quote", "streaming", "llm", maxAttempts=1),
-        _route("book", "non_idempotent", "desk", maxAttempts=1),
-        _route("look", "idempotent", "desk"),
+        make_route("plan", "streaming", "llm", streamResume=True, gapTargetMs=400),
+        make_route("quote", "streaming", "llm", maxAttempts=1),
+        make_route("book", "non_idempotent", "desk", maxAttempts=1),
+        make_route("look", "idempotent", "desk"),
         *(
-            _route(f"probe-{number}", "idempotent", "desk")
+            make_route(f"probe-{number}", "idempotent", "desk")
             for number in range(1, version + 1)
         ),
     ]
@@ -379,10 +273,12 @@
 
 def service_of(route: str) -> str:
     """Return the service that a route leads to."""
-    return "llm" if route in ("plan", "quote") else "desk"
+    return "llm" if route in ("plan", "quote", "bound") else "desk"
 
 
-def _route(name: str, kind: str, service: str, **changes: object) -> dict[str, object]:
+def make_route(
+    name: str, kind: str, service: str, **changes: object
+) -> dict[str, object]:
     route: dict[str, object] = {
         "name": name,
         "host": VIRTUAL_HOST,
