--- a/src/rudderpass/exchange/_caches.py
+++ b/src/rudderpass/exchange/_caches.py
@@ -65,5 +65,4 @@
             return  # An instance that is not listed yet, or no longer.
         engine = self._directory.find_engine(record.entry.service)
         capacity = 0 if engine is None else engine.cache_tokens
-        region = self._directory.regions.group_of(record.entry.zone)
-        self._prefixes.record_use(upstream, parts, capacity, now, region)
+        self._prefixes.record_use(upstream, parts, capacity, now)
--- a/src/rudderpass/exchange/_choice.py
+++ b/src/rudderpass/exchange/_choice.py
@@ -12,7 +12,7 @@
 
 import xxhash
 
-from rudderpass._ids import AvailabilityZone, Fingerprint, Region, UpstreamId
+from rudderpass._ids import AvailabilityZone, Fingerprint, UpstreamId
 from rudderpass.directory import EngineTraits, RegionMap, RegisteredUpstream
 from rudderpass.exchange._copies import CopySource, CopySources
 from rudderpass.exchange._health import UpstreamHealth
@@ -217,8 +217,7 @@
 ) -> Candidate:
     health = state.health_of(entry.upstream)
     cached = state.prefixes.cached_tokens(entry.upstream, request.parts, now)
-    region = state.regions.group_of(entry.zone)
-    reread = _reread_tokens(request, cached, region, state, now)
+    reread = _reread_tokens(request, cached, state, now)
     prefill_seconds = reread * (
         REREAD_SECONDS_PER_TOKEN + 1 / PREFILL_TOKENS_PER_SECOND
     )
@@ -235,7 +234,7 @@
         copy_source = source.entry
         cached += copied_tokens
         transfer_seconds = copy_seconds
-        reread = _reread_tokens(request, cached, region, state, now)
+        reread = _reread_tokens(request, cached, state, now)
     else:
         transfer_seconds = 0.0
     unread = request.prompt_tokens - cached
@@ -315,22 +314,18 @@
 
 
 def _reread_tokens(
-    request: ExchangeRequest,
-    cached: int,
-    region: Region | None,
-    state: RoutingState,
-    now: float,
+    request: ExchangeRequest, cached: int, state: RoutingState, now: float
 ) -> int:
     """Return the number of tokens beyond ``cached`` that were read recently.
 
-    :param region: the upstream's group. Each region reads a part once, since sending
-        all prompts that share it to another region costs more.
+    A part that any region has read counts: sending a long prompt to that region costs
+    less than reading it again in each.
     """
     earliest = now - state.reread_window
     position = 0
     tokens = 0
     for part in request.parts:
         position += part.tokens
-        if position > cached and state.prefixes.used_since(part.part, earliest, region):
+        if position > cached and state.prefixes.used_since(part.part, earliest):
             tokens += part.tokens
     return tokens
--- a/src/rudderpass/exchange/_prefixes.py
+++ b/src/rudderpass/exchange/_prefixes.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from rudderpass._ids import Region, UpstreamId
+from rudderpass._ids import UpstreamId
 from rudderpass.exchange._request import PartId, PromptPart
 
 CACHE_SHARE = 0.8
@@ -40,7 +39,7 @@
     def __init__(self) -> None:
         self._cached: dict[UpstreamId, OrderedDict[PartId, _CachedPart]] = {}
         self._tokens: dict[UpstreamId, int] = {}
-        self._last_use: dict[Region | None, OrderedDict[PartId, float]] = {}
+        self._last_use: OrderedDict[PartId, float] = OrderedDict()
 
     def record_use(
         self,
@@ -48,14 +47,11 @@
         parts: Iterable[PromptPart],
         capacity: int,
         now: float,
-        region: Region | None = None,
     ) -> None:
         """Record that a prompt was sent to ``upstream``.
 
         :param capacity: number of tokens that the upstream's cache can hold.
-        :param region: the upstream's; None unless there are several.
         """
-        last_use = self._last_use.setdefault(region, OrderedDict())
         cached = self._cached.setdefault(upstream, OrderedDict())
         total = self._tokens.get(upstream, 0)
         for part in parts:
@@ -63,8 +59,8 @@
             total += part.tokens - (old.tokens if old else 0)
             first_use = old.first_use if old else now
             cached[part.part] = _CachedPart(part.tokens, first_use, now)
-            last_use[part.part] = now
-            last_use.move_to_end(part.part)
+            self._last_use[part.part] = now
+            self._last_use.move_to_end(part.part)
         while cached and total > capacity * CACHE_SHARE:
             _, oldest = cached.popitem(last=False)
             total -= oldest.tokens
@@ -112,15 +108,9 @@
             for upstream, cached in self._cached.items()
         ]
 
-    def used_since(
-        self, part: PartId, earliest: float, region: Region | None = None
-    ) -> bool:
-        """Return whether any upstream of a region was sent a part since ``earliest``.
-
-        :param region: None unless there are several.
-        """
-        last_use = self._last_use.get(region)
-        return last_use is not None and last_use.get(part, -math.inf) >= earliest
+    def used_since(self, part: PartId, earliest: float) -> bool:
+        """Return whether any upstream was sent the part since ``earliest``."""
+        return self._last_use.get(part, float("-inf")) >= earliest
 
     def forget_upstream(self, upstream: UpstreamId) -> None:
         """Remove the parts of an upstream that is no longer listed."""
@@ -129,18 +119,12 @@
 
     def forget_unused(self, now: float) -> None:
         """Remove parts that have not been used recently, to bound memory."""
-        for last_use in self._last_use.values():
-            while last_use:
-                part, used = next(iter(last_use.items()))
-                if now - used <= FORGET_SECONDS:
-                    break
-                del last_use[part]
-                self._forget_part(part, now)
-
-    def _forget_part(self, part: PartId, now: float) -> None:
-        """Remove a part from all caches except those of regions that still use it."""
-        for upstream, cached in self._cached.items():
-            known = cached.get(part)
-            if known is not None and now - known.last_use > FORGET_SECONDS:
-                del cached[part]
-                self._tokens[upstream] -= known.tokens
+        while self._last_use:
+            part, used = next(iter(self._last_use.items()))
+            if now - used <= FORGET_SECONDS:
+                return
+            del self._last_use[part]
+            for upstream, cached in self._cached.items():
+                old = cached.pop(part, None)
+                if old is not None:
+                    self._tokens[upstream] -= old.tokens
