Hold an evacuation while the restored store is not read

A host that read one list of a new era without an evacuation's record ended the evacuation 10 s later by its clock alone, also if it was cut off from the store or suspended since then. The record may have been written again meanwhile; the specification asks such a host to keep its last known state.

Only time in which the new era's log is followed counts now: its last read must be at most 4 s old (the longest call). A response that was waiting during a suspension counts as of the call.

The three tests that let 10 s pass without a read asserted the fault; they read the store first now.

--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -270,13 +270,16 @@
         source: str,
         now: float,
         era: StoreEra = UNKNOWN_ERA,
+        as_of: float | None = None,
     ) -> list[DirectoryChange]:
         """Apply changes of the configuration's topic, in the log's order.
 
         :param era: of the store that returned the records.
+        :param as_of: when the records up to ``end`` were certainly all; ``now`` by
+            default.
         """
         changes = self.apply_config(records, end, source, era)
-        self._evacuations.apply_changes(records, source, era, now)
+        self._evacuations.apply_changes(records, source, era, now, as_of)
         return changes + self.pop_evacuation_changes()
 
     def apply_config_list(
--- a/src/rudderpass/directory/_evacuations.py
+++ b/src/rudderpass/directory/_evacuations.py
@@ -115,12 +115,14 @@
         source: str,
         era: StoreEra,
         now: float,
+        as_of: float | None = None,
     ) -> None:
         """Apply consecutive records of the log, in its order.
 
         Records under other keys only show how far the log was read.
 
         :param era: of the store that returned the records.
+        :param as_of: when they were certainly all; ``now`` by default.
         """
         if era == UNKNOWN_ERA:
             return
@@ -131,6 +133,7 @@
                 statement = EvacuationStatement(zone, position, bool(record.value))
                 self._learn_unless_ended(statement, source, now)
             self._coverage.record_read(era, record.offset)
+        self._coverage.record_read_at(era, now if as_of is None else as_of)
 
     def apply_list(
         self,
--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -163,7 +163,12 @@
                     page.records, page.end, "store", self._clock.now(), page.era
                 ),
                 lambda page, as_of: directory.apply_config_changes(
-                    page.records, page.end, "store", self._clock.now(), page.era
+                    page.records,
+                    page.end,
+                    "store",
+                    self._clock.now(),
+                    page.era,
+                    as_of,
                 ),
                 lambda: directory.config_position,
                 lambda called_at: None,
--- a/tests/directory/test_evacuations.py
+++ b/tests/directory/test_evacuations.py
@@ -149,6 +149,7 @@
     evacuations.apply_changes([evacuation_record(5)], "store", ERA, 0.0)
     evacuations.apply_list([], 3, "store", NEXT_ERA, 20.0)
     evacuations.apply_list([], 3, "store", NEXT_ERA, 25.0)
+    evacuations.apply_changes([], "store", NEXT_ERA, 29.0)
     evacuations.expire(20.0 + RESTORE_CONFIRM_SECONDS - 0.1)
     assert evacuations.zones == {ZONE}
     evacuations.expire(20.0 + RESTORE_CONFIRM_SECONDS)
@@ -157,6 +158,28 @@
     assert told == (statement(2, False, NEXT_ERA),)
 
 
+def test_a_host_that_reads_a_newer_era_only_once_holds_an_evacuation() -> None:
+    """A host that was then cut off ended it, although its record was written again."""
+    evacuations = make_evacuations()
+    evacuations.apply_changes([evacuation_record(5)], "store", ERA, 0.0)
+    evacuations.apply_list([], 3, "store", NEXT_ERA, 20.0)
+    evacuations.expire(1000.0)
+    assert evacuations.zones == {ZONE}
+    evacuations.apply_changes([], "store", NEXT_ERA, 1000.0)
+    evacuations.expire(1000.0)
+    assert evacuations.zones == frozenset()
+
+
+def test_an_answer_of_before_a_suspension_does_not_end_an_evacuation() -> None:
+    """The record may have been written again while the host was suspended."""
+    evacuations = make_evacuations()
+    evacuations.apply_changes([evacuation_record(5)], "store", ERA, 0.0)
+    evacuations.apply_list([], 3, "store", NEXT_ERA, 20.0)
+    evacuations.apply_changes([], "store", NEXT_ERA, 50.0, as_of=21.0)
+    evacuations.expire(50.0)
+    assert evacuations.zones == {ZONE}
+
+
 def test_a_record_written_again_after_a_restore_holds() -> None:
     evacuations = make_evacuations()
     evacuations.apply_changes([evacuation_record(5)], "store", ERA, 0.0)
@@ -322,6 +345,8 @@
 def test_the_directory_ends_with_time_what_a_restored_store_lacks() -> None:
     directory = fill()
     directory.apply_config_list([config_record(0, 1)], 1, "store", 1.0, NEXT_ERA)
+    read_at = RESTORE_CONFIRM_SECONDS
+    directory.apply_config_changes([], 1, "store", read_at, NEXT_ERA)
     directory.expire(1.0 + RESTORE_CONFIRM_SECONDS - 0.1)
     assert directory.evacuations.zones == {ZONE}
     assert directory.accepts_requests(UpstreamId("u1"), 1.0 + RESTORE_CONFIRM_SECONDS)
--- a/tests/host/test_evacuations.py
+++ b/tests/host/test_evacuations.py
@@ -179,6 +179,7 @@
     directory = fleet.up()[0].core.directory
     directory.apply_config_list([], 1, "store", fleet.now, NEXT_ERA)
     fleet.run(9.5)
+    directory.apply_config_changes([], 1, "store", fleet.now, NEXT_ERA)
     assert know(fleet.up()) == len(fleet.up())
     fleet.run(0.5 + SPREAD_SECONDS)
     assert know(fleet.up()) == 0
