Plan a service as before while only other zones are evacuated

The plan of a service treated any evacuated zone as its own, also a misspelled one or one that only other services use: what its zones required was held for ten minutes more, and upstreams that one zone refused were ordered in the others. design/duties.md promises both only while a zone of the service is evacuated.

The plan now considers the evacuated zones of the service alone. The new test compares all orders with those of a deployment without the evacuation; its four cases failed before. tests/duties/test_evacuated_zones.py, test_moved_load.py and test_scaling.py pass.

--- a/src/rudderpass/duties/_planning.py
+++ b/src/rudderpass/duties/_planning.py
@@ -63,6 +63,11 @@
         prices = self.traits.zone_prices
         return sorted(prices) or sorted({e.zone for e in self.upstreams})
 
+    @property
+    def evacuated_zones(self) -> frozenset[AvailabilityZone]:
+        """The evacuated zones of the service; others change nothing for it."""
+        return self.evacuated.intersection(self.zones)
+
     @property
     def prefers_spot(self) -> bool:
         """Whether spot upstreams are cheap enough to replace on-demand ones."""
@@ -124,7 +129,7 @@
     traits, present = scaled.traits, scaled.count_present()
     is_known = peak.is_known(now)
     required = _plan_required(scaled, peak, present, is_known)
-    if scaled.evacuated:
+    if scaled.evacuated_zones:
         required = shift_shortage(
             required, present, refused, traits.zone_prices, traits.max_upstreams
         )
--- a/src/rudderpass/duties/_scaling.py
+++ b/src/rudderpass/duties/_scaling.py
@@ -143,7 +143,11 @@
         refused = {g.zone for g in self._refused if g.service == scaled.service}
         totals = plan_totals(scaled, peak, now, refused)
         held = self._held.apply(
-            scaled.service, scaled.evacuated, totals, scaled.count_present(), now
+            scaled.service,
+            scaled.evacuated_zones,
+            totals,
+            scaled.count_present(),
+            now,
         )
         most = scaled.traits.max_upstreams
         return {zone: min(most, count) for zone, count in held.items()}
--- a/tests/duties/test_evacuated_zones.py
+++ b/tests/duties/test_evacuated_zones.py
@@ -230,6 +230,26 @@
     assert price == pytest.approx(12.0)
 
 
+@BOTH_KINDS
+@pytest.mark.parametrize("busy", [1.0, 6.0])
+def test_a_zone_that_the_service_does_not_use_changes_no_order(
+    traits: ScalingTraits, busy: float
+) -> None:
+    """An evacuation elsewhere held upstreams and shifted refused orders."""
+    fleets = [make_calm_fleet(traits, 8.0) for _ in range(2)]
+    fleets[1].evacuated = {AvailabilityZone("elsewhere")}
+    for fleet in fleets:
+        fleet.log.clear()
+        fleet.run(10.0)
+        fleet.unavailable = {ZONES[1]}
+        fleet.lose_zone(ZONES[1])
+        fleet.run(30.0)
+        fleet.unavailable = set()
+        fleet.busy = busy
+        fleet.run(2 * PEAK_WINDOW_SECONDS, step=1.0)
+    assert fleets[0].log == fleets[1].log
+
+
 EVENTS = st.lists(
     st.tuples(
         st.sampled_from(
