Withdraw a copy whose source was evacuated and removed from the list

The check right before the write found the source's zone by its address in the list of upstreams. A source that was removed from the list after the assignment was not found there, so the copy header still named an upstream in an evacuated zone.

The zone of the source as of the assignment is checked too. The new test failed before; tests/exchange/test_evacuations.py passes.

--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -295,7 +295,14 @@
     def withdraw_copy(self, assignment: Assignment) -> None:
         """Copy no cache from an upstream in a zone evacuated since the assignment."""
         source = assignment.copy_from
-        if source is not None and self._directory.is_address_evacuated(source):
+        if source is None:
+            return
+        # The list does not contain a source that was removed since the assignment.
+        evacuations = self._directory.evacuations
+        is_evacuated = any(
+            evacuations.is_evacuated(entry.zone) for entry in assignment.involved[1:]
+        )
+        if is_evacuated or self._directory.is_address_evacuated(source):
             assignment.copy_from = None
 
     def spend_retry(self, service: PoolId, now: float) -> RetryDecision:
--- a/tests/exchange/test_evacuations.py
+++ b/tests/exchange/test_evacuations.py
@@ -169,6 +169,22 @@
     assert sent.copy_from is None
 
 
+def test_a_copy_is_withdrawn_if_its_source_was_evacuated_and_removed() -> None:
+    """The list no longer tells the zone of a removed source."""
+    core = make_core(engine_config())
+    load_holder(core)
+    accepted = accept(core, make_request(parts=LONG), 2.1)
+    sent = assign(core, make_request(parts=LONG), 2.1)
+    assert sent.copy_from == make_upstream(1).address
+    evacuate(core.directory, ZONE)
+    core.directory.apply_upstream_list([upstream_record(1, 2)], 9, "store", 2.1)
+    core.directory.expire(2.1 + 60.0)
+    assert UpstreamId("u1") not in core.directory.listed
+    assert core.accepts_requests(accepted, sent, 2.2)
+    core.withdraw_copy(sent)
+    assert sent.copy_from is None
+
+
 def test_caches_in_an_evacuated_zone_are_not_queried() -> None:
     core = make_core(engine_config())
     assert len(core.engine_upstreams()) == 2
