Check the zone again once a cache query has connected

A starting host checked that an upstream's zone is not evacuated, then connected, for up to a second, and sent its query for cached parts.

The reader of cached parts now asks right before it writes. The new test failed before; the tests of cache queries and of warm starts pass.

--- a/src/rudderpass/host/_warmup.py
+++ b/src/rudderpass/host/_warmup.py
@@ -30,10 +30,14 @@
 CONFIG_WAIT_SECONDS = 10.0
 """Time without a configuration after which cache contents are no longer useful."""
 
-PartsReader = Callable[[RegisteredUpstream], tuple[PromptPart, ...]]
+PartsReader = Callable[[RegisteredUpstream, Callable[[], bool]], tuple[PromptPart, ...]]
 """Queries an upstream for the prompt parts that it has cached.
 
-:raises UpstreamError: when it does not answer, or has restarted since.
+The second parameter returns whether the query may be sent; it is called once the
+connection is established, which may take a second.
+
+:raises UpstreamError: when it does not answer, has restarted since, or may not be
+    queried any more.
 """
 
 
@@ -119,7 +123,9 @@
             log("cache", f"{entry.upstream} is not queried, its zone is evacuated.")
             return
         try:
-            cached = self._parts.read_parts(entry)
+            cached = self._parts.read_parts(
+                entry, lambda: not self._is_evacuated(entry)
+            )
         except UpstreamError as error:
             log("cache", error.show(), upstream=entry.upstream, error=str(error))
             return
@@ -135,7 +141,7 @@
         )
 
     def _is_evacuated(self, entry: RegisteredUpstream) -> bool:
-        """Check again right before a query; those before it may have taken long."""
+        """Check again; the queries before this one may have taken long."""
         with self._parts.lock:
             directory = self._parts.core.directory
             directory.expire(_clock.now())
--- a/src/rudderpass/platform/_caches.py
+++ b/src/rudderpass/platform/_caches.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+from collections.abc import Callable
 from http import HTTPStatus
 
 from msgspec import UNSET
@@ -20,14 +21,26 @@
 _cached_parts = Schema(CachedPartList, "list of cached prompt parts")
 
 
-def read_cached_parts(entry: RegisteredUpstream) -> tuple[PromptPart, ...]:
+def read_cached_parts(
+    entry: RegisteredUpstream, may_send: Callable[[], bool]
+) -> tuple[PromptPart, ...]:
     """Return the prompt parts in an upstream's cache. Each call has a cost.
 
-    :raises UpstreamError: when the upstream does not respond, or has restarted.
+    :param may_send: called right before the query is written.
+    :raises UpstreamError: when the upstream does not respond, has restarted, or may not
+        be queried any more.
     """
     address = entry.address
     connection = http.client.HTTPConnection(address, timeout=CALL_TIMEOUT_SECONDS)
     try:
+        connection.connect()
+        if not may_send():
+            raise UpstreamError(
+                "cache list: may not be queried any more",
+                sent=False,
+                step="cache list",
+                peer=address,
+            )
         connection.request("GET", LIST_PATH)
         response = connection.getresponse()
         body = response.read()
--- a/tests/host/test_evacuations.py
+++ b/tests/host/test_evacuations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import threading
 from collections.abc import Iterator
@@ -393,6 +394,30 @@
     assert deployment.upstream.received == []
 
 
+def test_a_cache_query_is_checked_again_after_connecting(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Connecting takes up to a second, in which the zone may be evacuated."""
+    connect = http.client.HTTPConnection.connect
+    hosts: list[ExchangeHost] = []
+
+    def connect_then_evacuate(connection: http.client.HTTPConnection) -> None:
+        connect(connection)
+        if f"{connection.host}:{connection.port}" == deployment.upstream.address:
+            host, record = hosts[0], evacuation_record(9, HOST_ZONE)
+            with host._lock:
+                host._directory.apply_config_changes(
+                    [record], 10, "store", _clock.now(), ERA
+                )
+
+    monkeypatch.setattr(http.client.HTTPConnection, "connect", connect_then_evacuate)
+    deployment.publish(1, "k1", engine=True)
+    deployment.register()
+    hosts.append(deployment.start())
+    wait_for(lambda: hosts[0].is_warm)
+    assert deployment.upstream.received == []
+
+
 def test_operators_see_the_zone_and_what_still_runs_there(
     deployment: Deployment,
 ) -> None:
