Keep a zone's upstreams cold for the whole of a long coldStartS

The end of an evacuation is forgotten after 120 s, as the specification asks, but coldStartS may be up to 600 s. For longer than 120 s, the upstreams of a zone that returned were sent to without the joint rate.

ColdStarts keeps the time of an end for 600 s, only for zones of services with cold starts. The new test failed before; tests/exchange/test_cold_starts.py and test_cold_serving.py pass.

--- a/src/rudderpass/exchange/_cold_starts.py
+++ b/src/rudderpass/exchange/_cold_starts.py
@@ -110,6 +110,7 @@
         self._rank_sender = rank_sender or (lambda upstream, now: HostRank())
         self._evacuation_ended_at = evacuation_ended_at or (lambda zone: None)
         self._told: dict[UpstreamId, _Told] = {}
+        self._ended: dict[AvailabilityZone, float] = {}
         self._meters: dict[UpstreamId, SendMeter] = {}
         self._cold: dict[UpstreamId, ColdPeriod] = {}
         self._changes: list[ColdChange] = []
@@ -122,7 +123,7 @@
     @property
     def has_state(self) -> bool:
         """Whether anything is kept about any upstream."""
-        return bool(self._told or self._meters or self._cold)
+        return bool(self._told or self._ended or self._meters or self._cold)
 
     def find_cold(self, upstream: UpstreamId, now: float) -> ColdPeriod | None:
         """Return until when a listed upstream is cold; None if it is not cold."""
@@ -222,6 +223,11 @@
             for upstream, told in self._told.items()
             if self._may_be_cold(upstream) and now - told.until < MAX_COLD_SECONDS
         }
+        self._ended = {
+            zone: ended_at
+            for zone, ended_at in self._ended.items()
+            if now - ended_at < MAX_COLD_SECONDS
+        }
         self._meters = {
             upstream: meter
             for upstream, meter in self._meters.items()
@@ -283,6 +289,16 @@
             yield learned.record_at, entry.cold_seconds, ColdSource.RECORD
         if learned is not None and learned.started_at is not None:
             yield learned.started_at, traits.seconds, ColdSource.START
-        ended_at = self._evacuation_ended_at(entry.zone)
+        ended_at = self._find_evacuation_end(entry.zone)
         if ended_at is not None:
             yield ended_at, traits.seconds, ColdSource.EVACUATION
+
+    def _find_evacuation_end(self, zone: AvailabilityZone) -> float | None:
+        """Return when the last evacuation of a zone ended, if known.
+
+        Kept for as long as an upstream may be cold; the directory forgets it earlier.
+        """
+        ended_at = self._evacuation_ended_at(zone)
+        if ended_at is not None:
+            self._ended[zone] = ended_at
+        return self._ended.get(zone)
--- a/tests/exchange/test_cold_starts.py
+++ b/tests/exchange/test_cold_starts.py
@@ -10,6 +10,7 @@
 from rudderpass._ids import RequestId, StoreEra, UpstreamId
 from rudderpass.directory import ColdStartTraits, RegisteredUpstream
 from rudderpass.exchange import (
+    MAX_COLD_SECONDS,
     MAX_SENT_COLD,
     Assignment,
     ColdLimit,
@@ -188,6 +189,21 @@
     assert find(cold, 20.5, U2) is None
 
 
+def test_a_zone_stays_cold_after_the_end_of_its_evacuation_is_forgotten() -> None:
+    """The directory forgets an end after 120 s; a service may be cold for longer."""
+    records = Records(ColdStartTraits(300.0, 5.8))
+    records.list(0.0, make_upstream(1))
+    ended_at = {ZONE: 20.0}
+    cold = records.make_cold_starts(evacuation_ended_at=ended_at.get)
+    cold.tick(21.0)
+    ended_at.clear()
+    cold.tick(150.0)
+    assert find(cold, 319.9) is ColdSource.EVACUATION
+    assert find(cold, 320.0) is None
+    cold.tick(20.0 + MAX_COLD_SECONDS)
+    assert not cold.has_state
+
+
 def test_a_response_replaces_what_other_sources_said_before() -> None:
     records = Records()
     records.list(0.0, make_upstream(1, cold_seconds=100.0))
