--- a/tests/host/test_suspension.py
+++ b/tests/host/test_suspension.py
@@ -16,7 +16,7 @@
 import pytest
 
 from rudderpass.errors import PlatformError
-from rudderpass.exchange import UpstreamConnectionPool
+from rudderpass.exchange import UpstreamConnection, UpstreamConnectionPool
 from rudderpass.host import ExchangeHost
 from rudderpass.host._suspension import RefreshSources, SuspensionRecovery
 from tests.exchange.builders import make_core
@@ -116,6 +116,30 @@
     assert len(deployment.upstream.received) == ran
 
 
+def test_a_request_assigned_before_a_suspension_is_not_sent_after_it(
+    deployment: Deployment,
+    link: Proxy,
+    suspend: Suspend,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its upstream may have left, or its zone been evacuated, meanwhile."""
+    host = start(deployment, store=link.address)
+    link.set_fault(LinkFault.SILENT)
+    ran = len(deployment.upstream.received)
+    connect = UpstreamConnectionPool.open
+
+    def connect_then_suspend(
+        pool: UpstreamConnectionPool, address: str, may_reuse: bool, seconds: float
+    ) -> UpstreamConnection:
+        connection = connect(pool, address, may_reuse, seconds)
+        suspend()
+        return connection
+
+    monkeypatch.setattr(UpstreamConnectionPool, "open", connect_then_suspend)
+    assert deployment.ask(host) == 503
+    assert len(deployment.upstream.received) == ran
+
+
 def test_a_host_is_not_ready_until_its_state_is_confirmed(
     deployment: Deployment, link: Proxy, suspend: Suspend
 ) -> None:
