Test that a record in the store keeps its zone from orders

The tests of the duties on real hosts replaced the function that reads the evacuated zones, so a host that did not pass it, whose default is none, would have ordered in evacuated zones with all tests green. The new test puts the record into the store; it fails (a trial) when the parameter is left out in host/_host.py, and passes as the code is.

--- a/tests/host/test_duties.py
+++ b/tests/host/test_duties.py
@@ -12,6 +12,7 @@
 from rudderpass.duties import LeasePolicy, ScalingGroup
 from rudderpass.host import DutySettings, ExchangeHost, OrderMode
 from rudderpass.host._duties import HostDuties
+from rudderpass.platform import CONFIG_TOPIC, EVACUATION_PREFIX
 from tests.host.test_host import Deployment, read_gauge, wait_for
 from tests.platform.cloud import StandInCloud
 
@@ -195,6 +196,24 @@
     assert set(orders(duties)[1:]) == {("hall-b", 4, True), ("hall-b", 1, False)}
 
 
+def test_a_record_in_the_store_keeps_its_zone_from_orders(
+    duties: DutyDeployment,
+) -> None:
+    """Through all parts of a host: without the wiring, no zone would be left out."""
+    duties.settings = replace(
+        duties.settings, reports_usage=False, orders_upstreams=True, most_upstreams=5
+    )
+    duties.deployment.publish(2, "k1", scaling=SCALING)
+    store, key = duties.deployment.store, f"{EVACUATION_PREFIX}hall-b"
+    store.put(CONFIG_TOPIC, key, b"{}")
+    duties.start(1)
+    wait_for(lambda: orders(duties) == [("hall-a", 4, True)])
+    threading.Event().wait(1.0)
+    assert {zone for zone, _, _ in orders(duties)} == {"hall-a"}
+    store.put(CONFIG_TOPIC, key, None)
+    wait_for(lambda: ("hall-b", 4, True) in orders(duties))
+
+
 def test_an_order_is_dropped_if_its_zone_is_evacuated_before_the_call(
     duties: DutyDeployment,
     evacuated: set[AvailabilityZone],
