Count requests on removed upstreams as running in their evacuated zone

Once an evacuated zone is empty of new requests, operators end its upstreams. When the entry of one was removed while requests still ran there, they were no longer counted, so the list of evacuations and the gauge requests_in_evacuated_zones showed 0 too early.

The zone of a removed upstream is kept while this host's requests run there. The new test failed before; tests/exchange/test_evacuations.py, test_core.py and tests/host/test_evacuations.py pass.

--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 
 from rudderpass._ids import AvailabilityZone, Fingerprint, NodeId, PoolId, UpstreamId
 from rudderpass.directory import Directory, RegisteredUpstream
@@ -99,6 +99,7 @@
         self._throttling = Throttling(self._state, rank_host, self._cold_starts)
         self._count_hosts = count_hosts
         self._response_order = ResponseOrder()
+        self._removed_zones: dict[UpstreamId, AvailabilityZone] = {}
         self._is_stopping = False
         self._refuses_all = False
         self._is_stale = False
@@ -447,8 +448,10 @@
         running = dict.fromkeys(self._directory.evacuations.zones, 0)
         for upstream, load in self._loads.own.items():
             record = self._directory.listed.get(upstream)
-            if record is not None and record.entry.zone in running:
-                running[record.entry.zone] += load.running
+            removed = self._removed_zones.get(upstream)
+            zone = removed if record is None else record.entry.zone
+            if zone is not None and zone in running:
+                running[zone] += load.running
         return running
 
     def drain_streams(self) -> list[StreamSample]:
@@ -464,6 +467,7 @@
             self._forecasts.forget_upstream(entry.upstream)
             self._crashes.record_removed(entry.upstream, now)
             self.rate_limits.forget_upstream(entry.upstream)
+        self._keep_removed_zones(removed)
         self._crashes.retract_disproved(now)
         self.rate_limits.tick(now)
         self._cold_starts.tick(now)
@@ -471,6 +475,16 @@
         self._caches.remove_expired(now)
         return removed
 
+    def _keep_removed_zones(self, removed: Sequence[RegisteredUpstream]) -> None:
+        """Keep the zones of removed upstreams while requests run there."""
+        if not removed and not self._removed_zones:
+            return
+        own = self._loads.own
+        zones = self._removed_zones | {entry.upstream: entry.zone for entry in removed}
+        self._removed_zones = {
+            upstream: zone for upstream, zone in zones.items() if upstream in own
+        }
+
     def _forget_unlisted(self) -> None:
         """Remove the state of upstreams that are no longer listed.
 
--- a/tests/exchange/test_evacuations.py
+++ b/tests/exchange/test_evacuations.py
@@ -205,6 +205,24 @@
     assert core.running_by_evacuated_zone() == {ZONE: 0, "empty": 0}
 
 
+def test_requests_on_a_removed_upstream_still_count_as_running_there() -> None:
+    """Operators end upstreams of the zone, whose requests go on for a while."""
+    core = make_core()
+    running = [assign(core, make_request(), 0.0) for _ in range(3)]
+    there = sum(assigned.upstream == "u1" for assigned in running)
+    evacuate(core.directory, ZONE)
+    core.directory.apply_upstream_list([upstream_record(1, 2)], 9, "store", 1.0)
+    for now in (60.0, 61.0):
+        core.tick(now)
+        assert UpstreamId("u1") not in core.directory.listed
+        assert core.running_by_evacuated_zone() == {ZONE: there}
+    for assigned in running:
+        core.record_end(assigned, True, 62.0)
+    assert core.running_by_evacuated_zone() == {ZONE: 0}
+    core.tick(63.0)
+    assert not core._removed_zones
+
+
 # With sockets.
 
 
