Query no cold upstream for its cached parts

A starting host asked every engine outside evacuated zones for its cached parts, cold ones included. Hosts that start at once do not know one another, so each asked, and the joint rate of a cold upstream counts no queries.

A cold upstream is now left out, right before each query.

--- a/src/rudderpass/host/_warmup.py
+++ b/src/rudderpass/host/_warmup.py
@@ -118,6 +118,9 @@
         if self._is_evacuated(entry):
             log("cache", f"{entry.upstream} is not queried, its zone is evacuated.")
             return
+        if self._is_cold(entry):
+            log("cache", f"{entry.upstream} is not queried, it is cold.")
+            return
         try:
             cached = self._parts.read_parts(entry)
         except UpstreamError as error:
@@ -141,6 +144,15 @@
             directory.expire(_clock.now())
             return directory.evacuations.is_evacuated(entry.zone)
 
+    def _is_cold(self, entry: RegisteredUpstream) -> bool:
+        """Return whether an upstream is cold; the joint rate covers no queries.
+
+        Hosts that start at once do not know one another, and would all query it.
+        """
+        with self._parts.lock:
+            cold_starts = self._parts.core.cold_starts
+            return cold_starts.find_cold(entry.upstream, _clock.now()) is not None
+
 
 def should_query(own: NodeId, hosts: list[NodeId], upstream: UpstreamId) -> bool:
     """Return whether ``own`` is the host that queries an upstream (rendezvous hash)."""
