Detect a suspension right before a request is written

The check before a write refuses while the host's state is stale, but only choices and the tick looked for a suspension. A thread that was connecting when the machine was suspended could write by the evacuations, regions and senders known before it, if it ran first afterwards.

Send now looks for a suspension right before that check, which reads two clocks. The new test in tests/exchange/test_serve.py got 200 from the upstream without the change, and gets 503 with it.

--- a/src/rudderpass/exchange/_progress.py
+++ b/src/rudderpass/exchange/_progress.py
@@ -68,8 +68,8 @@
         found that neither the store nor a peer can provide them now.
     :param on_suspect_request: called when peers must learn at once of a request that
         may crash upstreams.
-    :param before_decision: called before each decision; it may detect that the host was
-        suspended.
+    :param before_decision: called before each decision and before each request is
+        written; it may detect that the host was suspended.
     :param on_started: called with the team and start time of each request that started
         to run.
     :param on_cold_upstream: called when a response told that its upstream is cold,
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -141,8 +141,10 @@
         """Check again whether the upstream accepts requests, just before sending.
 
         Connecting may take CONNECT_TIMEOUT_SECONDS, 0.4 s; without this check,
-        requests assigned near the end of the drain period would arrive after it.
+        requests assigned near the end of the drain period would arrive after it. The
+        host may also have been suspended meanwhile.
         """
+        self._context.before_decision()
         core = self._context.core
         with self._context.lock:
             if core.accepts_requests(self._accepted, self._assigned, _clock.now()):
--- a/tests/exchange/harness.py
+++ b/tests/exchange/harness.py
@@ -245,6 +245,7 @@
         unreachable: int = 0,
         core: ExchangeCore | None = None,
         on_cold_upstream: Callable[[], None] = lambda: None,
+        before_decision: Callable[[], None] = lambda: None,
     ) -> None:
         self.upstreams = [FakeUpstream(behaviour) for behaviour in behaviours]
         self.summaries: list[ExchangeSummary] = []
@@ -263,6 +264,7 @@
             self.summaries.append,
             lambda service, retry: self.retries.append(retry),
             self.initialized,
+            before_decision=before_decision,
             on_cold_upstream=on_cold_upstream,
         )
         self.app = ExchangeApp(context)
--- a/tests/exchange/test_serve.py
+++ b/tests/exchange/test_serve.py
@@ -58,9 +58,19 @@
     harnesses: list[HostHarness] = []
 
     def make(
-        route: ExchangeRoute, *behaviours: Behaviour, unreachable: int = 0
+        route: ExchangeRoute,
+        *behaviours: Behaviour,
+        unreachable: int = 0,
+        before_decision: Callable[[], None] = lambda: None,
     ) -> HostHarness:
-        harnesses.append(HostHarness(route, *behaviours, unreachable=unreachable))
+        harnesses.append(
+            HostHarness(
+                route,
+                *behaviours,
+                unreachable=unreachable,
+                before_decision=before_decision,
+            )
+        )
         return harnesses[-1]
 
     yield make
@@ -517,3 +527,30 @@
     attempts = [line for line in lines if line["message_type"] == "attempt"]
     retry_after = [line["retry_after"] for line in attempts]
     assert (leaving, retry_after) == (["u1"], [2.5])
+
+
+def test_a_suspension_while_connecting_is_noticed_before_writing(
+    make_harness: MakeHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request written by what a host knew before a suspension.
+
+    The thread that connects may run first after it, before any that detects it.
+    """
+    connect = UpstreamConnectionPool.open
+    is_suspended = threading.Event()
+
+    def connect_and_suspend(
+        pool: UpstreamConnectionPool, address: str, may_reuse: bool, timeout: float
+    ) -> UpstreamConnection:
+        connection = connect(pool, address, may_reuse, timeout)
+        is_suspended.set()
+        return connection
+
+    def detect() -> None:
+        if is_suspended.is_set():
+            harness.core.mark_stale()
+
+    monkeypatch.setattr(UpstreamConnectionPool, "open", connect_and_suspend)
+    harness = make_harness(make_route(), respond(), before_decision=detect)
+    assert harness.ask().status == 503
+    assert harness.request_counts == [0]
