Measure the network once per zone in a choice

Each choice computed group, delay and cost of the network for each candidate, and whether there are several regions several times for each, also without a zone map. All upstreams of a zone have the same.

--- a/src/rudderpass/directory/_regions.py
+++ b/src/rudderpass/directory/_regions.py
@@ -27,6 +27,10 @@
         self._zones = dict(zones or {})
         self._own = own
         self._regions = frozenset(self._zones.values())
+        is_own_elsewhere = bool(self._regions) and own not in (None, *self._regions)
+        self._has_several = len(self._regions) > 1 or is_own_elsewhere
+        # Each choice reads the groups of all candidates.
+        self._groups = self._zones if self._has_several else {}
 
     @property
     def own(self) -> Region | None:
@@ -40,8 +44,11 @@
 
     @property
     def has_several(self) -> bool:
-        """Whether there are several regions; only then do regions have costs."""
-        return len(self._regions) > 1 or self._is_own_elsewhere
+        """Whether there are several regions; only then do regions have costs.
+
+        A map whose only region is not the host's counts as several.
+        """
+        return self._has_several
 
     def region_of(self, zone: AvailabilityZone) -> Region | None:
         """Return the region of a zone, or None if the map lacks the zone."""
@@ -52,12 +59,7 @@
 
         Upstreams with the same result share the work of reading prompts.
         """
-        return self._zones.get(zone) if self.has_several else None
-
-    @property
-    def _is_own_elsewhere(self) -> bool:
-        """Whether the map has zones, but none in the host's region."""
-        return bool(self._regions) and self._own not in (None, *self._regions)
+        return self._groups.get(zone)
 
 
 def describe_unknown_regions(config: ExchangeConfig, regions: RegionMap) -> list[str]:
--- a/src/rudderpass/exchange/_choice.py
+++ b/src/rudderpass/exchange/_choice.py
@@ -25,11 +25,7 @@
     stall_severity,
 )
 from rudderpass.exchange._prefixes import PrefixIndex
-from rudderpass.exchange._proximity import (
-    find_host_proximity,
-    network_cost,
-    network_delay,
-)
+from rudderpass.exchange._proximity import NetworkPath, find_path
 from rudderpass.exchange._request import ExchangeRequest
 from rudderpass.exchange._slots import SlotContention
 from rudderpass.exchange._weights import (
@@ -156,6 +152,12 @@
     sources = CopySources(
         request, copy_sources or eligible, state.prefixes, engine, state.regions, now
     )
+    paths = {
+        zone: find_path(
+            request, state.regions, state.zone, zone, state.round_trips, now
+        )
+        for zone in {entry.zone for entry in eligible}
+    }
     candidates = sorted(
         (
             _score(
@@ -167,6 +169,7 @@
                 placement,
                 state,
                 sources.find(entry.zone),
+                paths[entry.zone],
                 slots,
                 now,
             )
@@ -212,13 +215,13 @@
     placement: Placement,
     state: RoutingState,
     source: CopySource | None,
+    path: NetworkPath,
     slots: SlotContention,
     now: float,
 ) -> Candidate:
     health = state.health_of(entry.upstream)
     cached = state.prefixes.cached_tokens(entry.upstream, request.parts, now)
-    region = state.regions.group_of(entry.zone)
-    reread = _reread_tokens(request, cached, region, state, now)
+    reread = _reread_tokens(request, cached, path.group, state, now)
     prefill_seconds = reread * (
         REREAD_SECONDS_PER_TOKEN + 1 / PREFILL_TOKENS_PER_SECOND
     )
@@ -235,22 +238,20 @@
         copy_source = source.entry
         cached += copied_tokens
         transfer_seconds = copy_seconds
-        reread = _reread_tokens(request, cached, region, state, now)
+        reread = _reread_tokens(request, cached, path.group, state, now)
     else:
         transfer_seconds = 0.0
     unread = request.prompt_tokens - cached
     service_seconds = _service_seconds(request, entry, load, unread, slots.rank)
     slot_wait = slots.wait(load, entry.slots) if request.parts else 0.0
-    proximity = find_host_proximity(state.regions, state.zone, entry.zone)
-    delay = network_delay(proximity, entry.zone, state.round_trips, now)
-    nominal = max(service_seconds, slot_wait) + delay
-    expected = max(service_seconds * health.slowness(now), slot_wait) + delay
+    nominal = max(service_seconds, slot_wait) + path.delay
+    expected = max(service_seconds * health.slowness(now), slot_wait) + path.delay
     cost = (
         _delay_cost(expected, target)
         + transfer_seconds
         + FAILURE_SECONDS * health.failure_rate(now)
     )
-    cost += network_cost(proximity, request)
+    cost += path.cost
     interference = placement.cost(entry.upstream, unread)
     interference += STALLED_STREAM_SECONDS * _estimate_stalled(
         stall_risk, entry.upstream, unread, load
--- a/src/rudderpass/exchange/_proximity.py
+++ b/src/rudderpass/exchange/_proximity.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import Enum
 
 from rudderpass._ids import AvailabilityZone, Region
@@ -88,3 +89,34 @@
     if proximity is Proximity.SAME_REGION:
         return OTHER_ZONE_SECONDS + OTHER_ZONE_SECONDS_PER_KB * size / 1024
     return OTHER_REGION_SECONDS + OTHER_REGION_SECONDS_PER_KB * size / 1024
+
+
+@dataclass(frozen=True)
+class NetworkPath:
+    """What the network between this host and the upstreams of a zone costs a request.
+
+    :param group: the region whose upstreams share the work of reading prompts.
+    :param delay: seconds that it adds until a response begins.
+    :param cost: of the exchange beyond its delay, in seconds.
+    """
+
+    group: Region | None
+    delay: float
+    cost: float
+
+
+def find_path(
+    request: ExchangeRequest,
+    regions: RegionMap,
+    own_zone: AvailabilityZone,
+    zone: AvailabilityZone,
+    round_trips: RoundTrips,
+    now: float,
+) -> NetworkPath:
+    """Return the path from this host to a zone, the same for all its upstreams."""
+    proximity = find_host_proximity(regions, own_zone, zone)
+    return NetworkPath(
+        regions.group_of(zone),
+        network_delay(proximity, zone, round_trips, now),
+        network_cost(proximity, request),
+    )
--- a/tests/exchange/test_proximity.py
+++ b/tests/exchange/test_proximity.py
@@ -23,6 +23,7 @@
     OTHER_ZONE_SECONDS,
     OTHER_ZONE_SECONDS_PER_KB,
 )
+from rudderpass.learning import RoundTrips
 from tests.directory.builders import SERVICE, make_config, make_route, make_upstream
 from tests.exchange.builders import (
     accept,
@@ -284,3 +285,21 @@
                 core.record_response_start(assigned, now + 0.1)
                 core.record_end(assigned, True, now + 0.2)
         assert choices[0] == choices[1]
+
+
+def test_a_choice_measures_the_network_once_for_each_zone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a cost for each upstream; a choice is made for each request."""
+    read = RoundTrips.read
+    zones: list[AvailabilityZone] = []
+
+    def record_read(
+        round_trips: RoundTrips, zone: AvailabilityZone, now: float
+    ) -> float:
+        zones.append(zone)
+        return read(round_trips, zone, now)
+
+    monkeypatch.setattr(RoundTrips, "read", record_read)
+    assign(Deployment(ALL_ZONES * 5).core, make_request(parts=LONG), 1.0)
+    assert sorted(zones) == [SOUTH_A, SOUTH_B]
