--- a/src/rudderpass/host/_warmup.py
+++ b/src/rudderpass/host/_warmup.py
@@ -30,10 +30,14 @@
 CONFIG_WAIT_SECONDS = 10.0
 """Time without a configuration after which cache contents are no longer useful."""
 
-PartsReader = Callable[[RegisteredUpstream], tuple[PromptPart, ...]]
+PartsReader = Callable[[RegisteredUpstream, Callable[[], bool]], tuple[PromptPart, ...]]
 """Queries an upstream for the prompt parts that it has cached.
 
-:raises UpstreamError: when it does not answer, or has restarted since.
+The second parameter returns whether the query may be sent; it is called once the
+connection is established, which may take a second.
+
+:raises UpstreamError: when it does not answer, has restarted since, or may not be
+    queried any more.
 """
 
 
@@ -118,8 +122,13 @@
         if self._is_evacuated(entry):
             log("cache", f"{entry.upstream} is not queried, its zone is evacuated.")
             return
+        if self._is_cold(entry):
+            log("cache", f"{entry.upstream} is not queried, it is cold.")
+            return
         try:
-            cached = self._parts.read_parts(entry)
+            cached = self._parts.read_parts(
+                entry, lambda: not self._is_evacuated(entry)
+            )
         except UpstreamError as error:
             log("cache", error.show(), upstream=entry.upstream, error=str(error))
             return
@@ -135,12 +144,21 @@
         )
 
     def _is_evacuated(self, entry: RegisteredUpstream) -> bool:
-        """Check again right before a query; those before it may have taken long."""
+        """Check again; the queries before this one may have taken long."""
         with self._parts.lock:
             directory = self._parts.core.directory
             directory.expire(_clock.now())
             return directory.evacuations.is_evacuated(entry.zone)
 
+    def _is_cold(self, entry: RegisteredUpstream) -> bool:
+        """Return whether an upstream is cold; the joint rate covers no queries.
+
+        Hosts that start at once do not know one another, and would all query it.
+        """
+        with self._parts.lock:
+            cold_starts = self._parts.core.cold_starts
+            return cold_starts.find_cold(entry.upstream, _clock.now()) is not None
+
 
 def should_query(own: NodeId, hosts: list[NodeId], upstream: UpstreamId) -> bool:
     """Return whether ``own`` is the host that queries an upstream (rendezvous hash)."""
