Pass the check before a query in the test of the cache warm-up

Change: the fake reader asks before it queries. Measured: mypy clean; tests/host/test_warmup.py and test_evacuations.py pass.

--- a/tests/host/test_warmup.py
+++ b/tests/host/test_warmup.py
@@ -4,6 +4,7 @@
 
 import random
 import threading
+from collections.abc import Callable
 from dataclasses import replace
 from typing import cast
 
@@ -41,8 +42,11 @@
     directory.expire(_clock.now())
     queried: list[UpstreamId] = []
 
-    def read_parts(entry: RegisteredUpstream) -> tuple[PromptPart, ...]:
-        queried.append(entry.upstream)
+    def read_parts(
+        entry: RegisteredUpstream, may_send: Callable[[], bool]
+    ) -> tuple[PromptPart, ...]:
+        if may_send():
+            queried.append(entry.upstream)
         return ()
 
     warmup = CacheWarmup(
