--- a/src/rudderpass/exchange/_proximity.py
+++ b/src/rudderpass/exchange/_proximity.py
@@ -95,12 +95,10 @@
 class NetworkPath:
     """What the network between this host and the upstreams of a zone costs a request.
 
-    :param group: the region whose upstreams share the work of reading prompts.
     :param delay: seconds that it adds until a response begins.
     :param cost: of the exchange beyond its delay, in seconds.
     """
 
-    group: Region | None
     delay: float
     cost: float
 
@@ -116,7 +114,6 @@
     """Return the path from this host to a zone, the same for all its upstreams."""
     proximity = find_host_proximity(regions, own_zone, zone)
     return NetworkPath(
-        regions.group_of(zone),
         network_delay(proximity, zone, round_trips, now),
         network_cost(proximity, request),
     )
