Send digests to other regions once a second

A byte between regions costs four times one between zones, and relays sent digests there four times a second from each of two relays a zone.

The relays of a zone now take turns, one digest a second; changed evacuations, cold times, rate limits, leaving upstreams, suspects and store updates go at once. Relays list hosts of other regions when they heard of them, so that a host's age stays within LIVE_SECONDS after one lost digest.

--- a/src/rudderpass/directory/_regions.py
+++ b/src/rudderpass/directory/_regions.py
@@ -54,6 +54,16 @@
         """
         return self._zones.get(zone) if self.has_several else None
 
+    def is_elsewhere(self, zone: AvailabilityZone) -> bool:
+        """Return whether a zone counts as one of another region than the host's.
+
+        No zone does if the host's region is unknown, and one that the map lacks does if
+        there are several regions.
+        """
+        if not self.has_several or self._own is None:
+            return False
+        return self._zones.get(zone) != self._own
+
     @property
     def _is_own_elsewhere(self) -> bool:
         """Whether the map has zones, but none in the host's region."""
--- a/src/rudderpass/exchange/__init__.py
+++ b/src/rudderpass/exchange/__init__.py
@@ -65,6 +65,7 @@
 )
 from rudderpass.exchange._prompt_updates import RESEND_SECONDS as RESEND_SECONDS
 from rudderpass.exchange._rate_limits import (
+    MAX_SENT_LIMITS as MAX_SENT_LIMITS,
     HostRank as HostRank,
     RateLimits as RateLimits,
     RateLimitUpdate as RateLimitUpdate,
--- a/src/rudderpass/gossip/__init__.py
+++ b/src/rudderpass/gossip/__init__.py
@@ -8,6 +8,13 @@
     encode_prompts as encode_prompts,
     encode_state as encode_state,
 )
+from rudderpass.gossip._cross_region import (
+    CROSS_REGION_HEARTBEATS as CROSS_REGION_HEARTBEATS,
+    CrossRegionSchedule as CrossRegionSchedule,
+    RelayTurn as RelayTurn,
+    UrgentNews as UrgentNews,
+    WaitingLimits as WaitingLimits,
+)
 from rudderpass.gossip._digest import Digest as Digest, Member as Member
 from rudderpass.gossip._duties import (
     decode_duty_claim as decode_duty_claim,
--- a/src/rudderpass/gossip/_peer_table.py
+++ b/src/rudderpass/gossip/_peer_table.py
@@ -205,6 +205,10 @@
         }
         return sorted(zones)
 
+    def heard_at(self, name: NodeId) -> float:
+        """Return when this host or a relay last heard from a peer."""
+        return self._peers[name].last_heard
+
     def last_heard_directly(self, name: NodeId) -> float:
         """Return when this host last heard from a peer directly; -infinity if never."""
         return self._peers[name].last_heard_directly
--- a/src/rudderpass/gossip/_relays.py
+++ b/src/rudderpass/gossip/_relays.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 
 from rudderpass._ids import AvailabilityZone, NodeId
+from rudderpass.directory import RegionMap
 from rudderpass.exchange import RESEND_SECONDS, SentPrompt
 from rudderpass.gossip._hashing import hash_host
 from rudderpass.gossip._peer_table import PeerTable
@@ -35,6 +36,11 @@
 """A relay that this host has not heard from for this long since it was chosen is
 replaced by the next one. Relays send several heartbeats a second."""
 
+CROSS_REGION_TIMEOUT_SECONDS = 7.0
+"""The same for a relay of another region, which sends a digest every 2 s, of which two
+in a row may be lost. One that is dead is replaced earlier, by what the other relays of
+its zone tell of it."""
+
 MAX_QUEUED_PROMPTS = 400
 """Maximum number of prompts queued for digests; beyond it the oldest are dropped. At
 175 prompts a second, some 45 arrive between two digests."""
@@ -56,6 +62,12 @@
     prompts: deque[SentPrompt]
     streams: deque[StreamSample]
 
+    @property
+    def is_half_full(self) -> bool:
+        """Whether it holds half of what it may, or more than fits in a digest."""
+        parts = sum(len(prompt.parts) for prompt in self.prompts)
+        return parts > MAX_DIGEST_PARTS or 2 * len(self.prompts) > MAX_QUEUED_PROMPTS
+
     @classmethod
     def make_empty(cls) -> RelayQueue:
         """Return a queue that drops its oldest items when full."""
@@ -86,6 +98,8 @@
 
     :param zone: the host's availability zone.
     :param link_mbps: capacity of the host's link, Mbit/s.
+    :param regions: of the zones; with several, relays of other regions have a queue of
+        their own.
 
     Not thread-safe: the host's lock guards it.
 
@@ -93,18 +107,26 @@
     """
 
     def __init__(
-        self, own: NodeId, zone: AvailabilityZone, link_mbps: int, peers: PeerTable
+        self,
+        own: NodeId,
+        zone: AvailabilityZone,
+        link_mbps: int,
+        peers: PeerTable,
+        regions: RegionMap | None = None,
     ) -> None:
         self._own = own
         self._link_mbps = link_mbps
         self._zone = zone
         self._peers = peers
+        self._regions = regions or RegionMap()
         self._chosen_at: dict[NodeId, float] = {}
         self._queued_at: dict[SentPrompt, float] = {}
         self.for_zone = RelayQueue.make_empty()
         """For the hosts of the own zone."""
         self.for_relays = RelayQueue.make_empty()
-        """For the relays of other zones."""
+        """For the relays of other zones of the region."""
+        self.for_regions = RelayQueue.make_empty()
+        """For the relays of other regions."""
         self.is_relay = False
 
     def choose_zone_relays(self, now: float) -> list[NodeId]:
@@ -115,13 +137,22 @@
         return relays
 
     def choose_remote_relays(self, now: float) -> list[NodeId]:
-        """Return the relays of all other zones."""
-        relays: list[NodeId] = []
-        for zone in self._peers.zones(now):
-            if zone != self._zone:
-                hosts = self._peers.live_in(zone, now)
-                relays += self._choose_of(zone, hosts, now)
-        return relays
+        """Return the relays of the other zones of the region."""
+        zones = self._peers.zones(now)
+        return self._choose_of_all(
+            [zone for zone in zones if not self.is_elsewhere(zone)], now
+        )
+
+    def choose_cross_region_relays(self, now: float) -> list[NodeId]:
+        """Return the relays of the zones of other regions."""
+        zones = self._peers.zones(now)
+        return self._choose_of_all(
+            [zone for zone in zones if self.is_elsewhere(zone)], now
+        )
+
+    def is_elsewhere(self, zone: AvailabilityZone) -> bool:
+        """Return whether a zone belongs to another region."""
+        return zone != self._zone and self._regions.is_elsewhere(zone)
 
     def enqueue(
         self,
@@ -140,6 +171,8 @@
         self.for_zone.add(due, samples)
         if is_own_zone:
             self.for_relays.add(due, samples)
+        if is_own_zone and self._regions.has_several:
+            self.for_regions.add(due, samples)
 
     def remove_expired(self, now: float) -> None:
         """Remove prompts that may be forwarded again, and hosts that are dead."""
@@ -157,10 +190,22 @@
         self._queued_at[prompt] = now
         return True
 
+    def _choose_of_all(
+        self, zones: Iterable[AvailabilityZone], now: float
+    ) -> list[NodeId]:
+        relays: list[NodeId] = []
+        for zone in zones:
+            if zone != self._zone:
+                hosts = self._peers.live_in(zone, now)
+                relays += self._choose_of(zone, hosts, now)
+        return relays
+
     def _choose_of(
         self, zone: AvailabilityZone, hosts: list[NodeId], now: float
     ) -> list[NodeId]:
         """Return a zone's first responsive hosts, in the order that all hosts share."""
+        if self.is_elsewhere(zone):
+            hosts = self._without_silent(hosts)
         relays: list[NodeId] = []
         for host in sorted(hosts, key=self._rank):
             if len(relays) == RELAYS:
@@ -176,7 +221,25 @@
             return True  # Other hosts receive only from the relays of their own zone.
         chosen_at = self._chosen_at.setdefault(host, now)
         last_heard = self._peers.last_heard_directly(host)
-        return now - max(chosen_at, last_heard) <= RELAY_TIMEOUT_SECONDS
+        limit = RELAY_TIMEOUT_SECONDS
+        if self.is_elsewhere(zone):
+            limit = CROSS_REGION_TIMEOUT_SECONDS
+        return now - max(chosen_at, last_heard) <= limit
+
+    def _without_silent(self, hosts: list[NodeId]) -> list[NodeId]:
+        """Return a zone's hosts without those that its relays no longer hear.
+
+        What is known of a zone is as old as its last digest, so hosts are compared to
+        the median. Store followers also announce themselves, and are ahead of it.
+        """
+        if not hosts:
+            return hosts
+        median = sorted(self._peers.heard_at(host) for host in hosts)[len(hosts) // 2]
+        return [
+            host
+            for host in hosts
+            if median - self._peers.heard_at(host) <= RELAY_TIMEOUT_SECONDS
+        ]
 
     def _rank(self, host: NodeId) -> float:
         """Return a host's rank in the order in which hosts become relays.
--- a/src/rudderpass/host/_gossip_protocol.py
+++ b/src/rudderpass/host/_gossip_protocol.py
@@ -7,11 +7,12 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from rudderpass._ids import AvailabilityZone, NodeId
 from rudderpass.duties import DutyStatus, HostUsage
 from rudderpass.exchange import (
+    MAX_SENT_LIMITS,
     ExchangeCore,
     LoadReport,
     RateLimitUpdate,
@@ -21,11 +22,15 @@
 )
 from rudderpass.gossip import (
     HEARTBEATS_PER_PEER_SAMPLE,
+    CrossRegionSchedule,
     Digest,
     Heartbeat,
     Member,
     PeerTable,
     RelayRole,
+    RelayTurn,
+    UrgentNews,
+    WaitingLimits,
     assign_relay,
 )
 from rudderpass.learning import StreamSample
@@ -40,7 +45,14 @@
 HEARTBEATS_PER_MEMBER_LIST = 4
 """Number of digests, sent within one second, that together list all hosts of the other
 zones. One digest need not list all: a host counts as live for 3 s, and each entry takes
-about 20 bytes."""
+about 20 bytes. Hosts of other regions are listed after each digest of their zone
+instead: as these come once a second, waiting would make entries up to 3.3 s old when
+one digest gets lost."""
+
+LISTINGS = 2
+"""Number of digests that list a host of another region after it was heard of. With one,
+and 2 % of datagrams lost, hosts of other regions counted as dead six times as often as
+without regions."""
 
 MAX_LEAVING_REPORTED = 50
 """Maximum number of leaving upstreams in one heartbeat."""
@@ -85,7 +97,14 @@
         self._peer_table = peer_table
         self._is_current = is_current
         self._read_duty = read_duty
-        self._relay_role = RelayRole(own, zone, link_mbps, peer_table)
+        self._relay_role = RelayRole(
+            own, zone, link_mbps, peer_table, core.directory.regions
+        )
+        self._schedule = CrossRegionSchedule()
+        self._news = UrgentNews()
+        self._waiting_limits = WaitingLimits()
+        self._listed: dict[NodeId, tuple[float, int]] = {}
+        self._served: frozenset[NodeId] = frozenset()
         self._rng = random.Random(own)
         self._heartbeat_numbers: dict[NodeId, int] = {}
         self._heartbeat_number = 0
@@ -144,7 +163,11 @@
         ]
         if self._relay_role.is_relay:
             self._relay_role.enqueue(True, heartbeat.prompts, heartbeat.streams, now)
-            messages += self._compose_digests(relays, suspects, rate_limits, now)
+            messages += self._compose_digests(
+                relays, suspects, rate_limits, has_store_update, now
+            )
+        else:
+            self._schedule.reset()
         return [message for message in messages if message.targets]
 
     def receive(self, heartbeat: Heartbeat, now: float) -> bool:
@@ -185,6 +208,7 @@
         self._heartbeat_numbers = {
             h: number for h, number in self._heartbeat_numbers.items() if h in live
         }
+        self._listed = {h: item for h, item in self._listed.items() if h in live}
 
     def _receive_digest(
         self, digest: Digest, zone: AvailabilityZone | None, now: float
@@ -227,6 +251,7 @@
         relays: list[NodeId],
         suspects: tuple[SuspectUpdate, ...],
         rate_limits: tuple[RateLimitUpdate, ...],
+        has_store_update: bool,
         now: float,
     ) -> list[Message]:
         hosts = [
@@ -243,18 +268,21 @@
         )
         prompts, streams = self._relay_role.for_relays.drain()
         total = self._core.loads.sum_zone(self._zone, now)
+        own_zone = Digest(
+            False, {self._zone: members}, total.loads, total.prefill_rates
+        )
         for_relays = self._make_heartbeat(
             now,
             suspects=suspects,
             prompts=prompts,
             streams=streams,
-            digest=Digest(
-                False, {self._zone: members}, total.loads, total.prefill_rates
-            ),
+            digest=own_zone,
             rate_limits=rate_limits,
         )
         prompts, streams = self._relay_role.for_zone.drain()
         total = self._core.loads.sum_all(now)
+        served = self._hosts_served(hosts, relays)
+        self._record_served(served)
         named = {self._zone: members, **self._describe_others(now)}
         for_zone = self._make_heartbeat(
             now,
@@ -266,9 +294,48 @@
         )
         return [
             Message(for_relays, self._relay_role.choose_remote_relays(now)),
-            Message(for_zone, self._hosts_served(hosts, relays)),
+            *self._compose_for_regions(relays, for_relays, has_store_update, now),
+            Message(for_zone, served),
         ]
 
+    def _compose_for_regions(
+        self,
+        relays: list[NodeId],
+        digest: Heartbeat,
+        has_store_update: bool,
+        now: float,
+    ) -> list[Message]:
+        """Return the digest for the relays of other regions, if it is due.
+
+        :param digest: the one for the relays of other zones of the region.
+        """
+        targets = self._relay_role.choose_cross_region_relays(now)
+        if not targets:
+            self._schedule.reset()
+            return []
+        self._waiting_limits.add(digest.rate_limits, now)
+        is_urgent = has_store_update or self._relay_role.for_regions.is_half_full
+        is_urgent = self._news.record(digest, now) or is_urgent
+        turn = RelayTurn(
+            self._own, tuple(relays), tuple(targets), self._first_number(relays)
+        )
+        if not self._schedule.is_due(turn, is_urgent):
+            return []
+        prompts, streams = self._relay_role.for_regions.drain()
+        for_regions = replace(
+            digest,
+            prompts=prompts,
+            streams=streams,
+            rate_limits=self._waiting_limits.drain(MAX_SENT_LIMITS, now),
+        )
+        return [Message(for_regions, targets)]
+
+    def _first_number(self, relays: list[NodeId]) -> int:
+        """Return the number of the newest heartbeat of the zone's first relay."""
+        if relays[0] == self._own:
+            return self._heartbeat_number
+        return self._heartbeat_numbers.get(relays[0], 0)
+
     def _hosts_served(self, hosts: list[NodeId], relays: list[NodeId]) -> list[NodeId]:
         """Return the hosts to which this relay sends its digest of all zones.
 
@@ -283,6 +350,15 @@
         self._rng.shuffle(served)
         return served
 
+    def _record_served(self, served: list[NodeId]) -> None:
+        """List all hosts of other regions again for hosts that another relay served.
+
+        Without that, what they know would be a second older than it is here.
+        """
+        if not self._served.issuperset(served):
+            self._listed.clear()
+        self._served = frozenset(served)
+
     def _describe_own(self, now: float) -> Member:
         position = self._core.directory.view_position
         return Member(
@@ -304,20 +380,35 @@
     ) -> dict[AvailabilityZone, tuple[Member, ...]]:
         """Return some hosts of the other zones.
 
-        All of them are covered within HEARTBEATS_PER_MEMBER_LIST heartbeats.
+        All of them are covered within HEARTBEATS_PER_MEMBER_LIST heartbeats, or after
+        they were heard of.
         """
-        first = self._heartbeat_number % HEARTBEATS_PER_MEMBER_LIST
         return {
             zone: tuple(
                 self._peer_table.describe(host, 0, now)
-                for host in sorted(self._peer_table.live_in(zone, now))[
-                    first::HEARTBEATS_PER_MEMBER_LIST
-                ]
+                for host in self._choose_listed(zone, now)
             )
             for zone in self._peer_table.zones(now)
             if zone != self._zone
         }
 
+    def _choose_listed(self, zone: AvailabilityZone, now: float) -> list[NodeId]:
+        """Return the hosts of another zone to list in the digest for the own zone."""
+        hosts = sorted(self._peer_table.live_in(zone, now))
+        if not self._relay_role.is_elsewhere(zone):
+            first = self._heartbeat_number % HEARTBEATS_PER_MEMBER_LIST
+            return hosts[first::HEARTBEATS_PER_MEMBER_LIST]
+        listed = []
+        for host in hosts:
+            heard_at = self._peer_table.heard_at(host)
+            listed_at, times = self._listed.get(host, (heard_at, 0))
+            if listed_at != heard_at:
+                times = 0
+            if times < LISTINGS:
+                self._listed[host] = heard_at, times + 1
+                listed.append(host)
+        return listed
+
     def _make_heartbeat(
         self,
         now: float,
--- a/tests/directory/builders.py
+++ b/tests/directory/builders.py
@@ -20,6 +20,7 @@
     ExchangeRoute,
     ExchangeTeam,
     KeyedRecord,
+    RegionMap,
     RegisteredUpstream,
     RouteKind,
     ServiceShare,
@@ -105,10 +106,13 @@
         return Decoders(self.config, self.upstream)
 
 
-def make_directory(records: FakeDecoders | None = None) -> Directory:
+def make_directory(
+    records: FakeDecoders | None = None, regions: RegionMap | None = None
+) -> Directory:
     return Directory(
         (records or FakeDecoders()).decoders,
         CONFIG_KEY,
+        regions=regions,
         evacuation_prefix=EVACUATION_PREFIX,
     )
 
--- a/tests/exchange/builders.py
+++ b/tests/exchange/builders.py
@@ -13,6 +13,7 @@
     ExchangeConfig,
     ExchangeRoute,
     ExchangeTeam,
+    RegionMap,
 )
 from rudderpass.exchange import (
     Accepted,
@@ -64,14 +65,17 @@
 
 
 def fill_directory(
-    config: ExchangeConfig | None = None, upstreams: int = 3, **changes: Any
+    config: ExchangeConfig | None = None,
+    upstreams: int = 3,
+    regions: RegionMap | None = None,
+    **changes: Any,
 ) -> Directory:
     """Return a directory with a configuration and ``upstreams`` upstreams."""
     records = FakeDecoders()
     records.configs[b"1"] = config or make_config()
     for number in range(1, upstreams + 1):
         records.upstreams[f"u{number}"] = make_upstream(number, **changes)
-    directory = make_directory(records)
+    directory = make_directory(records, regions)
     directory.apply_config([config_record(0, 1)], 1, "store")
     listed = [upstream_record(number - 1, number) for number in range(1, upstreams + 1)]
     directory.apply_upstream_changes(listed, upstreams, "store", 0.0)
@@ -85,12 +89,13 @@
     teams: tuple[ExchangeTeam, ...] = (),
     cold_start: ColdStartTraits | None = None,
     rank_host: Callable[[UpstreamId, float], HostRank] | None = None,
+    regions: RegionMap | None = None,
     **changes: Any,
 ) -> ExchangeCore:
     config = make_config(1, *routes)
     services = (replace(config.services[0], cold_start=cold_start),)
     config = replace(config, teams=teams or config.teams, services=services)
-    directory = fill_directory(config, upstreams, **changes)
+    directory = fill_directory(config, upstreams, regions, **changes)
     return ExchangeCore(
         ZONE, directory, RULE, REREAD_WINDOW, lambda: hosts, rank_host=rank_host
     )
--- a/tests/host/fleet.py
+++ b/tests/host/fleet.py
@@ -6,11 +6,11 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 
-from rudderpass._ids import AvailabilityZone, NodeId, RequestId
-from rudderpass.directory import ColdStartTraits
+from rudderpass._ids import AvailabilityZone, NodeId, Region, RequestId
+from rudderpass.directory import ColdStartTraits, RegionMap
 from rudderpass.exchange import Assignment, ExchangeCore, Load
 from rudderpass.gossip import MIN_HOSTS_FOR_RELAYS, FollowRule, Heartbeat, PeerTable
 from rudderpass.gossip._codec import decode_heartbeat, encode_heartbeat
@@ -21,6 +21,8 @@
 
 HEARTBEAT_SECONDS = 0.25
 DELAY_SECONDS = 0.005
+HEADER_BYTES = 28
+"""Of IP and UDP, for each datagram."""
 
 
 class FleetHost:
@@ -33,20 +35,28 @@
         link_mbps: int,
         upstreams: int,
         cold_start: ColdStartTraits | None = None,
+        regions: Mapping[AvailabilityZone, Region] | None = None,
     ) -> None:
         self.name = name
         self.link_mbps = link_mbps
         self.zone = zone
+        self.follows_store = False
         self.peer_table = PeerTable(name, random.Random(name))
         self.core: ExchangeCore = make_core(
             make_route(),
             upstreams=upstreams,
             cold_start=cold_start,
             rank_host=self.peer_table.rank_host,
+            regions=RegionMap(regions, (regions or {}).get(zone)),
         )
         self.rule = FollowRule(name, self.peer_table, -10.0)
         self.protocol = GossipProtocol(
-            name, zone, link_mbps, self.core, self.peer_table, lambda now: False
+            name,
+            zone,
+            link_mbps,
+            self.core,
+            self.peer_table,
+            lambda now: self.follows_store,
         )
         self.is_up = True
 
@@ -59,6 +69,8 @@
 
     :param loss: share of the datagrams that get lost.
     :param links: link bandwidths, Mbit/s, assigned to the hosts of a zone in turn.
+    :param regions: the region of each zone, as in the settings of all hosts.
+    :ivar sent: the datagrams sent, as sender, recipient and content, if recorded.
     :ivar blocked_links: pairs of sender and recipient whose datagrams are lost.
     """
 
@@ -70,11 +82,14 @@
         loss: float = 0.0,
         links: tuple[int, ...] = (100,),
         cold_start: ColdStartTraits | None = None,
+        regions: Mapping[AvailabilityZone, Region] | None = None,
     ) -> None:
         self.now = 0.0
+        self.sent: list[tuple[NodeId, NodeId, bytes]] | None = None
         self.received: Counter[NodeId] = Counter()
         self.blocked_links: set[tuple[NodeId, NodeId]] = set()
         self._upstreams = upstreams
+        self._regions = regions
         self._rng = random.Random(7)
         self._loss = loss
         self._order = itertools.count()
@@ -87,6 +102,7 @@
                     links[number // zones % len(links)],
                     upstreams,
                     cold_start,
+                    regions,
                 )
             )
             for number in range(hosts)
@@ -107,7 +123,13 @@
 
     def restart(self, host: FleetHost) -> FleetHost:
         """Restart a host; it knows only which peers it may greet."""
-        started = FleetHost(host.name, host.zone, host.link_mbps, self._upstreams)
+        started = FleetHost(
+            host.name,
+            host.zone,
+            host.link_mbps,
+            self._upstreams,
+            regions=self._regions,
+        )
         self.hosts[host.name] = started
         started.peer_table.add(self.hosts)
         self._start(started)
@@ -171,6 +193,8 @@
                 self._deliver(host.name, target, data)
 
     def _deliver(self, sender: NodeId, target: NodeId, data: bytes) -> None:
+        if self.sent is not None:
+            self.sent.append((sender, target, data))
         if (sender, target) in self.blocked_links:
             return
         if self._rng.random() >= self._loss:
