--- a/src/rudderpass/directory/_regions.py
+++ b/src/rudderpass/directory/_regions.py
@@ -61,6 +61,16 @@
         """
         return self._groups.get(zone)
 
+    def is_elsewhere(self, zone: AvailabilityZone) -> bool:
+        """Return whether a zone counts as one of another region than the host's.
+
+        No zone does if the host's region is unknown, and one that the map lacks does if
+        there are several regions.
+        """
+        if not self.has_several or self._own is None:
+            return False
+        return self._zones.get(zone) != self._own
+
 
 def describe_unknown_regions(config: ExchangeConfig, regions: RegionMap) -> list[str]:
     """Return one text for each allowed region that no zone belongs to."""
