Name reported and sent state by the usual words

Cause: names such as told and news in the new modules are not the field's terms. Change: renames and comments only, and the text of one refusal reason. Measured: mypy and flake8 clean; the touched tests, 90 passed.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -163,7 +163,7 @@
   23: optional i64 era /* of the store, which rises when it comes back from a copy */
   24: optional i64 config_version /* of the configuration in force */
   25: optional list<Evacuation> evacuations /* the newest statement on each zone */
-  26: optional map<string, i32> cold_ms /* for which upstreams stay cold, as responses told */
+  26: optional map<string, i32> cold_ms /* for which upstreams stay cold, as their responses report */
 }
 
 /* All that the sender believes to be kept in caches. */
--- a/src/rudderpass/directory/_evacuations.py
+++ b/src/rudderpass/directory/_evacuations.py
@@ -19,9 +19,9 @@
 """How long the end of an evacuation is remembered, so that an older statement that
 arrives late does not start it again."""
 
-TOLD_ENDED_SECONDS = 110.0
-"""How long the end is told to peers: less than ENDED_SECONDS, so that no host that has
-forgotten it learns it again from one that heard of it slightly later."""
+SENT_ENDED_SECONDS = 110.0
+"""How long the end is sent to peers: less than ENDED_SECONDS, so that no host that has
+forgotten it learns it again from one that learned it slightly later."""
 
 SAME_END_SECONDS = 1.0
 """Ends of one zone that are further apart are the ends of two evacuations, of which
@@ -30,7 +30,7 @@
 MAX_ZONES = 100
 """Maximum number of zones with a statement; ended ones, then the oldest, go first."""
 
-MAX_TOLD_BYTES = 4096
+MAX_SENT_BYTES = 4096
 """Maximum total length of the zone names in one heartbeat: 100 usual names take a third
 of it. A key may have 255 bytes, and 100 such names would not fit in a datagram."""
 
@@ -175,19 +175,21 @@
                 self._learn_unless_ended(statement, source, now)
 
     def statements(self, now: float) -> tuple[EvacuationStatement, ...]:
-        """Return what to tell peers: active evacuations first, then the newest.
+        """Return what to send to peers: active evacuations first, then the newest.
 
-        Their names are at most MAX_TOLD_BYTES long in total.
+        Their names are at most MAX_SENT_BYTES long in total.
         """
-        told = [
+        selected = [
             (zone, entry)
             for zone, entry in self._entries.items()
-            if entry.is_active or now - entry.ended_at < TOLD_ENDED_SECONDS
+            if entry.is_active or now - entry.ended_at < SENT_ENDED_SECONDS
         ]
-        told.sort(key=lambda item: (item[1].is_active, item[1].position), reverse=True)
+        selected.sort(
+            key=lambda item: (item[1].is_active, item[1].position), reverse=True
+        )
         statements: list[EvacuationStatement] = []
-        left = MAX_TOLD_BYTES
-        for zone, entry in told:
+        left = MAX_SENT_BYTES
+        for zone, entry in selected:
             left -= len(zone.encode())
             if left < 0:
                 break
@@ -327,8 +329,8 @@
     ) -> LogPosition | None:
         """Return where an unknown evacuation ended, if the records read here show that.
 
-        A host that was cut off may tell an evacuation whose end was forgotten here. All
-        evacuations in the records read are known, so an unknown one has ended.
+        A host that was cut off may report an evacuation whose end was forgotten here.
+        All evacuations in the records read are known, so an unknown one has ended.
         """
         if not statement.is_active or self._has_evicted_active:
             return None
--- a/src/rudderpass/exchange/_assignment.py
+++ b/src/rudderpass/exchange/_assignment.py
@@ -26,7 +26,7 @@
     THROTTLED = "no upstream accepts a request from this host now"
     EVACUATED = "all zones with upstreams to send it to are evacuated"
     OVERLOAD = "no upstream can answer in time"
-    SUSPENDED = "this host slept and asks for news"
+    SUSPENDED = "this host was suspended and is refreshing its state"
     STOPPING = "this host is stopping"
 
 
--- a/src/rudderpass/exchange/_cold_starts.py
+++ b/src/rudderpass/exchange/_cold_starts.py
@@ -24,7 +24,7 @@
 from rudderpass.exchange._rate_limits import HostRank
 
 MAX_COLD_SECONDS = 600.0
-"""A longer cold time is implausible, and counts as not told."""
+"""A longer cold time is implausible, and counts as not reported."""
 
 MAX_SENT_COLD = 32
 """Maximum number of cold upstreams in one heartbeat."""
@@ -67,13 +67,13 @@
 
 
 @dataclass(frozen=True)
-class _Told:
-    """The cold time that responses told.
+class _ReportedTime:
+    """The cold time that responses reported.
 
     :param at: when this host received the newest, which replaces what other sources
         said before; -infinity if only peers reported one, which replaces nothing.
-    :param refuted_until: the latest end told before it; peers that report this end have
-        not received the newest response.
+    :param refuted_until: the latest end reported before it; peers that report this end
+        have not received the newest response.
     """
 
     at: float = _NEVER
@@ -109,7 +109,7 @@
         self._limit = limit or ColdLimit()
         self._rank_sender = rank_sender or (lambda upstream, now: HostRank())
         self._evacuation_ended_at = evacuation_ended_at or (lambda zone: None)
-        self._told: dict[UpstreamId, _Told] = {}
+        self._reported: dict[UpstreamId, _ReportedTime] = {}
         self._ended: dict[AvailabilityZone, float] = {}
         self._meters: dict[UpstreamId, SendMeter] = {}
         self._cold: dict[UpstreamId, ColdPeriod] = {}
@@ -123,7 +123,7 @@
     @property
     def has_state(self) -> bool:
         """Whether anything is kept about any upstream."""
-        return bool(self._told or self._ended or self._meters or self._cold)
+        return bool(self._reported or self._ended or self._meters or self._cold)
 
     def find_cold(self, upstream: UpstreamId, now: float) -> ColdPeriod | None:
         """Return until when a listed upstream is cold; None if it is not cold."""
@@ -173,17 +173,17 @@
     def record_response(
         self, upstream: UpstreamId, seconds: float | None, now: float
     ) -> bool:
-        """Record the cold time that a response tells; return whether it became cold.
+        """Record the cold time that a response reports; return whether it became cold.
 
-        :param seconds: 0 if the upstream says that it is warm; None if it tells none.
+        :param seconds: 0 if the upstream says that it is warm; None if it reports none.
         """
         if seconds is None or not self._may_be_cold(upstream):
             return False
         was_cold = self.find_cold(upstream, now) is not None
         if seconds > 0.0 or was_cold:
-            before = self._told.get(upstream, _Told())
+            before = self._reported.get(upstream, _ReportedTime())
             refuted = max(before.until, before.refuted_until)
-            self._told[upstream] = _Told(
+            self._reported[upstream] = _ReportedTime(
                 now, now + seconds, ColdSource.RESPONSE, refuted
             )
         return seconds > 0.0 and not was_cold
@@ -193,17 +193,20 @@
         for upstream, seconds in updates.items():
             if not self._may_be_cold(upstream):
                 continue
-            told = self._told.get(upstream, _Told())
+            reported = self._reported.get(upstream, _ReportedTime())
             until = now + min(seconds, MAX_COLD_SECONDS)
-            known = max(now, told.until, told.refuted_until)
+            known = max(now, reported.until, reported.refuted_until)
             if until > known + MIN_EXTENSION_SECONDS:
-                self._told[upstream] = _Told(
-                    told.at, until, ColdSource.PEER, told.refuted_until
+                self._reported[upstream] = _ReportedTime(
+                    reported.at, until, ColdSource.PEER, reported.refuted_until
                 )
 
-    def describe_told(self, now: float) -> dict[UpstreamId, float]:
-        """Return the seconds left of cold times that responses told, for the peers."""
-        left = ((told.until - now, upstream) for upstream, told in self._told.items())
+    def describe_reported(self, now: float) -> dict[UpstreamId, float]:
+        """Return the seconds left of the cold times that responses reported."""
+        left = (
+            (reported.until - now, upstream)
+            for upstream, reported in self._reported.items()
+        )
         cold = ((seconds, upstream) for seconds, upstream in left if seconds > 0.0)
         return {
             upstream: seconds
@@ -218,10 +221,10 @@
                 left = period.until - now
                 self._changes.append(ColdChange(upstream, period.source, left))
         self._cold = cold
-        self._told = {
-            upstream: told
-            for upstream, told in self._told.items()
-            if self._may_be_cold(upstream) and now - told.until < MAX_COLD_SECONDS
+        self._reported = {
+            upstream: reported
+            for upstream, reported in self._reported.items()
+            if self._may_be_cold(upstream) and now - reported.until < MAX_COLD_SECONDS
         }
         self._ended = {
             zone: ended_at
@@ -270,13 +273,13 @@
     def _find_cold(
         self, entry: RegisteredUpstream, traits: ColdStartTraits, now: float
     ) -> ColdPeriod | None:
-        told = self._told.get(entry.upstream)
-        told_at = _NEVER if told is None else told.at
+        reported = self._reported.get(entry.upstream)
+        reported_at = _NEVER if reported is None else reported.at
         until, source = _NEVER, ColdSource.RESPONSE
-        if told is not None:
-            until, source = told.until, told.source
+        if reported is not None:
+            until, source = reported.until, reported.source
         for began_at, seconds, other in self._other_sources(entry, traits):
-            if began_at > told_at and began_at + seconds > until:
+            if began_at > reported_at and began_at + seconds > until:
                 until, source = began_at + seconds, other
         return ColdPeriod(until, source) if until > now else None
 
--- a/src/rudderpass/exchange/_progress.py
+++ b/src/rudderpass/exchange/_progress.py
@@ -72,7 +72,7 @@
         that the host was suspended.
     :param on_started: called with the team and start time of each request that started
         to run.
-    :param on_cold_upstream: called when a response told that its upstream is cold,
+    :param on_cold_upstream: called when a response reported that its upstream is cold,
         which peers must learn at once.
     """
 
--- a/src/rudderpass/exchange/_request.py
+++ b/src/rudderpass/exchange/_request.py
@@ -105,7 +105,7 @@
     :param retry_after: seconds that the upstream asked this host to wait before further
         requests; None if it sent no valid value.
     :param cold_seconds: for which the upstream stays cold; 0 says that it is warm; None
-        if it tells no plausible time.
+        if it reports no plausible time.
     """
 
     kind: ResponseKind
--- a/src/rudderpass/gossip/__init__.py
+++ b/src/rudderpass/gossip/__init__.py
@@ -12,7 +12,7 @@
     CROSS_REGION_HEARTBEATS as CROSS_REGION_HEARTBEATS,
     CrossRegionSchedule as CrossRegionSchedule,
     RelayTurn as RelayTurn,
-    UrgentNews as UrgentNews,
+    UrgentChanges as UrgentChanges,
     WaitingLimits as WaitingLimits,
 )
 from rudderpass.gossip._digest import Digest as Digest, Member as Member
--- a/src/rudderpass/gossip/_cross_region.py
+++ b/src/rudderpass/gossip/_cross_region.py
@@ -22,8 +22,9 @@
 loss."""
 
 EXTENSION_SECONDS = 0.25
-"""A cold time is news if it ends this much later than the one sent before. The seconds
-left are rounded to milliseconds, and hosts learn them with the network's delay."""
+"""A cold time has changed if it ends this much later than the one sent before. The
+seconds left are rounded to milliseconds, and hosts learn them with the network's
+delay."""
 
 SENT_LIMIT_SECONDS = 15.0
 """How long a sent rate limit is kept, to see whether the next one differs. A limit that
@@ -102,7 +103,7 @@
             self._every_left = CROSS_REGION_HEARTBEATS
 
 
-class UrgentNews:
+class UrgentChanges:
     """Finds in digests what must not wait, compared to those before.
 
     Not thread-safe: the host's lock guards it.
@@ -119,7 +120,7 @@
         self._limits: dict[UpstreamId, tuple[float | None, float]] = {}
 
     def record(self, heartbeat: Heartbeat, now: float) -> bool:
-        """Return whether a heartbeat carries urgent news, and remember them.
+        """Return whether a heartbeat carries urgent changes, and remember them.
 
         All updates on suspects are urgent: they are sent only while there is one.
         """
--- a/src/rudderpass/host/_gossip_protocol.py
+++ b/src/rudderpass/host/_gossip_protocol.py
@@ -29,7 +29,7 @@
     PeerTable,
     RelayRole,
     RelayTurn,
-    UrgentNews,
+    UrgentChanges,
     WaitingLimits,
     assign_relay,
 )
@@ -101,7 +101,7 @@
             own, zone, link_mbps, peer_table, core.directory.regions
         )
         self._schedule = CrossRegionSchedule()
-        self._news = UrgentNews()
+        self._news = UrgentChanges()
         self._waiting_limits = WaitingLimits()
         self._listed: dict[NodeId, tuple[float, int]] = {}
         self._served: frozenset[NodeId] = frozenset()
@@ -449,5 +449,5 @@
             position.config_version,
             position.era,
             directory.evacuations.statements(now),
-            cold=self._core.cold_starts.describe_told(now),
+            cold=self._core.cold_starts.describe_reported(now),
         )
--- a/tests/directory/test_evacuations.py
+++ b/tests/directory/test_evacuations.py
@@ -19,8 +19,8 @@
 from rudderpass.directory._coverage import RESTORE_CONFIRM_SECONDS
 from rudderpass.directory._evacuations import (
     ENDED_SECONDS,
-    MAX_TOLD_BYTES,
-    TOLD_ENDED_SECONDS,
+    MAX_SENT_BYTES,
+    SENT_ENDED_SECONDS,
 )
 from tests.directory.builders import (
     EVACUATION_PREFIX,
@@ -237,7 +237,7 @@
     evacuations.merge([statement(5, False, ended_for=100.0)], "peer p", 50.0)
     (told,) = evacuations.statements(52.0)
     assert told.ended_for == 102.0
-    assert evacuations.statements(50.0 + TOLD_ENDED_SECONDS - 100.0) == ()
+    assert evacuations.statements(50.0 + SENT_ENDED_SECONDS - 100.0) == ()
     evacuations = make_evacuations()
     old = statement(5, False, ended_for=ENDED_SECONDS)
     evacuations.merge([old], "peer p", 0.0)
@@ -301,7 +301,7 @@
     ]
     evacuations.merge(statements, "peer p", 0.0)
     told = evacuations.statements(0.0)
-    assert sum(len(item.zone) for item in told) <= MAX_TOLD_BYTES
+    assert sum(len(item.zone) for item in told) <= MAX_SENT_BYTES
     assert len(told) > 15
     assert all(item.is_active for item in told)
 
--- a/tests/exchange/test_cold_starts.py
+++ b/tests/exchange/test_cold_starts.py
@@ -223,11 +223,11 @@
     records.list(0.0, make_upstream(1))
     first, second = records.make_cold_starts(), records.make_cold_starts()
     first.record_response(U1, 3.0, 1.0)
-    second.merge(first.describe_told(1.1), 1.11)
+    second.merge(first.describe_reported(1.1), 1.11)
     assert find(second, 3.9) is ColdSource.PEER
-    assert second.describe_told(2.0) == {U1: pytest.approx(2.01)}, "passed on"
+    assert second.describe_reported(2.0) == {U1: pytest.approx(2.01)}, "passed on"
     second.record_response(U1, 0.0, 2.0)
-    second.merge(first.describe_told(2.1), 2.11)
+    second.merge(first.describe_reported(2.1), 2.11)
     assert find(second, 2.2) is None
     second.merge({U1: 9.0}, 2.3)
     assert find(second, 2.4) is ColdSource.PEER, "it has become cold again"
@@ -241,7 +241,7 @@
     for step in range(200):
         now = step * 0.05
         for sender, receiver in ((first, second), (second, first)):
-            receiver.merge(sender.describe_told(now), now + 0.03)
+            receiver.merge(sender.describe_reported(now), now + 0.03)
     assert find(first, 3.3) is None and find(second, 3.3) is None
 
 
@@ -252,11 +252,11 @@
         0.0, *(make_upstream(n, cold_seconds=500.0) for n in range(1, count + 1))
     )
     cold = records.make_cold_starts()
-    assert cold.describe_told(1.0) == {}, "all hosts read the records"
+    assert cold.describe_reported(1.0) == {}, "all hosts read the records"
     for number in range(1, count + 1):
         cold.record_response(UpstreamId(f"u{number}"), float(number), 1.0)
-    assert len(cold.describe_told(1.0)) == MAX_SENT_COLD
-    assert len(cold.describe_told(count - 3.0)) == 4, "only while cold"
+    assert len(cold.describe_reported(1.0)) == MAX_SENT_COLD
+    assert len(cold.describe_reported(count - 3.0)) == 4, "only while cold"
 
 
 def test_unknown_upstreams_of_a_peer_are_not_kept() -> None:
@@ -434,7 +434,7 @@
                 core.record_end(assigned, True, now)
             core.tick(now)
     assert not ranked and not other.cold_starts.has_state
-    assert other.cold_starts.describe_told(2.0) == {}
+    assert other.cold_starts.describe_reported(2.0) == {}
 
 
 def test_the_configuration_in_force_decides_whether_there_are_cold_upstreams() -> None:
--- a/tests/gossip/test_cross_region.py
+++ b/tests/gossip/test_cross_region.py
@@ -13,7 +13,7 @@
     CROSS_REGION_HEARTBEATS,
     CrossRegionSchedule,
     RelayTurn,
-    UrgentNews,
+    UrgentChanges,
     WaitingLimits,
 )
 from tests.gossip.test_peer_table import make_heartbeat
@@ -74,7 +74,7 @@
 
 
 def test_an_evacuation_is_news_once_when_it_begins_and_ends() -> None:
-    news = UrgentNews()
+    news = UrgentChanges()
     zone = AvailabilityZone("hall-a")
     began = EvacuationStatement(zone, LogPosition(StoreEra(0), 1), True)
     ended = EvacuationStatement(zone, LogPosition(StoreEra(0), 2), False)
@@ -86,7 +86,7 @@
 
 
 def test_a_cold_time_is_news_if_it_ends_later() -> None:
-    news = UrgentNews()
+    news = UrgentChanges()
     found = [
         news.record(replace(make_heartbeat(FIRST), cold={UPSTREAM: seconds}), now)
         for now, seconds in ((0.0, 9.0), (1.0, 8.001), (2.0, 9.0), (3.0, 2.0))
@@ -105,7 +105,7 @@
 def test_a_rate_limit_is_news_if_the_rate_differs(
     rates: tuple[float | None, ...], expected: list[bool]
 ) -> None:
-    news = UrgentNews()
+    news = UrgentChanges()
     found = [
         news.record(
             replace(
@@ -120,7 +120,7 @@
 
 
 def test_a_leaving_upstream_is_news_once() -> None:
-    news = UrgentNews()
+    news = UrgentChanges()
     heartbeat = replace(make_heartbeat(FIRST), leaving=(UPSTREAM,))
     assert [news.record(heartbeat, 0.0) for _ in range(2)] == [True, False]
 
--- a/tests/host/test_cross_region_gossip.py
+++ b/tests/host/test_cross_region_gossip.py
@@ -264,7 +264,7 @@
     fleet.run(1.0)
     for other in fleet.up():
         assert other.core.rate_limits.rates == {upstream: 8.0}
-        assert upstream in other.core.cold_starts.describe_told(fleet.now)
+        assert upstream in other.core.cold_starts.describe_reported(fleet.now)
 
 
 def test_rate_limits_are_renewed_in_other_regions(fleet: Fleet) -> None:
