Apply upstream records in a class of their own

UpstreamReplica now applies the records, lists and peers' states and writes the state for peers; RecentChanges keeps the latest records. Directory owns the replica beside the configuration and the evacuations, keeps all its public methods, and has its properties before its other methods. Checks of the era remain in Directory, since a read of an earlier era must not expire anything.

Logic that stood twice now stands once: whether the list is complete (Directory and UpstreamList each had a flag), the selection of records not applied yet, the comparison with a peer, the records and the deadlines in a peer's state. Whether a peer has the configuration in force is decided by ActiveConfig.

--- a/src/rudderpass/directory/_active_config.py
+++ b/src/rudderpass/directory/_active_config.py
@@ -7,7 +7,7 @@
 from rudderpass._ids import StoreEra
 from rudderpass.directory._config import ExchangeConfig
 from rudderpass.directory._messages import DirectoryChange, KeyedRecord
-from rudderpass.directory._position import LOG_START, LogPosition
+from rudderpass.directory._position import LOG_START, LogPosition, ViewPosition
 from rudderpass.directory._reader import RecordReader
 from rudderpass.directory._regions import RegionMap, describe_unknown_regions
 
@@ -55,6 +55,12 @@
         """All records before this position have been processed."""
         return self._position
 
+    def is_known_to(self, peer: ViewPosition) -> bool:
+        """Return whether a peer has the configuration in force here, or a later one."""
+        if peer.config_version is None or self.version is None:
+            return peer.config_offset >= self.offset
+        return peer.config_version >= self.version
+
     def apply(
         self, records: Iterable[KeyedRecord], end: int, source: str, era: StoreEra
     ) -> list[DirectoryChange]:
--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -6,21 +6,14 @@
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import replace
 
-from rudderpass._ids import AvailabilityZone, PoolId, StoreEra, UpstreamId, UpstreamName
+from rudderpass._ids import AvailabilityZone, PoolId, StoreEra, UpstreamId
 from rudderpass.directory._active_config import ActiveConfig
 from rudderpass.directory._config import EngineTraits, ExchangeConfig
 from rudderpass.directory._evacuations import Evacuations
-from rudderpass.directory._messages import (
-    DirectoryChange,
-    DirectoryState,
-    KeyedRecord,
-    describe_registration,
-    describe_removal,
-)
+from rudderpass.directory._messages import DirectoryChange, DirectoryState, KeyedRecord
 from rudderpass.directory._position import (
     UNKNOWN_ERA,
     LogPosition,
@@ -35,6 +28,7 @@
     ENTRY_LIFETIME_SECONDS,
     RetentionPolicy,
 )
+from rudderpass.directory._upstream_replica import UpstreamReplica
 from rudderpass.directory._upstreams import (
     LearnedTimes,
     RegisteredUpstream,
@@ -43,9 +37,6 @@
 )
 from rudderpass.errors import UnusableReason
 
-MAX_RECENT_CHANGES = 200
-"""Changes of the list kept for peers; one that missed more gets the complete list."""
-
 
 class Directory:
     """A host's view of the configuration and the upstreams.
@@ -75,15 +66,16 @@
         self._regions = regions or RegionMap()
         self._evacuations = Evacuations(evacuation_prefix)
         self._setting_zones = frozenset(zones)
-        self._confirm_seconds = entry_lifetime + CONFIRM_MARGIN_SECONDS
         self._reader = RecordReader(decoders)
         self._active = ActiveConfig(self._reader, config_key, self._regions)
         self._upstreams = UpstreamList()
         self._retention = RetentionPolicy(drain_bound)
-        self._has_list = False
-        self._is_restored = False
-        self._recent_changes: deque[KeyedRecord] = deque()
-        self._changes_from = 0
+        self._replica = UpstreamReplica(
+            self._upstreams,
+            self._reader,
+            self._retention,
+            entry_lifetime + CONFIRM_MARGIN_SECONDS,
+        )
 
     @property
     def config(self) -> ExchangeConfig | None:
@@ -103,7 +95,7 @@
     @property
     def is_complete(self) -> bool:
         """Whether a configuration and a list of upstreams are known."""
-        return self.config is not None and self._has_list
+        return self.config is not None and self._upstreams.is_complete
 
     @property
     def config_offset(self) -> int:
@@ -131,12 +123,36 @@
             list_position.era,
         )
 
+    @property
+    def upstreams_position(self) -> LogPosition:
+        """All upstream records before this position have been processed."""
+        return self._upstreams.position
+
+    @property
+    def evacuations(self) -> Evacuations:
+        """The availability zones to which nothing may be sent."""
+        return self._evacuations
+
+    @property
+    def listed(self) -> Mapping[UpstreamId, UpstreamRecord]:
+        """All upstreams not yet removed, including leaving and expiring ones."""
+        return self._upstreams.records
+
+    @property
+    def expiring_count(self) -> int:
+        """Number of upstreams that are retained although their entries ended."""
+        return self._upstreams.expiring_count
+
+    @property
+    def reported_leaving(self) -> list[UpstreamId]:
+        """Listed upstreams that are leaving although their entries do not say so."""
+        return self._upstreams.reported_leaving
+
     def is_behind(self, peer: ViewPosition) -> bool:
         """Return whether a peer's view has anything newer than this one."""
-        own = self.view_position
-        if peer == own:
+        compared = self._compare(peer)
+        if peer == compared.own:
             return False
-        compared = PeerComparison(own, peer, self._is_restored)
         return compared.has_newer_config or compared.has_newer_list
 
     def is_confirmed_by(self, peer: ViewPosition) -> bool:
@@ -147,12 +163,7 @@
         return self._compare(peer).is_of_same_era and not self.is_behind(peer)
 
     def _compare(self, peer: ViewPosition) -> PeerComparison:
-        return PeerComparison(self.view_position, peer, self._is_restored)
-
-    @property
-    def upstreams_position(self) -> LogPosition:
-        """All upstream records before this position have been processed."""
-        return self._upstreams.position
+        return PeerComparison(self.view_position, peer, self._replica.is_restored)
 
     def find_engine(self, service: PoolId) -> EngineTraits | None:
         """Return a service's engine properties; None if it has no model engines."""
@@ -167,11 +178,6 @@
             return ready
         return [entry for entry in ready if entry.zone not in evacuated]
 
-    @property
-    def evacuations(self) -> Evacuations:
-        """The availability zones to which nothing may be sent."""
-        return self._evacuations
-
     def is_evacuated(self, service: PoolId) -> bool:
         """Return whether only evacuated zones have upstreams ready for a service."""
         if not self._evacuations.zones:
@@ -186,20 +192,10 @@
             for record in self._upstreams.records.values()
         )
 
-    @property
-    def listed(self) -> Mapping[UpstreamId, UpstreamRecord]:
-        """All upstreams not yet removed, including leaving and expiring ones."""
-        return self._upstreams.records
-
     def learned(self, upstream: UpstreamId) -> LearnedTimes | None:
         """Return when an instance was learned; None if that makes it not cold."""
         return self._upstreams.learned(upstream)
 
-    @property
-    def expiring_count(self) -> int:
-        """Number of upstreams that are retained although their entries ended."""
-        return self._upstreams.expiring_count
-
     def accepts_requests(self, upstream: UpstreamId, now: float) -> bool:
         """Return whether a chosen upstream may still get new requests."""
         if not self.is_ready(upstream, now):
@@ -217,11 +213,6 @@
         self.expire(now)
         return self._upstreams.is_leaving_or_removed(upstream)
 
-    @property
-    def reported_leaving(self) -> list[UpstreamId]:
-        """Listed upstreams that are leaving although their entries do not say so."""
-        return self._upstreams.reported_leaving
-
     def record_leaving(self, upstream: UpstreamId) -> bool:
         """Record that an upstream reported leaving; return whether this is new."""
         return self._upstreams.record_leaving(upstream)
@@ -240,7 +231,7 @@
         """
         compared = self._compare(peer)
         is_as_old = compared.is_of_same_era and not compared.has_newer_list
-        if self._has_list and is_as_old:
+        if self._upstreams.is_complete and is_as_old:
             self._retention.record_confirmed(as_of)
 
     def record_store_unavailable(self, called_at: float) -> None:
@@ -301,7 +292,7 @@
 
     def pop_evacuation_changes(self) -> list[DirectoryChange]:
         """Return the changes of evacuations since the last call, by any method."""
-        if self._has_list:
+        if self._upstreams.is_complete:
             self._evacuations.check_known(self._read_zones)
         return self._evacuations.pop_changes()
 
@@ -327,52 +318,11 @@
         """
         if era != self._upstreams.position.era:
             return []  # A concurrent read has seen the store restored.
-        until = self._retention.retain_until(now)
-        # Concurrent reads may return the same records.
-        new_records = [
-            record
-            for record in records
-            if record.offset >= self._upstreams.position.offset
-        ]
-        changes = self._apply_changes(new_records, lambda upstream: until, source, now)
-        self._upstreams.advance(end)
+        changes = self._replica.apply_changes(records, end, source, now)
         self._retention.record_confirmed(now if as_of is None else as_of)
         self.expire(now)
         return changes
 
-    def _apply_changes(
-        self,
-        records: Iterable[KeyedRecord],
-        retain_until: Callable[[UpstreamName], float],
-        source: str,
-        now: float,
-    ) -> list[DirectoryChange]:
-        changes: list[DirectoryChange] = []
-        for record in records:
-            self._keep_recent_change(record)
-            if record.value is None:
-                name = UpstreamName(record.key)
-                until = retain_until(name)
-                self._upstreams.remove(name, record.offset, until)
-                changes.append(
-                    describe_removal(name, source, record.offset, until - now)
-                )
-                continue
-            read = self._read_upstream(record, source, now)
-            if isinstance(read, UpstreamRecord):
-                changes.append(
-                    describe_registration(read, source, self._find_previous(read))
-                )
-                self._upstreams.put(read, now)
-            else:
-                changes += read
-        return changes
-
-    def _keep_recent_change(self, record: KeyedRecord) -> None:
-        self._recent_changes.append(record)
-        if len(self._recent_changes) > MAX_RECENT_CHANGES:
-            self._changes_from = self._recent_changes.popleft().offset + 1
-
     def apply_upstream_list(
         self,
         records: Iterable[KeyedRecord],
@@ -385,75 +335,13 @@
 
         :param era: of the store that returned the list.
         """
-        known_era = self._upstreams.position.era
-        if era < known_era:
+        if era < self._upstreams.position.era:
             return []
-        if era > known_era:
-            changes = self._apply_restored_list(records, end, source, now, era, {})
-        else:
-            until = self._retention.retain_until(now)
-            changes = self._apply_list(records, end, source, until, now, {})
+        changes = self._replica.apply_list(records, end, source, now, era)
         self._retention.record_confirmed(now)
         self.expire(now)
         return changes
 
-    def _apply_restored_list(
-        self,
-        records: Iterable[KeyedRecord],
-        end: int,
-        source: str,
-        now: float,
-        era: StoreEra,
-        held: Mapping[UpstreamName, float],
-    ) -> list[DirectoryChange]:
-        """Replace the list by the first complete one of an era.
-
-        :param held: upstreams not to be used yet, and when they may be.
-        """
-        self._is_restored = self._upstreams.position.era != UNKNOWN_ERA
-        self._upstreams.begin_era(era)
-        until = self._retention.retain_until_restored(now)
-        return self._apply_list(records, end, source, until, now, held, True)
-
-    def _apply_list(
-        self,
-        records: Iterable[KeyedRecord],
-        end: int,
-        source: str,
-        retain_until: float,
-        now: float,
-        held: Mapping[UpstreamName, float],
-        is_restored: bool = False,
-    ) -> list[DirectoryChange]:
-        changes: list[DirectoryChange] = []
-        listed: list[UpstreamRecord] = []
-        for record in records:
-            if record.value is None:
-                continue
-            read = self._read_upstream(record, source, now)
-            if isinstance(read, UpstreamRecord) and read.entry.name in held:
-                self._upstreams.hold(read, held[read.entry.name])
-            elif isinstance(read, UpstreamRecord):
-                listed.append(read)
-            else:
-                changes += read
-        if is_restored:
-            listed = self._upstreams.hold_ended(listed, now + self._confirm_seconds)
-        changes += [
-            describe_registration(entry, source, self._find_previous(entry))
-            for entry in listed
-            if entry.entry.upstream not in self._upstreams.records
-        ]
-        ended = self._upstreams.replace_all(listed, end, retain_until, now)
-        self._has_list = True
-        self._recent_changes.clear()
-        self._changes_from = end
-        changes += [
-            describe_removal(upstream, source, end, retain_until - now)
-            for upstream in ended
-        ]
-        return changes
-
     def apply_state(
         self, state: DirectoryState, source: str, now: float
     ) -> list[DirectoryChange]:
@@ -463,83 +351,20 @@
             changes += self.apply_config([state.config], 0, source)
         position = ViewPosition(-1, state.upstreams_end, era=state.era)
         if self._compare(position).has_newer_list:
-            changes += self._apply_peer_upstreams(state, source, now)
+            changes += self._replica.apply_peer_state(state, source, now)
         self.expire(now)
         return changes
 
-    def _apply_peer_upstreams(
-        self, state: DirectoryState, source: str, now: float
-    ) -> list[DirectoryChange]:
-        deadlines = {upstream: now + seconds for upstream, seconds in state.expiring}
-        is_new_era = state.era > self._upstreams.position.era
-        if state.changes_from is None:
-            held = {upstream: now + seconds for upstream, seconds in state.held}
-            if is_new_era:
-                changes = self._apply_restored_list(
-                    state.upstreams, state.upstreams_end, source, now, state.era, held
-                )
-            else:
-                changes = self._apply_list(
-                    state.upstreams, state.upstreams_end, source, now, now, held
-                )
-            for upstream, until in deadlines.items():
-                self._upstreams.remove(upstream, state.upstreams_end, until)
-            return changes
-        if is_new_era or state.changes_from > self._upstreams.position.offset:
-            return []  # Records between the two offsets are missing.
-        if state.changes_from == 0:
-            self._has_list = True  # Changes since offset 0 are the full list.
-        new_records = [
-            record
-            for record in state.upstreams
-            if record.offset >= self._upstreams.position.offset
-        ]
-        changes = self._apply_changes(
-            new_records, lambda upstream: deadlines.get(upstream, now), source, now
-        )
-        self._upstreams.advance(state.upstreams_end)
-        if self._has_list:
-            self._upstreams.record_complete()
-        return changes
-
     def state_since(self, peer: ViewPosition, now: float) -> DirectoryState:
         """Return what a peer at a position is missing."""
-        state = self.state(now)
-        if self._has_config(peer):
-            state = replace(state, config=None)
-        own, begin = self._upstreams.position, peer.upstreams_end
-        if peer.era != own.era or not self._changes_from <= begin <= own.offset:
+        state = self._replica.state_since(peer.upstreams, now)
+        if self._active.is_known_to(peer):
             return state
-        changes = tuple(
-            record for record in self._recent_changes if record.offset >= begin
-        )
-        return replace(state, upstreams=changes, changes_from=begin)
-
-    def _has_config(self, peer: ViewPosition) -> bool:
-        """Return whether a peer has the configuration in force here."""
-        if peer.config_version is None or self._active.version is None:
-            return peer.config_offset >= self.config_offset
-        return peer.config_version >= self._active.version
+        return replace(state, config=self._active.record)
 
     def state(self, now: float) -> DirectoryState:
         """Return the complete state, for a peer."""
-        upstreams = tuple(
-            KeyedRecord(record.offset, record.entry.name, record.raw)
-            for record in self._upstreams.records.values()
-        )
-        unconfirmed = self._upstreams.unconfirmed(now)
-        upstreams += tuple(
-            KeyedRecord(record.offset, record.entry.name, record.raw)
-            for record, _ in unconfirmed
-        )
-        return DirectoryState(
-            self._active.record,
-            upstreams,
-            self._upstreams.position.offset,
-            tuple(self._upstreams.expiring(now)),
-            era=self._upstreams.position.era,
-            held=tuple((record.entry.name, after) for record, after in unconfirmed),
-        )
+        return replace(self._replica.state(now), config=self._active.record)
 
     def expire(self, now: float) -> None:
         """Remove upstreams whose retention has ended, and ends of evacuations."""
@@ -552,20 +377,3 @@
         Includes the previous instance of an upstream that restarted under its name.
         """
         return self._upstreams.pop_removed()
-
-    def _find_previous(self, record: UpstreamRecord) -> UpstreamRecord | None:
-        return self._upstreams.find(record.entry.name)
-
-    def _read_upstream(
-        self, record: KeyedRecord, source: str, now: float
-    ) -> UpstreamRecord | list[DirectoryChange]:
-        """Return the registration in a record, or the changes if it is unusable.
-
-        An unusable entry removes the previous registration under its key at once: the
-        upstream itself did not write it, nothing confirms the address any more, and a
-        live upstream rewrites its entry within seconds.
-        """
-        read = self._reader.read_upstream(record, source)
-        if not isinstance(read, UpstreamRecord):
-            self._upstreams.remove(UpstreamName(record.key), record.offset, now)
-        return read
--- a/src/rudderpass/directory/_upstreams.py
+++ b/src/rudderpass/directory/_upstreams.py
@@ -130,6 +130,11 @@
         """The records of all listed upstreams."""
         return self._records
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether a complete list has been applied, or all changes from the start."""
+        return self._has_list
+
     def find(self, name: UpstreamName) -> UpstreamRecord | None:
         """Return the listed record of a name."""
         instance = self._instances.get(name)
