Split assignment and send records off the exchange core

Change: _assigner.py chooses the upstream and begins its load; _send_records.py records the responses, ends and failures of sends. ExchangeCore delegates to both. The load still to end and the record of an unreachable upstream each stood twice; they are now Assignment.remaining_load and RoutingState.record_unreachable.

--- a/src/rudderpass/exchange/_assignment.py
+++ b/src/rudderpass/exchange/_assignment.py
@@ -117,6 +117,12 @@
         """The prefill load of the request, which ends when the response starts."""
         return request_load(self.unread_tokens, 0.0, self.rank, running=0)
 
+    @property
+    def remaining_load(self) -> Load:
+        """The load of the request that has not ended yet."""
+        unread = 0 if self.has_response_started else self.unread_tokens
+        return request_load(unread, self.tight, self.rank)
+
     @property
     def rank(self) -> int | None:
         """The priority rank sent to an engine; None for other upstreams."""
--- a/src/rudderpass/exchange/_choice.py
+++ b/src/rudderpass/exchange/_choice.py
@@ -112,6 +112,11 @@
             known = self.health[upstream] = UpstreamHealth()
         return known
 
+    def record_unreachable(self, upstream: UpstreamId, now: float) -> None:
+        """Record that an upstream accepts no connections; its cache may be lost."""
+        self.health_of(upstream).record_unreachable(now)
+        self.prefixes.forget_upstream(upstream)
+
 
 def choose_upstream(
     request: ExchangeRequest,
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -7,12 +7,11 @@
 from rudderpass._ids import AvailabilityZone, Fingerprint, NodeId, PoolId, UpstreamId
 from rudderpass.directory import Directory, RegisteredUpstream
 from rudderpass.exchange._acceptance import (
-    EVACUATED_RETRY_SECONDS,
     STOPPING_RETRY_SECONDS,
     SUSPENDED_RETRY_SECONDS,
     accept_request,
-    refuse_unassigned,
 )
+from rudderpass.exchange._assigner import Assigner
 from rudderpass.exchange._assignment import (
     Accepted,
     Assignment,
@@ -22,28 +21,24 @@
 )
 from rudderpass.exchange._budget import BudgetRule, RetryDecision, SharedRetryBudget
 from rudderpass.exchange._caches import CacheTracker
-from rudderpass.exchange._choice import RoutingState, choose_upstream, isolate_choice
+from rudderpass.exchange._choice import RoutingState
 from rudderpass.exchange._cold_starts import ColdStarts
 from rudderpass.exchange._crashes import CrashDetector
 from rudderpass.exchange._eligibility import Eligibility
 from rudderpass.exchange._forecast import Forecasts
 from rudderpass.exchange._joint_rate import ColdLimit
-from rudderpass.exchange._load import LoadReport, LoadTracker, request_load
-from rudderpass.exchange._overload import find_retry_after
+from rudderpass.exchange._load import LoadReport, LoadTracker
 from rudderpass.exchange._prefixes import PrefixIndex
 from rudderpass.exchange._rate_limits import HostRank, RateLimits
 from rudderpass.exchange._request import ExchangeRequest, HeadChange, ResponseHead
 from rudderpass.exchange._response_order import ResponseOrder
-from rudderpass.exchange._slots import HoldTimes, SlotContention
+from rudderpass.exchange._send_records import SendRecorder
+from rudderpass.exchange._slots import HoldTimes
 from rudderpass.exchange._throttling import Throttling
 from rudderpass.exchange._timeouts import compute_response_start_timeout
-from rudderpass.exchange._weights import SERVICE_SECONDS
 from rudderpass.learning import StreamSample
 from rudderpass.quarantine import QuarantineTracker
 
-MIN_EXPECTED_SECONDS = 0.05
-"""Lower bound of the times from which a speed is learned; shorter ones are noisy."""
-
 
 class ExchangeCore:
     """Makes one host's decisions about exchanges.
@@ -85,7 +80,7 @@
         self._eligibility = Eligibility(directory)
         self._loads = LoadTracker()
         self._forecasts = Forecasts(directory, self._loads)
-        self._hold_times = HoldTimes()
+        hold_times = HoldTimes()
         self._caches = CacheTracker(directory, self._state.prefixes)
         self._budget = SharedRetryBudget(rule, restarted_at)
         self._quarantine = QuarantineTracker()
@@ -99,6 +94,25 @@
         self._throttling = Throttling(self._state, rank_host, self._cold_starts)
         self._count_hosts = count_hosts
         self._response_order = ResponseOrder()
+        self._sends = SendRecorder(
+            directory,
+            self._state,
+            self._loads,
+            hold_times,
+            self._response_order,
+            self._quarantine,
+            self._throttling,
+        )
+        self._assigner = Assigner(
+            directory,
+            self._state,
+            self._eligibility,
+            self._loads,
+            self._forecasts,
+            hold_times,
+            self._caches,
+            self._throttling,
+        )
         self._removed_zones: dict[UpstreamId, AvailabilityZone] = {}
         self._is_stopping = False
         self._refuses_all = False
@@ -156,6 +170,11 @@
         """Whether the host's state must be refreshed before it serves requests."""
         return self._is_stale
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._is_stopping
+
     def mark_stale(self) -> None:
         """Refuse requests until :meth:`mark_current`, after the host was suspended."""
         self._is_stale = True
@@ -164,11 +183,6 @@
         """Serve requests again, since the host's state has been refreshed."""
         self._is_stale = False
 
-    @property
-    def is_stopping(self) -> bool:
-        """Whether a planned stop has begun."""
-        return self._is_stopping
-
     def stop(self) -> None:
         """Begin a planned stop."""
         self._is_stopping = True
@@ -206,75 +220,7 @@
         """
         if self._is_stale:
             return Refused(RefusalReason.SUSPENDED, SUSPENDED_RETRY_SECONDS)
-        self._directory.expire(now)
-        if self._directory.is_evacuated(accepted.service):
-            return Refused(RefusalReason.EVACUATED, EVACUATED_RETRY_SECONDS)
-        upstreams = self._eligibility.find_eligible(
-            accepted, self._directory.serving(accepted.service)
-        )
-        if isinstance(upstreams, Refused):
-            return upstreams
-        stall_risk = self._forecasts.stall_risk(accepted, upstreams, now)
-        throttled = self._throttling.find_throttled(upstreams, now)
-        choice = choose_upstream(
-            request,
-            stall_risk,
-            self._forecasts.demand(accepted.service, upstreams, now),
-            accepted.route.target_latency,
-            upstreams,
-            excluded,
-            throttled,
-            self._loads.totals(now),
-            self._state,
-            self._directory.find_engine(accepted.service),
-            SlotContention(accepted.tier, self._hold_times.read(accepted.service, now)),
-            now,
-        )
-        if isolate is not None:
-            choice = isolate_choice(choice, isolate)
-        chosen = choice.chosen
-        if chosen is None:
-            waits = [throttled[name] for name in throttled.keys() - set(excluded)]
-            return refuse_unassigned(waits, accepted, now)
-        if not excluded:
-            retry_after = find_retry_after(
-                request.request_id,
-                choice.candidates,
-                accepted.route.target_latency,
-                accepted.deadline - now,
-                accepted.tier,
-            )
-            if retry_after is not None:
-                return Refused(RefusalReason.OVERLOAD, retry_after)
-        upstream = chosen.upstream.upstream
-        self._throttling.spend(upstream, now)
-        rank = accepted.tier if request.parts else None
-        load = request_load(chosen.unread_tokens, stall_risk.tightness, rank)
-        self._loads.begin(upstream, load)
-        if request.parts:
-            self._loads.record_prefill(
-                accepted.service, chosen.unread_tokens, stall_risk.tightness, now
-            )
-            self._caches.record_sent(upstream, request.parts, now)
-        return Assignment(
-            accepted.service,
-            upstream,
-            chosen.upstream.name,
-            chosen.upstream.address,
-            choice,
-            chosen.expected,
-            chosen.nominal,
-            chosen.slot_wait,
-            chosen.unread_tokens,
-            stall_risk.tightness,
-            now,
-            accepted.tier,
-            self._directory.upstreams_end,
-            self._directory.list_age(now),
-            chosen.copy_from,
-            throttled=len(throttled),
-            region=self._directory.regions.region_of(chosen.upstream.zone),
-        )
+        return self._assigner.assign(request, accepted, excluded, now, isolate)
 
     def accepts_requests(
         self, accepted: Accepted, assignment: Assignment, now: float
@@ -295,16 +241,7 @@
 
     def withdraw_copy(self, assignment: Assignment) -> None:
         """Copy no cache from an upstream in a zone evacuated since the assignment."""
-        source = assignment.copy_from
-        if source is None:
-            return
-        # The list does not contain a source that was removed since the assignment.
-        evacuations = self._directory.evacuations
-        is_evacuated = any(
-            evacuations.is_evacuated(entry.zone) for entry in assignment.involved[1:]
-        )
-        if is_evacuated or self._directory.is_address_evacuated(source):
-            assignment.copy_from = None
+        self._assigner.withdraw_copy(assignment)
 
     def spend_retry(self, service: PoolId, now: float) -> RetryDecision:
         """Spend one retry from the shared budget, if one is left."""
@@ -326,42 +263,18 @@
         )
 
     def is_lost(self, accepted: Accepted, assignment: Assignment) -> bool:
-        """Return whether an overdue response is lost rather than late.
-
-        An engine's queue may be longer than estimated. But an engine starts requests in
-        the order of their tiers, so if it began to respond to a request that was sent
-        later and is no more urgent, it has skipped this one.
-        """
-        if not assignment.choice.is_engine:
-            return True
-        return self._response_order.has_answered_later_request(
-            assignment, accepted.tier
-        )
+        """Return whether an overdue response is lost rather than late."""
+        return self._sends.is_lost(accepted, assignment)
 
     def record_head(
         self, assignment: Assignment, head: ResponseHead, now: float
     ) -> set[HeadChange]:
         """Record the upstream state in a response head; return what changed."""
-        upstream = assignment.upstream
-        changes = self._throttling.record_head(upstream, head, assignment.sent, now)
-        if head.is_leaving and self._directory.record_leaving(upstream):
-            changes.add(HeadChange.LEAVING)
-        return changes
+        return self._sends.record_head(assignment, head, now)
 
     def record_response_start(self, assignment: Assignment, now: float) -> None:
         """Record that an upstream's response has begun."""
-        if assignment.has_response_started:
-            return
-        assignment.response_started_at = now
-        self._quarantine.record_alive(assignment.upstream, assignment.sent, now)
-        self._response_order.record(assignment)
-        self._loads.end(assignment.upstream, assignment.prefill_load)
-        if assignment.slot_wait > 0.0:
-            return  # The wait for a slot does not indicate the upstream's speed.
-        nominal = max(MIN_EXPECTED_SECONDS, assignment.nominal, SERVICE_SECONDS)
-        elapsed = max(MIN_EXPECTED_SECONDS, now - assignment.sent)
-        health = self._state.health_of(assignment.upstream)
-        health.record_speed(elapsed / nominal, now)
+        self._sends.record_response_start(assignment, now)
 
     def record_end(
         self, assignment: Assignment, succeeded: bool | None, now: float
@@ -370,17 +283,7 @@
 
         :param succeeded: None if the outcome does not indicate the upstream's health.
         """
-        unread = 0 if assignment.has_response_started else assignment.unread_tokens
-        load = request_load(unread, assignment.tight, assignment.rank)
-        self._loads.end(assignment.upstream, load)
-        if succeeded is True and assignment.response_started_at is not None:
-            held = now - assignment.response_started_at
-            self._hold_times.record(assignment.service, held, now)
-        health = self._state.health_of(assignment.upstream)
-        if succeeded is True:
-            health.record_success(now)
-        elif succeeded is False:
-            health.record_failure(now)
+        self._sends.record_end(assignment, succeeded, now)
 
     def record_stream(self, sample: StreamSample, now: float) -> None:
         """Record a stream that one upstream sent completely; queue it for the peers."""
@@ -388,27 +291,21 @@
 
     def record_refusal(self, assignment: Assignment, now: float) -> None:
         """Record that an upstream refused a request for lack of capacity."""
-        self._state.health_of(assignment.upstream).record_refusal(now)
+        self._sends.record_refusal(assignment, now)
 
     def record_replaced(self, assignment: Assignment) -> None:
         """Record that an upstream's address now belongs to another upstream."""
-        self._state.health_of(assignment.upstream).record_replaced()
-        self._state.prefixes.forget_upstream(assignment.upstream)
+        self._sends.record_replaced(assignment)
 
     def record_connected(
         self, assignment: Assignment, seconds: float, now: float
     ) -> None:
         """Record how long connecting to an upstream took."""
-        if self._directory.regions.has_several:
-            for entry in assignment.involved[:1]:
-                self._state.round_trips.record(entry.zone, seconds, now)
+        self._sends.record_connected(assignment, seconds, now)
 
     def record_unreachable(self, assignment: Assignment, now: float) -> None:
         """Record that no connection to an upstream could be established."""
-        load = request_load(assignment.unread_tokens, assignment.tight, assignment.rank)
-        self._loads.end(assignment.upstream, load)
-        self._state.health_of(assignment.upstream).record_unreachable(now)
-        self._state.prefixes.forget_upstream(assignment.upstream)
+        self._sends.record_unreachable(assignment, now)
 
     def record_peer_load(
         self,
--- a/src/rudderpass/exchange/_crashes.py
+++ b/src/rudderpass/exchange/_crashes.py
@@ -44,8 +44,7 @@
         self, upstream: UpstreamId, now: float
     ) -> list[CutSend]:
         """Record that the port refuses connections; return the sends cut before."""
-        self._state.health_of(upstream).record_unreachable(now)
-        self._state.prefixes.forget_upstream(upstream)
+        self._state.record_unreachable(upstream, now)
         return self._quarantine.record_crash(upstream, now)
 
     def record_removed(self, upstream: UpstreamId, now: float) -> None:
