Split status, log lines and platform off the host

Change: _status.py reads the gauges and the evacuated zones, _logging.py writes the log lines of learned changes, _platform.py holds Platform. The public names of rudderpass.host are the same.

--- a/src/rudderpass/host/_command.py
+++ b/src/rudderpass/host/_command.py
@@ -18,7 +18,8 @@
 from rudderpass.errors import RudderpassError, SettingsError
 from rudderpass.eventlog import MAX_LINES_PER_SECOND, LogFile, log
 from rudderpass.host._duty_access import DutyAccess
-from rudderpass.host._host import ExchangeHost, Platform
+from rudderpass.host._host import ExchangeHost
+from rudderpass.host._platform import Platform
 from rudderpass.host._settings import HostSettings, OrderMode
 from rudderpass.platform import (
     CONFIG_KEY,
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -7,44 +7,37 @@
 import time
 import traceback
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from rudderpass import _clock
 from rudderpass._ids import NodeId, TeamId
 from rudderpass.directory import (
-    Decoders,
     Directory,
     DirectoryChange,
-    HistoryChange,
     ReachabilityChange,
     RegionMap,
     StoreFollower,
 )
-from rudderpass.eventlog import log, round_age
+from rudderpass.eventlog import log
 from rudderpass.exchange import (
     ExchangeApp,
     ExchangeContext,
     ExchangeCore,
-    ExchangeDialect,
     UpstreamConnectionPool,
     log_cold,
 )
-from rudderpass.host._admin import EvacuatedZone, make_metrics_server, make_ready_server
+from rudderpass.host._admin import make_metrics_server, make_ready_server
 from rudderpass.host._duties import HostDuties
-from rudderpass.host._duty_access import DutyAccess
-from rudderpass.host._metrics import HostGauges, HostMetrics
+from rudderpass.host._logging import log_history, log_learned, log_reachability
+from rudderpass.host._metrics import HostMetrics
 from rudderpass.host._peers import PeerGossip
+from rudderpass.host._platform import Platform
 from rudderpass.host._quarantine import QuarantineControl
-from rudderpass.host._registry import (
-    HostRegistry,
-    HostStore,
-    Registration,
-    RegistryContents,
-)
+from rudderpass.host._registry import HostRegistry, Registration, RegistryContents
 from rudderpass.host._settings import HostSettings
+from rudderpass.host._status import HostStatus
 from rudderpass.host._stopping import StopSchedule, StopStep
 from rudderpass.host._suspension import RefreshSources, SuspensionRecovery
-from rudderpass.host._warmup import CacheWarmup, PartsReader, WarmupParts
+from rudderpass.host._warmup import CacheWarmup, WarmupParts
 from rudderpass.webserver import HttpServer, ServerLimits
 
 TICK_SECONDS = 0.25
@@ -57,22 +50,6 @@
 before it times out."""
 
 
-@dataclass(frozen=True)
-class Platform:
-    """A platform adapter: the store, its topics, and the formats of its data."""
-
-    store: HostStore
-    dialect: ExchangeDialect
-    decoders: Decoders
-    read_parts: PartsReader
-    config_key: str
-    config_topic: str
-    upstreams_topic: str
-    hosts_topic: str
-    duties: DutyAccess | None = None
-    evacuation_prefix: str | None = None
-
-
 class ExchangeHost:
     """A complete host.
 
@@ -93,7 +70,6 @@
     ) -> None:
         self._settings = settings
         self._platform = platform
-        self._dropped_lines = dropped_lines
         self._lock = threading.RLock()
         self._directory = Directory(
             platform.decoders,
@@ -128,7 +104,9 @@
         self._stopping = threading.Event()
         self._duties = self._make_duties()
         self._connections = UpstreamConnectionPool()
-        self._metrics = HostMetrics(self._read_gauges, lambda: self._directory.unusable)
+        self._metrics = HostMetrics(
+            lambda: self._status.read_gauges(), lambda: self._directory.unusable
+        )
         self._state_complete = threading.Event()
         self._initialized = threading.Event()
         context = ExchangeContext(
@@ -164,7 +142,7 @@
             settings.metrics,
             self._metrics.expose,
             self._quarantine,
-            self._list_evacuated,
+            lambda: self._status.list_evacuated(),
         )
         self._follower = StoreFollower(
             platform.store,
@@ -173,7 +151,17 @@
             self._lock,
             self._record_store_update,
             self._record_reachability,
-            on_history=self._record_history,
+            on_history=log_history,
+        )
+        self._status = HostStatus(
+            self._core,
+            self._lock,
+            self._peers,
+            self._follower,
+            platform.store,
+            self._duties,
+            lambda: self._app.active,
+            dropped_lines,
         )
         self._suspension_recovery = SuspensionRecovery(
             self._core,
@@ -364,18 +352,7 @@
 
     def _record_learned(self, learned: list[DirectoryChange]) -> None:
         for change in learned:
-            log(
-                "belief",
-                f"{change.text}, from {change.source}.",
-                source=change.source,
-                offset=change.offset,
-                era=(
-                    self._directory.view_position.era
-                    if change.era is None
-                    else change.era
-                ),
-                believed_for=change.retained_for,
-            )
+            log_learned(change, self._directory.view_position.era)
         if self._directory.is_complete:
             self._state_complete.set()
             if not self._core.is_stale:
@@ -390,68 +367,13 @@
             )
 
     def _record_reachability(self, change: ReachabilityChange) -> None:
-        word = "regained" if change.is_reachable else "lost"
-        log(
-            "store",
-            f"{word}: {f'{change.topic} {change.reason}'.strip()}.",
-            reachable=change.is_reachable,
-            silent_for=round_age(change.silent_for),
-        )
+        log_reachability(change)
         if not change.is_reachable:
             self._release_waiting_requests()
 
-    def _record_history(self, change: HistoryChange) -> None:
-        log("store", f"{change.text}.", topic=change.topic, era=change.era)
-
     def _release_waiting_requests(self) -> None:
         """Release waiting requests if no live peer can provide a configuration."""
         with self._lock:
             has_no_source = not self._peers.peer_table.has_configured_peer(_clock.now())
             if has_no_source and not self._core.is_stale:
                 self._initialized.set()
-
-    def _list_evacuated(self) -> list[EvacuatedZone]:
-        now = _clock.now()
-        with self._lock:
-            evacuations = self._directory.evacuations
-            running = self._core.running_by_evacuated_zone()
-            return [
-                EvacuatedZone(
-                    zone, round(evacuations.known_for(zone, now), 1), running[zone]
-                )
-                for zone in sorted(evacuations.zones)
-            ]
-
-    def _read_gauges(self) -> HostGauges:
-        with self._lock:
-            config = self._directory.config
-            duties = self._duties
-            return HostGauges(
-                active=self._app.active,
-                config_version=0 if config is None else config.version,
-                config_offset=self._directory.config_offset,
-                upstreams=len(self._directory.listed),
-                upstreams_ending=self._directory.expiring_count,
-                list_age_seconds=self._directory.list_age(_clock.now()),
-                live_peers=len(self._peers.peer_table.live(_clock.now())),
-                is_relay=self._peers.is_relay,
-                store_reachable=self._follower.is_reachable,
-                store_calls=self._platform.store.calls,
-                store_era=self._follower.era,
-                store_histories_lost=self._follower.histories_lost,
-                gossip_bytes=self._peers.transport.sent_bytes,
-                streams_passed_over=self._core.rejected_stream_samples,
-                suspect_requests=self._core.quarantine.suspect_count,
-                quarantined_requests=len(self._core.quarantine.quarantined),
-                upstreams_rate_limited=len(self._core.rate_limits.rates),
-                zones_evacuated=len(self._directory.evacuations.zones),
-                requests_in_evacuated_zones=sum(
-                    self._core.running_by_evacuated_zone().values()
-                ),
-                upstreams_cold=len(self._core.cold_starts.cold),
-                duty_token=0 if duties is None else duties.token or 0,
-                usage_reports_waiting=0 if duties is None else duties.reports_waiting,
-                upstreams_wanted=0 if duties is None else duties.upstreams_wanted,
-                upstreams_wanted_price=0.0 if duties is None else duties.order_price,
-                log_lines_dropped=self._dropped_lines(),
-            )
