--- a/src/rudderpass/directory/_regions.py
+++ b/src/rudderpass/directory/_regions.py
@@ -16,7 +16,7 @@
     :param zones: the region of each zone; empty where the settings declare none.
     :param own: the host's region; None if unknown.
 
-    .. versionadded:: 0.3
+    .. versionadded:: 0.2
     """
 
     def __init__(
--- a/src/rudderpass/exchange/_copies.py
+++ b/src/rudderpass/exchange/_copies.py
@@ -52,7 +52,7 @@
     :param upstreams: those that may be copied from.
     :param engine: the service's engine properties; None without engines.
 
-    .. versionadded:: 0.3
+    .. versionadded:: 0.2
     """
 
     def __init__(
--- a/src/rudderpass/exchange/_eligibility.py
+++ b/src/rudderpass/exchange/_eligibility.py
@@ -50,7 +50,7 @@
 
     Not thread-safe: the host's lock guards it.
 
-    .. versionadded:: 0.3
+    .. versionadded:: 0.2
     """
 
     def __init__(self, directory: Directory) -> None:
--- a/src/rudderpass/gossip/_cross_region.py
+++ b/src/rudderpass/gossip/_cross_region.py
@@ -66,7 +66,7 @@
 
     Not thread-safe: the host's lock guards it.
 
-    .. versionadded:: 0.3
+    .. versionadded:: 0.2
     """
 
     def __init__(self) -> None:
@@ -108,7 +108,7 @@
 
     Not thread-safe: the host's lock guards it.
 
-    .. versionadded:: 0.3
+    .. versionadded:: 0.2
     """
 
     def __init__(self) -> None:
@@ -176,7 +176,7 @@
 
     Not thread-safe: the host's lock guards it.
 
-    .. versionadded:: 0.3
+    .. versionadded:: 0.2
     """
 
     def __init__(self) -> None:
--- a/src/rudderpass/learning/_round_trips.py
+++ b/src/rudderpass/learning/_round_trips.py
@@ -34,7 +34,7 @@
 
     Times are seconds. Not thread-safe: the host's lock guards it.
 
-    .. versionadded:: 0.3
+    .. versionadded:: 0.2
     """
 
     def __init__(self) -> None:
