Log which upstreams a host cannot connect to

During the partition from all upstreams, no line told whether an upstream was down or only out of one host's reach. A path line now tells when an upstream becomes unreachable for a host, or reachable again, with the number of all that are; the gauge upstreams_unreachable shows the same. Side by side, the lines of all hosts tell the two cases apart. No decision changes.

--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -30,6 +30,7 @@
 from rudderpass.exchange._load import LoadReport, LoadTracker
 from rudderpass.exchange._prefixes import PrefixIndex
 from rudderpass.exchange._rate_limits import HostRank, RateLimits
+from rudderpass.exchange._reachability import PathChange, Reachability
 from rudderpass.exchange._request import ExchangeRequest, HeadChange, ResponseHead
 from rudderpass.exchange._response_order import ResponseOrder
 from rudderpass.exchange._send_records import SendRecorder
@@ -113,6 +114,7 @@
             self._caches,
             self._throttling,
         )
+        self._reachability = Reachability()
         self._removed_zones: dict[UpstreamId, AvailabilityZone] = {}
         self._is_stopping = False
         self._refuses_all = False
@@ -154,6 +156,11 @@
         """The evidence that upstreams crashed."""
         return self._crashes
 
+    @property
+    def reachability(self) -> Reachability:
+        """The upstreams that this host can connect to."""
+        return self._reachability
+
     @property
     def rejected_stream_samples(self) -> int:
         """Number of own and received stream samples with impossible times."""
@@ -299,13 +306,23 @@
 
     def record_connected(
         self, assignment: Assignment, seconds: float, now: float
-    ) -> None:
-        """Record how long connecting to an upstream took."""
+    ) -> PathChange | None:
+        """Record how long connecting to an upstream took.
+
+        :returns: the change of its reachability, if it changed.
+        """
         self._sends.record_connected(assignment, seconds, now)
+        return self._reachability.record_connected(assignment.upstream, now)
+
+    def record_unreachable(
+        self, assignment: Assignment, now: float
+    ) -> PathChange | None:
+        """Record that no connection to an upstream could be established.
 
-    def record_unreachable(self, assignment: Assignment, now: float) -> None:
-        """Record that no connection to an upstream could be established."""
+        :returns: the change of its reachability, if it changed.
+        """
         self._sends.record_unreachable(assignment, now)
+        return self._reachability.record_unreachable(assignment.upstream, now)
 
     def record_peer_load(
         self,
@@ -392,3 +409,4 @@
         for upstream in [upstream for upstream in health if upstream not in listed]:
             del health[upstream]
         self._response_order.forget_unlisted(listed)
+        self._reachability.forget_unlisted(listed)
--- a/src/rudderpass/exchange/_logging.py
+++ b/src/rudderpass/exchange/_logging.py
@@ -11,6 +11,7 @@
 from rudderpass.exchange._cold_starts import ColdChange
 from rudderpass.exchange._load import Load
 from rudderpass.exchange._progress import ExchangeSummary
+from rudderpass.exchange._reachability import PathChange
 from rudderpass.exchange._request import ExchangeRequest
 from rudderpass.streams import NextStep
 
@@ -164,6 +165,26 @@
     )
 
 
+def log_path(change: PathChange | None, error: str = "") -> None:
+    """Log that an upstream became unreachable for this host, or reachable again.
+
+    :param change: None if nothing changed; then nothing is logged.
+    :param error: why no connection could be established.
+    """
+    if change is None:
+        return
+    state = "can be connected to again" if change.is_reachable else "is unreachable"
+    log(
+        "path",
+        f"{change.upstream} {state}.",
+        upstream=change.upstream,
+        reachable=change.is_reachable,
+        error=error,
+        unreachable_for=round_age(change.unreachable_for),
+        unreachable_upstreams=change.unreachable_count,
+    )
+
+
 def log_response(
     request: ExchangeRequest, summary: ExchangeSummary, status: int, cause: str
 ) -> None:
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -19,7 +19,12 @@
 from rudderpass.exchange._connections import UpstreamConnection
 from rudderpass.exchange._dialect import SendContext
 from rudderpass.exchange._events import EventError
-from rudderpass.exchange._logging import log_leaving, log_pause, log_rate_limit
+from rudderpass.exchange._logging import (
+    log_leaving,
+    log_path,
+    log_pause,
+    log_rate_limit,
+)
 from rudderpass.exchange._progress import ExchangeOutcome, Progress
 from rudderpass.exchange._refusal_status import may_forward_failure
 from rudderpass.exchange._request import HeadChange, ResponseHead, ResponseKind
@@ -126,15 +131,18 @@
             self._connection = self._context.connections.open(
                 self._assigned.address, self._may_reuse(), self._time_left
             )
-        except UpstreamError:
+        except UpstreamError as error:
             with self._context.lock:
-                self._context.core.record_unreachable(self._assigned, _clock.now())
+                core = self._context.core
+                change = core.record_unreachable(self._assigned, _clock.now())
+            log_path(change, error.message)
             raise
         seconds = self._connection.connect_seconds
         if seconds is not None:
             with self._context.lock:
                 core = self._context.core
-                core.record_connected(self._assigned, seconds, _clock.now())
+                change = core.record_connected(self._assigned, seconds, _clock.now())
+            log_path(change)
         return self._connection
 
     def _check_leaving(self, connection: UpstreamConnection) -> None:
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -44,6 +44,7 @@
     zones_evacuated: int
     requests_in_evacuated_zones: int
     upstreams_cold: int
+    upstreams_unreachable: int
     duty_token: int
     usage_reports_waiting: int
     upstreams_wanted: int
--- a/src/rudderpass/host/_status.py
+++ b/src/rudderpass/host/_status.py
@@ -73,6 +73,7 @@
                     core.running_by_evacuated_zone().values()
                 ),
                 upstreams_cold=len(core.cold_starts.cold),
+                upstreams_unreachable=core.reachability.unreachable_count,
                 duty_token=0 if duties is None else duties.token or 0,
                 usage_reports_waiting=0 if duties is None else duties.reports_waiting,
                 upstreams_wanted=0 if duties is None else duties.upstreams_wanted,
