Show that hosts without a path to upstreams do not serve their callers

The stand-ins learn to reset connections of one host and to hang those that are opened without blocking.

--- a/tests/soak/host_process.py
+++ b/tests/soak/host_process.py
@@ -22,14 +22,14 @@
 """Retry budget of a service: the users' ratio, and a fixed part in proportion to the
 number of hosts (users have 54 for seven hosts)."""
 
-_FRONT_PORT, _READY_PORT, _PEER_PORT = 7801, 7802, 7803
+_FRONT_PORT, _READY_PORT, _PEER_PORT, _LAST_PORT = 7801, 7802, 7803, 7810
 
 SETTINGS_TEMPLATE = """
 node = "{name}"
 ip = "{ip}"
 zone = "{zone}"
 bootstrap = {bootstrap}
-internalPortRange = [{peer}, {peer}]
+internalPortRange = [{peer}, {last}]
 seeds = [{seeds}]
 [listen]
 front = "{ip}:{front}"
@@ -95,6 +95,7 @@
             zone=self.zone,
             bootstrap=str(bootstrap).lower(),
             peer=_PEER_PORT,
+            last=_LAST_PORT,
             seeds=", ".join(f'"{seed}:1"' for seed in seeds),
             front=_FRONT_PORT,
             ready=_READY_PORT,
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -41,6 +41,7 @@
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self._open_sockets: set[socket.socket] = set()
+        self._clients: dict[socket.socket, str] = {}
         self._lock = threading.Lock()
         self.fault = LinkFault.NONE
         self.cut_clients: frozenset[str] = frozenset()
@@ -59,6 +60,14 @@
                 for sock in self._open_sockets:
                     _shut_down_reads(sock)
 
+    def reset_client(self, ip: str) -> None:
+        """Reset the open connections of a client."""
+        with self._lock:
+            for sock, client_ip in self._clients.items():
+                if client_ip == ip:
+                    _enable_reset_on_close(sock)
+                    _shut_down_reads(sock)
+
     def close(self) -> None:
         """Stop listening and reset all connections."""
         self._listener.close()
@@ -77,6 +86,7 @@
         server.settimeout(None)
         with self._lock:
             self._open_sockets |= {client, server}
+            self._clients[client] = client_ip
         return_thread = threading.Thread(
             target=self._forward,
             args=(server, client, LinkFault.CUT_BACK, client_ip),
@@ -87,6 +97,7 @@
         return_thread.join()
         with self._lock:
             self._open_sockets -= {client, server}
+            del self._clients[client]
         client.close()
         server.close()
 
