Connect through other hosts where the own path to an upstream is broken

What callers saw: at hosts that were partitioned from all upstreams, 3 of 43 first attempts were served, and 0 of 20, while the others served all. Cause: each host had one way to an upstream, its own. It could not tell its own partition from an upstream that is down, and only refuse. Change: a host that cannot connect asks up to three peers for a tunnel, a connection that a peer opens and whose bytes it copies. All decisions about a request stay at one host, so deadline, attempts, refusals, regions, budgets, limits, quarantine, resumes and usage hold as before. A path counts as broken once a peer reached what the host cannot, and is checked in the background until it heals. A refused connection counts as a crash only if peers are refused too. Nothing is sent while all paths work. Why it holds: the peers that are asked reach the upstream at that moment; one hop, since a relay only connects directly; a killed relay cannot make a body without a length look complete, since the end is a frame of its own.

--- a/src/rudderpass/exchange/_connections.py
+++ b/src/rudderpass/exchange/_connections.py
@@ -11,9 +11,10 @@
 from dataclasses import dataclass
 
 from rudderpass import _clock
-from rudderpass._sockets import set_tcp_options
+from rudderpass._ids import AvailabilityZone, NodeId
 from rudderpass.errors import ConnectionRefused, UpstreamError
 from rudderpass.exchange._request import ExchangeRequest, Headers
+from rudderpass.tunnels import AllowsZone, Dialer, DirectDialer
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 """Connecting takes 2 to 3 ms within a region. A lost SYN is only retransmitted after a
@@ -49,6 +50,7 @@
     :param connection: an established connection.
     :param is_reused: whether it has carried an exchange before.
     :param connect_seconds: how long connecting took; None if it is reused.
+    :param relay: the host that it leads through; None if it is direct.
     :ivar write_error: why the request could not be sent completely.
     """
 
@@ -58,6 +60,7 @@
         address: str,
         is_reused: bool,
         connect_seconds: float | None = None,
+        relay: NodeId | None = None,
     ) -> None:
         self._connection = connection
         self._address = address
@@ -65,6 +68,7 @@
         self.write_error: OSError | None = None
         self.is_reused = is_reused
         self.connect_seconds = connect_seconds
+        self.relay = relay
 
     @property
     def address(self) -> str:
@@ -139,22 +143,37 @@
             sock.sendall(body[start : start + _CHUNK_BYTES])
 
 
+def _allow_any_zone(zone: AvailabilityZone | None) -> bool:
+    return True
+
+
 class UpstreamConnectionPool:
     """Opens connections to upstreams and keeps idle ones for a short time.
 
+    :param dialer: establishes the connections; directly by default.
+
     .. versionadded:: 0.2
     """
 
-    def __init__(self) -> None:
+    def __init__(self, dialer: Dialer | None = None) -> None:
+        self._dialer = dialer or DirectDialer()
         self._lock = threading.Lock()
         self._idle: dict[str, deque[_IdleConnection]] = {}
         self._checks: dict[str, Future[bool]] = {}
 
-    def open(self, address: str, may_reuse: bool, timeout: float) -> UpstreamConnection:
+    def open(
+        self,
+        address: str,
+        may_reuse: bool,
+        timeout: float,
+        allows_zone: AllowsZone = _allow_any_zone,
+    ) -> UpstreamConnection:
         """Return a connection to ``address``.
 
         :param may_reuse: whether an idle one may be used; never for requests that may
             run only once, since the upstream may close an idle one at any moment.
+        :param allows_zone: returns whether the connection may lead through a host of an
+            availability zone.
         :raises UpstreamError: when connecting fails.
         """
         if may_reuse:
@@ -165,16 +184,17 @@
         connection = http.client.HTTPConnection(address, timeout=limit)
         began = _clock.now()
         try:
-            connection.connect()
+            dialed = self._dialer.dial(address, limit, allows_zone)
         except OSError as error:
             is_refused = isinstance(error, ConnectionRefusedError)
             error_type = ConnectionRefused if is_refused else UpstreamError
             raise error_type(
                 f"could not connect: {error}", sent=False, step="connect", peer=address
             ) from error
-        seconds = _clock.now() - began
-        set_tcp_options(connection.sock)
-        return UpstreamConnection(connection, address, False, seconds)
+        is_direct = dialed.relay is None
+        seconds = _clock.now() - began if is_direct else None
+        connection.sock = dialed.sock
+        return UpstreamConnection(connection, address, False, seconds, dialed.relay)
 
     def has_crashed(self, address: str) -> bool:
         """Return whether the port refuses connections, after a connection was cut.
@@ -213,7 +233,8 @@
         """Return the connection of a successful exchange to the pool."""
         idle_seconds = min(keep_alive, MAX_IDLE_SECONDS)
         raw = connection.raw
-        if idle_seconds <= 0 or raw.sock is None or connection.responded_early:
+        is_reusable = connection.relay is None and not connection.responded_early
+        if idle_seconds <= 0 or raw.sock is None or not is_reusable:
             connection.close()
             return
         with self._lock:
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -246,6 +246,10 @@
             return False
         return self._throttling.accept_write(assignment.upstream, now)
 
+    def may_relay(self, accepted: Accepted, zone: AvailabilityZone | None) -> bool:
+        """Return whether a request may pass through another host of a zone."""
+        return self._eligibility.may_relay(accepted, zone)
+
     def withdraw_copy(self, assignment: Assignment) -> None:
         """Copy no cache from an upstream in a zone evacuated since the assignment."""
         self._assigner.withdraw_copy(assignment)
--- a/src/rudderpass/exchange/_eligibility.py
+++ b/src/rudderpass/exchange/_eligibility.py
@@ -81,6 +81,18 @@
             return True
         return all(self._is_in(allowed, zone) for zone in self._find_zones(assignment))
 
+    def may_relay(self, accepted: Accepted, zone: AvailabilityZone | None) -> bool:
+        """Return whether a request may pass through another host of a zone.
+
+        Its content may enter only allowed regions, and no evacuated zone.
+        """
+        if zone is not None and self._directory.evacuations.is_evacuated(zone):
+            return False
+        allowed = find_allowed_regions(self._directory.config, accepted)
+        if allowed is None:
+            return True
+        return zone is not None and self._is_in(allowed, zone)
+
     def _find_zones(self, assignment: Assignment) -> list[AvailabilityZone]:
         """Return the zones of the upstream and of the one its cache is copied from.
 
--- a/src/rudderpass/exchange/_logging.py
+++ b/src/rudderpass/exchange/_logging.py
@@ -185,6 +185,17 @@
     )
 
 
+def log_relayed(request: ExchangeRequest, assigned: Assignment, relay: NodeId) -> None:
+    """Log that the connection to an upstream leads through another host."""
+    log(
+        "path",
+        f"{request.request_id} reaches {assigned.upstream} through {relay}.",
+        request=request.request_id,
+        upstream=assigned.upstream,
+        relay=relay,
+    )
+
+
 def log_response(
     request: ExchangeRequest, summary: ExchangeSummary, status: int, cause: str
 ) -> None:
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 
 from rudderpass import _clock
+from rudderpass._ids import AvailabilityZone
 from rudderpass.errors import (
     CallerGone,
     ConnectionCut,
@@ -24,6 +25,7 @@
     log_path,
     log_pause,
     log_rate_limit,
+    log_relayed,
 )
 from rudderpass.exchange._progress import ExchangeOutcome, Progress
 from rudderpass.exchange._refusal_status import may_forward_failure
@@ -129,7 +131,10 @@
     def _connect(self) -> UpstreamConnection:
         try:
             self._connection = self._context.connections.open(
-                self._assigned.address, self._may_reuse(), self._time_left
+                self._assigned.address,
+                self._may_reuse(),
+                self._time_left,
+                self._allows_zone,
             )
         except UpstreamError as error:
             with self._context.lock:
@@ -137,6 +142,8 @@
                 change = core.record_unreachable(self._assigned, _clock.now())
             log_path(change, error.message)
             raise
+        if self._connection.relay is not None:
+            log_relayed(self._progress.request, self._assigned, self._connection.relay)
         seconds = self._connection.connect_seconds
         if seconds is not None:
             with self._context.lock:
@@ -145,6 +152,11 @@
             log_path(change)
         return self._connection
 
+    def _allows_zone(self, zone: AvailabilityZone | None) -> bool:
+        """Return whether the request may pass through a host of a zone."""
+        with self._context.lock:
+            return self._context.core.may_relay(self._accepted, zone)
+
     def _check_leaving(self, connection: UpstreamConnection) -> None:
         """Check again whether the upstream accepts requests, just before sending.
 
--- a/src/rudderpass/gossip/_peer_table.py
+++ b/src/rudderpass/gossip/_peer_table.py
@@ -13,6 +13,7 @@
 from rudderpass.gossip._digest import Digest, Member
 from rudderpass.gossip._hashing import hash_host
 from rudderpass.gossip._heartbeat import Heartbeat
+from rudderpass.tunnels import RelayHost
 
 LIVE_SECONDS = 3.0
 """A peer not heard from for this long counts as dead. Heartbeats are sent every half
@@ -282,6 +283,14 @@
         """Return the receivers of the next heartbeat where no relays are used."""
         return self._sample(self.live(now), FANOUT) + self.sample_silent(now)
 
+    def relay_hosts(self, now: float) -> list[RelayHost]:
+        """Return the live peers that may relay connections to upstreams."""
+        return [
+            RelayHost(name, self._peers[name].zone)
+            for name in self.live(now)
+            if not self._peers[name].stopping
+        ]
+
     def sample_silent(self, now: float) -> list[NodeId]:
         """Return some silent peers to notify, so that hosts find one another again."""
         return self._sample(self.silent(now), SILENT_FANOUT)
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -37,6 +37,7 @@
 from rudderpass.host._status import HostStatus
 from rudderpass.host._stopping import StopSchedule, StopStep
 from rudderpass.host._suspension import RefreshSources, SuspensionRecovery
+from rudderpass.host._tunnels import HostTunnels
 from rudderpass.host._warmup import CacheWarmup, WarmupParts
 from rudderpass.webserver import HttpServer, ServerLimits
 
@@ -103,7 +104,15 @@
         )
         self._stopping = threading.Event()
         self._duties = self._make_duties()
-        self._connections = UpstreamConnectionPool()
+        self._tunnels = HostTunnels(
+            settings.tunnel,
+            settings.zone,
+            self._core,
+            self._lock,
+            self._peers.peer_table,
+            self._stopping,
+        )
+        self._connections = UpstreamConnectionPool(self._tunnels.dialer)
         self._metrics = HostMetrics(
             lambda: self._status.read_gauges(), lambda: self._directory.unusable
         )
@@ -160,6 +169,7 @@
             self._follower,
             platform.store,
             self._duties,
+            self._tunnels,
             lambda: self._app.active,
             dropped_lines,
         )
@@ -193,6 +203,7 @@
                 ("register", registration.run),
                 ("warmup", warmup.run),
                 ("archive", self._quarantine.run_archive),
+                *self._tunnels.threads,
             )
         ]
 
@@ -230,6 +241,7 @@
         """Start all servers and threads."""
         self._follower.start()
         self._peers.start(self._follower, self._duties)
+        self._tunnels.start()
         self._ready_server.start()
         self._metrics_server.start()
         self._caller_server.start()
@@ -252,7 +264,8 @@
             self._core.stop()
         log("host", "stopping, not ready any more.", active=self._app.active)
         while True:
-            step = schedule.next_step(_clock.now() - began, self._app.active)
+            active = self._app.active + self._tunnels.open_count
+            step = schedule.next_step(_clock.now() - began, active)
             if step is StopStep.EXIT:
                 break
             if step is StopStep.CLOSE_IDLE:
@@ -275,6 +288,7 @@
         self._ready_server.close()
         self._metrics_server.close()
         self._peers.close()
+        self._tunnels.close()
         self._connections.close()
 
     def _is_ready(self) -> bool:
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -45,6 +45,9 @@
     requests_in_evacuated_zones: int
     upstreams_cold: int
     upstreams_unreachable: int
+    upstreams_behind_relays: int
+    tunnels_open: int
+    tunnels_opened: int
     duty_token: int
     usage_reports_waiting: int
     upstreams_wanted: int
--- a/src/rudderpass/host/_status.py
+++ b/src/rudderpass/host/_status.py
@@ -13,6 +13,7 @@
 from rudderpass.host._metrics import HostGauges
 from rudderpass.host._peers import PeerGossip
 from rudderpass.host._registry import HostStore
+from rudderpass.host._tunnels import HostTunnels
 
 
 class HostStatus:
@@ -20,6 +21,7 @@
 
     :param lock: guards the core.
     :param duties: the host's duties, if it has any.
+    :param tunnels: its connections through other hosts, and theirs through it.
     :param count_active: returns the number of requests in progress.
     :param dropped_lines: returns the number of dropped log lines.
     """
@@ -32,6 +34,7 @@
         follower: StoreFollower,
         store: HostStore,
         duties: HostDuties | None,
+        tunnels: HostTunnels,
         count_active: Callable[[], int],
         dropped_lines: Callable[[], int],
     ) -> None:
@@ -41,6 +44,7 @@
         self._follower = follower
         self._store = store
         self._duties = duties
+        self._tunnels = tunnels
         self._count_active = count_active
         self._dropped_lines = dropped_lines
 
@@ -74,6 +78,9 @@
                 ),
                 upstreams_cold=len(core.cold_starts.cold),
                 upstreams_unreachable=core.reachability.unreachable_count,
+                upstreams_behind_relays=self._tunnels.broken_count,
+                tunnels_open=self._tunnels.open_count,
+                tunnels_opened=self._tunnels.opened_count,
                 duty_token=0 if duties is None else duties.token or 0,
                 usage_reports_waiting=0 if duties is None else duties.reports_waiting,
                 upstreams_wanted=0 if duties is None else duties.upstreams_wanted,
--- a/src/rudderpass/platform/_settings_file.py
+++ b/src/rudderpass/platform/_settings_file.py
@@ -19,7 +19,9 @@
 METRICS_PORT = 9464
 """The metrics port, as in ``deploy/system.toml``."""
 
-_PEER_PORT_INDEX = 0
+_PEER_PORT_OFFSET = 0
+_TUNNEL_PORT_OFFSET = 1
+"""The ports that hosts use among themselves, from the first of the internal range."""
 _USAGE_DUTY = "usage_report"
 _SCALE_DUTY = "autoscale"
 _MS = 1000.0
@@ -162,11 +164,18 @@
     return _HEARTBEATS_PER_ENTRY * table.number("heartbeatMs") / _MS
 
 
+def _read_tunnel_address(ip: str, ports: tuple[int, ...]) -> str | None:
+    """Return the address for tunnels; None if the range holds only one port."""
+    port = ports[0] + _TUNNEL_PORT_OFFSET
+    return f"{ip}:{port}" if port <= ports[-1] else None
+
+
 def _read_settings(table: _Table) -> HostSettings:
     listen = table.table("listen")
     bounds = table.table("bounds")
     ip = table.text("ip")
-    peer_port = table.numbers("internalPortRange")[_PEER_PORT_INDEX]
+    ports = table.numbers("internalPortRange")
+    peer_port = ports[0] + _PEER_PORT_OFFSET
     return HostSettings(
         name=table.text("node"),
         zone=AvailabilityZone(table.text("zone")),
@@ -196,4 +205,5 @@
             for zone, region in table.text_table("zones").items()
         },
         cold_limit=_read_cold_limit(bounds),
+        tunnel=_read_tunnel_address(ip, ports),
     )
--- a/tests/exchange/test_evacuations.py
+++ b/tests/exchange/test_evacuations.py
@@ -23,6 +23,7 @@
     UpstreamConnectionPool,
 )
 from rudderpass.exchange._crashes import CRASH_DISPROOF_SECONDS
+from rudderpass.tunnels import AllowsZone
 from tests.directory.builders import (
     OTHER_ZONE,
     SERVICE,
@@ -234,9 +235,13 @@
     connect = UpstreamConnectionPool.open
 
     def connect_then_evacuate(
-        pool: UpstreamConnectionPool, address: str, may_reuse: bool, seconds: float
+        pool: UpstreamConnectionPool,
+        address: str,
+        may_reuse: bool,
+        seconds: float,
+        allows_zone: AllowsZone,
     ) -> UpstreamConnection:
-        connection = connect(pool, address, may_reuse, seconds)
+        connection = connect(pool, address, may_reuse, seconds, allows_zone)
         if not opened:
             evacuate(harness.core.directory, zone)
         opened.append(address)
