--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -15,6 +15,9 @@
 from tests.listener import Listener
 
 SLOT_COUNT = 8
+FALLEN_SECONDS = 2.0
+"""How long an upstream is down after it fell over."""
+
 DESK_RESPONSE_SECONDS = 0.03
 EVENT_INTERVAL_SECONDS = 0.02
 MAX_EVENTS = 30
@@ -135,6 +138,9 @@
     :ivar retry_after: Retry-After of the 503 sent to every request; None to serve them.
     :ivar cold_until: when the cold time ends that its responses report.
     :ivar unmarked_refusal_share: share of requests run but answered 503 or 429.
+    :ivar brittle: rejections in a second above which it falls over; None for any.
+    :ivar falls: when it fell over.
+    :ivar rejections: when it rejected requests for lack of a slot.
     :ivar arrivals: arrival times of requests, on the monotonic clock.
     :ivar received: the same requests in detail.
     """
@@ -154,6 +160,9 @@
         self.retry_after: float | None = None
         self.cold_until = 0.0
         self.unmarked_refusal_share = 0.0
+        self.brittle: int | None = None
+        self.falls: list[float] = []
+        self.rejections: list[float] = []
         self.arrivals: list[float] = []
         self.received: list[Arrival] = []
         self._streams = streams
@@ -174,7 +183,29 @@
     def _extra_headers(self) -> list[str]:
         """Additional header lines, with the remaining cold time if there is any."""
         cold_ms = (self.cold_until - time.monotonic()) * 1000
-        return [*self.headers, *([f"X-Cold-Ms: {cold_ms:.0f}"] if cold_ms > 0 else [])]
+        headers = list(self.headers)
+        if cold_ms > 0:
+            headers.append(f"X-Cold-Ms: {cold_ms:.0f}")
+        if self.brittle is not None:
+            headers.append(f"Server-Brittle: {self.brittle}")
+        return headers
+
+    @property
+    def _is_down(self) -> bool:
+        return bool(self.falls) and time.monotonic() - self.falls[-1] < FALLEN_SECONDS
+
+    def _reject(self, sock: socket.socket) -> None:
+        """Reject a request for lack of a slot; a brittle upstream may fall over."""
+        now = time.monotonic()
+        self.rejections.append(now)
+        recent = sum(now - at <= 1.0 for at in self.rejections)
+        if self.brittle is not None and recent > self.brittle and not self._is_down:
+            self.falls.append(now)
+            with self._lock:
+                for open_sock in self._open:
+                    _shut_down(open_sock)
+            raise OSError("fell over")
+        _send(sock, "503 Full", ["X-Not-Executed: 1", *self._extra_headers], b"")
 
     def is_running(self, digest: str) -> bool:
         """Return whether a request with this body digest is in flight."""
@@ -193,6 +224,8 @@
             self._open.add(sock)
         stream = sock.makefile("rb")
         try:
+            if self._is_down:
+                raise OSError("has fallen over")
             while (request := read_request(stream)) is not None:
                 self._respond(sock, request)
         except (OSError, ValueError):
@@ -224,7 +257,7 @@
             _send(sock, "503 Busy", [*head, *self._extra_headers], b"")
             return
         if not self._slots.acquire(blocking=False):
-            _send(sock, "503 Full", ["X-Not-Executed: 1", *self._extra_headers], b"")
+            self._reject(sock)
             return
         digest = digest_of(request.body)
         try:
