Split the slots of brittle upstreams among the hosts

What callers would see: upstreams that report that they are brittle fell over under overload, 6 and 7 times in 6 s where 2 are allowed. Cause: nothing read the report; hosts sent by loads that are half a second old. Change: the slots of a brittle upstream are shared by rendezvous hashing among the hosts that a host knows; a request without a slot waits at the host, the more urgent first, or is refused with a return spread over its time. Hosts tell one another of the report at once; it ends when responses no longer repeat it. Why it holds: the shares add up to no more than the slots, and no message is needed before a send.

Other monkeypatched tests follow the new argument of the connection pool.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -93,6 +93,13 @@
   3: optional double rate /* requests per second; absent if the limit was removed */
 }
 
+/* The upstreams of a service fall over if they reject too many requests in a second. */
+struct Brittle {
+  1: string pool
+  2: i32 max_rejections /* in a second, at each upstream */
+  3: i32 age_ms /* since a host received the report */
+}
+
 /* What the platform's log says at one position about the evacuation of a zone. */
 struct Evacuation {
   1: string zone
@@ -164,6 +171,7 @@
   24: optional i64 config_version /* of the configuration in force */
   25: optional list<Evacuation> evacuations /* the newest statement on each zone */
   26: optional map<string, i32> cold_ms /* for which upstreams stay cold, as their responses report */
+  27: optional list<Brittle> brittle /* services with brittle upstreams, as their responses report */
 }
 
 /* All that the sender believes to be kept in caches. */
--- a/src/rudderpass/exchange/__init__.py
+++ b/src/rudderpass/exchange/__init__.py
@@ -8,6 +8,10 @@
     Refused as Refused,
     SentPrompt as SentPrompt,
 )
+from rudderpass.exchange._brittle import (
+    BrittleReport as BrittleReport,
+    BrittleUpstreams as BrittleUpstreams,
+)
 from rudderpass.exchange._budget import (
     BudgetRule as BudgetRule,
     RetryDecision as RetryDecision,
@@ -53,6 +57,7 @@
     PrefillRate as PrefillRate,
 )
 from rudderpass.exchange._logging import (
+    log_brittle as log_brittle,
     log_cold as log_cold,
     log_leaving as log_leaving,
     log_rate_limit as log_rate_limit,
--- a/src/rudderpass/exchange/_acceptance.py
+++ b/src/rudderpass/exchange/_acceptance.py
@@ -6,7 +6,7 @@
 
 from rudderpass.directory import ExchangeConfig, rank_urgency
 from rudderpass.exchange._assignment import Accepted, RefusalReason, Refused
-from rudderpass.exchange._overload import LONGEST_RETURN_SHARE
+from rudderpass.exchange._overload import LONGEST_RETURN_SHARE, spread_share
 from rudderpass.exchange._request import ExchangeRequest
 
 NO_CONFIG_RETRY_SECONDS = 2.0
@@ -63,12 +63,18 @@
 
 
 def refuse_unassigned(
-    waits: Collection[float | None], accepted: Accepted, now: float
+    waits: Collection[float | None],
+    request: ExchangeRequest,
+    accepted: Accepted,
+    is_brittle: bool,
+    now: float,
 ) -> Refused:
     """Return the refusal of a request that no upstream can accept now.
 
     :param waits: seconds until this host may send to each upstream that is ruled out
-        only by its rate limit or Retry-After; None if it has no share of the limit.
+        only by a limit or its Retry-After; None if it has no share of the limit.
+    :param is_brittle: whether the service's upstreams are brittle; then a slot is
+        awaited, and those who found none return at different times.
     """
     if not waits:
         return Refused(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_SECONDS)
@@ -76,4 +82,8 @@
     if wait is None:
         return Refused(RefusalReason.THROTTLED, OTHER_HOST_RETRY_SECONDS)
     max_wait = LONGEST_RETURN_SHARE * (accepted.deadline - now)
+    if is_brittle:
+        return Refused(
+            RefusalReason.NO_SLOT, spread_share(request.request_id) * max_wait
+        )
     return Refused(RefusalReason.THROTTLED, max(0.0, min(wait, max_wait)))
--- a/src/rudderpass/exchange/_assigner.py
+++ b/src/rudderpass/exchange/_assigner.py
@@ -91,7 +91,8 @@
         chosen = choice.chosen
         if chosen is None:
             waits = [throttled[name] for name in throttled.keys() - set(excluded)]
-            return refuse_unassigned(waits, accepted, now)
+            is_brittle = self._throttling.is_brittle(accepted.service, now)
+            return refuse_unassigned(waits, request, accepted, is_brittle, now)
         if not excluded:
             retry_after = find_retry_after(
                 request.request_id,
--- a/src/rudderpass/exchange/_assignment.py
+++ b/src/rudderpass/exchange/_assignment.py
@@ -24,6 +24,7 @@
     QUARANTINED = "upstreams crashed under this request"
     ON_TRIAL = "another copy of this request is on trial"
     THROTTLED = "no upstream accepts a request from this host now"
+    NO_SLOT = "no slot of a brittle upstream is free for this host"
     EVACUATED = "all zones with upstreams to send it to are evacuated"
     OVERLOAD = "no upstream can answer in time"
     SUSPENDED = "this host was suspended and is refreshing its state"
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -19,6 +19,7 @@
     Refused,
     SentPrompt,
 )
+from rudderpass.exchange._brittle import BrittleUpstreams
 from rudderpass.exchange._budget import BudgetRule, RetryDecision, SharedRetryBudget
 from rudderpass.exchange._caches import CacheTracker
 from rudderpass.exchange._choice import RoutingState
@@ -55,6 +56,8 @@
     :param cold_limit: the bound on the requests to a cold upstream.
     :param rank_cold_sender: returns this host's rank as a sender to a cold upstream;
         None if it must not send to any.
+    :param rank_slot_holder: returns this host's rank as a holder of slots of a brittle
+        upstream.
     :ivar is_warm: whether the host knows the contents of the upstreams' caches.
 
     Not thread-safe: the host's lock guards it.
@@ -73,6 +76,7 @@
         rank_host: Callable[[UpstreamId, float], HostRank] | None = None,
         cold_limit: ColdLimit | None = None,
         rank_cold_sender: Callable[[UpstreamId, float], HostRank | None] | None = None,
+        rank_slot_holder: Callable[[UpstreamId, float], HostRank] | None = None,
     ) -> None:
         self._directory = directory
         self._state = RoutingState(
@@ -92,7 +96,12 @@
             rank_cold_sender,
             directory.evacuations.ended_at,
         )
-        self._throttling = Throttling(self._state, rank_host, self._cold_starts)
+        self._brittle = BrittleUpstreams(
+            self._loads, rank_slot_holder or (lambda upstream, now: HostRank())
+        )
+        self._throttling = Throttling(
+            self._state, rank_host, self._cold_starts, self._brittle
+        )
         self._count_hosts = count_hosts
         self._response_order = ResponseOrder()
         self._sends = SendRecorder(
@@ -146,6 +155,11 @@
         """The upstreams that are cold after a start."""
         return self._cold_starts
 
+    @property
+    def brittle(self) -> BrittleUpstreams:
+        """The services with brittle upstreams."""
+        return self._brittle
+
     @property
     def caches(self) -> CacheTracker:
         """The estimated contents of the upstreams' caches."""
@@ -281,7 +295,12 @@
         self, assignment: Assignment, head: ResponseHead, now: float
     ) -> set[HeadChange]:
         """Record the upstream state in a response head; return what changed."""
-        return self._sends.record_head(assignment, head, now)
+        changes = self._sends.record_head(assignment, head, now)
+        if self._brittle.record_response(
+            assignment.service, head.max_rejections, assignment.sent, now
+        ):
+            changes.add(HeadChange.BRITTLE)
+        return changes
 
     def record_response_start(self, assignment: Assignment, now: float) -> None:
         """Record that an upstream's response has begun."""
@@ -303,6 +322,7 @@
     def record_refusal(self, assignment: Assignment, now: float) -> None:
         """Record that an upstream refused a request for lack of capacity."""
         self._sends.record_refusal(assignment, now)
+        self._brittle.record_rejection(assignment.service, assignment.upstream, now)
 
     def record_replaced(self, assignment: Assignment) -> None:
         """Record that an upstream's address now belongs to another upstream."""
@@ -389,6 +409,7 @@
         self._crashes.retract_disproved(now)
         self.rate_limits.tick(now)
         self._cold_starts.tick(now)
+        self._brittle.tick(now)
         self._forget_unlisted()
         self._caches.remove_expired(now)
         return removed
--- a/src/rudderpass/exchange/_logging.py
+++ b/src/rudderpass/exchange/_logging.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from rudderpass import _clock
-from rudderpass._ids import Fingerprint, NodeId, UpstreamId
+from rudderpass._ids import Fingerprint, NodeId, PoolId, UpstreamId
 from rudderpass.errors import ConnectionCut, ConnectionRefused, UpstreamError
 from rudderpass.eventlog import log, round_age
 from rudderpass.exchange._assignment import Accepted, Assignment, RefusalReason, Refused
@@ -153,6 +153,15 @@
     log("leaving", text, upstream=upstream, peer=peer)
 
 
+def log_brittle(service: PoolId, peer: NodeId | None = None) -> None:
+    """Log that the upstreams of a service have become brittle.
+
+    :param peer: the peer that reported it; None if a response of an upstream did.
+    """
+    text = f"The upstreams of {service} are brittle."
+    log("brittle", text, service=service, peer=peer)
+
+
 def log_cold(change: ColdChange) -> None:
     """Log that an upstream has become cold."""
     text = f"{change.upstream} is cold for {change.seconds:.1f} s by"
--- a/src/rudderpass/exchange/_overload.py
+++ b/src/rudderpass/exchange/_overload.py
@@ -52,14 +52,14 @@
     if not candidates:
         return None
     if _is_crowded_out(candidates, rank):
-        return _spread_share(request) * LONGEST_RETURN_SHARE * time_left
+        return spread_share(request) * LONGEST_RETURN_SHARE * time_left
     if min(c.nominal for c in candidates) < MIN_REPORTED_DELAY_SHARE * time_left:
         return None
     soonest = min(candidate.expected for candidate in candidates)
     if soonest < time_left:
         return None
     backlog = max(0.0, soonest - target)
-    return _spread_share(request) * min(backlog, LONGEST_RETURN_SHARE * time_left)
+    return spread_share(request) * min(backlog, LONGEST_RETURN_SHARE * time_left)
 
 
 def _is_crowded_out(candidates: Sequence[Candidate], rank: int) -> bool:
@@ -69,7 +69,7 @@
     return urgent >= MIN_URGENT_SLOT_SHARE * slots
 
 
-def _spread_share(request: RequestId) -> float:
+def spread_share(request: RequestId) -> float:
     """Return the share of the longest wait that applies to a request."""
     spread = xxhash.xxh64_intdigest(request.encode()) / 2**64
     return MIN_SPREAD_SHARE + (1.0 - MIN_SPREAD_SHARE) * spread
--- a/src/rudderpass/exchange/_progress.py
+++ b/src/rudderpass/exchange/_progress.py
@@ -4,7 +4,7 @@
 
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from rudderpass import _clock
@@ -16,6 +16,7 @@
 from rudderpass.exchange._dialect import ExchangeDialect
 from rudderpass.exchange._events import EventSplitter
 from rudderpass.exchange._request import ExchangeRequest
+from rudderpass.exchange._slot_queue import SlotQueue
 from rudderpass.streams import AttemptState
 from rudderpass.webserver import CallerConnection, convert_disconnect
 
@@ -72,8 +73,9 @@
         that the host was suspended.
     :param on_started: called with the team and start time of each request that started
         to run.
-    :param on_cold_upstream: called when a response reported that its upstream is cold,
-        which peers must learn at once.
+    :param on_urgent_head: called when a response reported that its upstream is cold or
+        brittle, which peers must learn at once.
+    :param slot_queue: the requests that wait for a slot of a brittle upstream.
     """
 
     core: ExchangeCore
@@ -86,7 +88,8 @@
     on_suspect_request: Callable[[], None] = lambda: None
     before_decision: Callable[[], None] = lambda: None
     on_started: Callable[[TeamId | None, float], None] = lambda team, moment: None
-    on_cold_upstream: Callable[[], None] = lambda: None
+    on_urgent_head: Callable[[], None] = lambda: None
+    slot_queue: SlotQueue = field(default_factory=SlotQueue)
 
 
 class Progress:
--- a/src/rudderpass/exchange/_request.py
+++ b/src/rudderpass/exchange/_request.py
@@ -91,6 +91,7 @@
     RATE_LIMIT = "the rate limit was set, changed or removed"
     LEAVING = "the upstream is leaving"
     COLD = "the upstream has become cold"
+    BRITTLE = "the upstreams of its service have become brittle"
 
 
 @dataclass(frozen=True)
@@ -106,6 +107,8 @@
         requests; None if it sent no valid value.
     :param cold_seconds: for which the upstream stays cold; 0 says that it is warm; None
         if it reports no plausible time.
+    :param max_rejections: rejections in a second above which the upstream falls over;
+        None if it reports none.
     """
 
     kind: ResponseKind
@@ -118,6 +121,7 @@
     is_leaving: bool = False
     retry_after: float | None = None
     cold_seconds: float | None = None
+    max_rejections: int | None = None
 
     @property
     def is_service_unavailable(self) -> bool:
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -21,6 +21,7 @@
 from rudderpass.exchange._dialect import SendContext
 from rudderpass.exchange._events import EventError
 from rudderpass.exchange._logging import (
+    log_brittle,
     log_leaving,
     log_path,
     log_pause,
@@ -386,8 +387,10 @@
             log_rate_limit(self._assigned.upstream, head.rate_limit)
         if HeadChange.LEAVING in changes:
             log_leaving(self._assigned.upstream)
-        if HeadChange.COLD in changes:
-            self._context.on_cold_upstream()
+        if HeadChange.BRITTLE in changes:
+            log_brittle(self._assigned.service)
+        if changes & {HeadChange.COLD, HeadChange.BRITTLE}:
+            self._context.on_urgent_head()
 
     def _record_refusal(self, error: UpstreamError) -> None:
         with self._context.lock:
@@ -399,6 +402,7 @@
     def _record_end(self, succeeded: bool | None) -> None:
         with self._context.lock:
             self._context.core.record_end(self._assigned, succeeded, _clock.now())
+        self._context.slot_queue.release(self._assigned.service)
 
     def _upstream_error(
         self, text: str, cause: BaseException | None = None
--- a/src/rudderpass/exchange/_serve.py
+++ b/src/rudderpass/exchange/_serve.py
@@ -18,7 +18,7 @@
     Progress,
     StartResponse,
 )
-from rudderpass.exchange._quarantine_gate import QuarantineGate
+from rudderpass.exchange._quarantine_gate import Permit, QuarantineGate
 from rudderpass.exchange._refusal_status import may_forward_failure
 from rudderpass.exchange._request import ExchangeRequest
 from rudderpass.exchange._responses import (
@@ -36,6 +36,14 @@
 MIN_SEND_SECONDS = 0.01
 """Time that must be left before the deadline for another send."""
 
+SLOT_WAIT_SHARE = 0.4
+"""Share of the remaining time for which a request may wait for a slot of a brittle
+upstream; enough is left to try again elsewhere."""
+
+SLOT_POLL_SECONDS = 0.1
+"""Interval at which a request that waits for a slot tries again by itself: a slot may
+also become free because this host's share has grown."""
+
 START_WAIT_SECONDS = 0.3
 """How long a request may wait for the first configuration of a host that has just
 started. The store or a peer responds in milliseconds, whereas a refused caller retries
@@ -53,6 +61,7 @@
     RefusalReason.NO_UPSTREAM: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.NO_REGION: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.THROTTLED: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.NO_SLOT: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.EVACUATED: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.OVERLOAD: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.QUARANTINED: HTTPStatus.SERVICE_UNAVAILABLE,
@@ -161,6 +170,37 @@
         permit = quarantine_gate.admit()
         if isinstance(permit, Refused):
             return permit
+        wait_until = self._find_wait_end(accepted)
+        while True:
+            assigned = self._try_assign(accepted, permit)
+            if not isinstance(assigned, Refused):
+                return assigned
+            if assigned.reason is not RefusalReason.NO_SLOT:
+                return assigned
+            if not self._await_slot(accepted, wait_until):
+                return assigned
+
+    def _find_wait_end(self, accepted: Accepted) -> float:
+        """Return until when the request may wait for a slot of a brittle upstream."""
+        now = _clock.now()
+        return now + SLOT_WAIT_SHARE * (accepted.deadline - now)
+
+    def _await_slot(self, accepted: Accepted, wait_until: float) -> bool:
+        """Wait for a slot; return whether another attempt is worth it.
+
+        :raises CallerGone: when the caller has disconnected.
+        """
+        left = wait_until - _clock.now()
+        if left <= 0.0:
+            return False
+        seconds = min(left, SLOT_POLL_SECONDS)
+        queue = self._context.slot_queue
+        may_try = queue.wait(accepted.service, accepted.tier, seconds)
+        if self._caller.is_disconnected:
+            raise CallerGone("the caller left", step="slot")
+        return may_try
+
+    def _try_assign(self, accepted: Accepted, permit: Permit) -> Assignment | Refused:
         with self._context.lock:
             assigned = self._context.core.assign(
                 self._request,
--- a/src/rudderpass/exchange/_throttling.py
+++ b/src/rudderpass/exchange/_throttling.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
-from rudderpass._ids import UpstreamId
+from rudderpass._ids import PoolId, UpstreamId
 from rudderpass.directory import RegisteredUpstream
+from rudderpass.exchange._brittle import BrittleUpstreams
 from rudderpass.exchange._choice import RoutingState
 from rudderpass.exchange._cold_starts import ColdStarts
 from rudderpass.exchange._rate_limits import HostRank, RateLimits
@@ -18,6 +19,7 @@
     :param state: holds the Retry-After of each upstream.
     :param rank_host: returns this host's rank for an upstream's rate limit.
     :param cold_starts: knows the cold upstreams.
+    :param brittle: knows the brittle upstreams.
 
     Not thread-safe: the host's lock guards it.
 
@@ -29,9 +31,11 @@
         state: RoutingState,
         rank_host: Callable[[UpstreamId, float], HostRank] | None,
         cold_starts: ColdStarts,
+        brittle: BrittleUpstreams,
     ) -> None:
         self._state = state
         self._cold_starts = cold_starts
+        self._brittle = brittle
         self._rate_limits = RateLimits(rank_host)
 
     @property
@@ -72,18 +76,22 @@
             limit_wait = throttled.get(upstream, 0.0)
             if wait > 0.0 and limit_wait is not None:
                 throttled[upstream] = max(wait, limit_wait)
-        for upstream, cold_wait in self._cold_starts.find_waits(entries, now).items():
-            other_wait = throttled.get(upstream, 0.0)
-            if cold_wait is None or other_wait is None:
-                throttled[upstream] = None
-            else:
-                throttled[upstream] = max(cold_wait, other_wait)
+        for waits in (
+            self._cold_starts.find_waits(entries, now),
+            self._brittle.find_waits(entries, now),
+        ):
+            _merge_waits(throttled, waits)
         return throttled
 
     def spend(self, upstream: UpstreamId, now: float) -> None:
         """Record that a request was assigned to an upstream."""
         self._rate_limits.spend(upstream, now)
         self._cold_starts.spend(upstream, now)
+        self._brittle.spend(upstream, now)
+
+    def is_brittle(self, service: PoolId, now: float) -> bool:
+        """Return whether the upstreams of a service are brittle."""
+        return self._brittle.is_brittle(service, now)
 
     def accept_write(self, upstream: UpstreamId, now: float) -> bool:
         """Return whether a request may be written to an upstream now, and count it."""
@@ -95,3 +103,16 @@
 
     def _retry_after(self, upstream: UpstreamId, now: float) -> float:
         return self._state.health_of(upstream).retry_after(now)
+
+
+def _merge_waits(
+    throttled: dict[UpstreamId, float | None],
+    waits: Mapping[UpstreamId, float | None],
+) -> None:
+    """Add the waits of another limit; an upstream is ruled out by the longest."""
+    for upstream, wait in waits.items():
+        other_wait = throttled.get(upstream, 0.0)
+        if wait is None or other_wait is None:
+            throttled[upstream] = None
+        else:
+            throttled[upstream] = max(wait, other_wait)
--- a/src/rudderpass/gossip/_codec.py
+++ b/src/rudderpass/gossip/_codec.py
@@ -20,6 +20,7 @@
 from rudderpass.duties import DutyStatus
 from rudderpass.errors import PeerError
 from rudderpass.exchange import Load, PartId, PrefillRate, PromptPart, SentPrompt
+from rudderpass.gossip._brittle import brittle_from_wire, brittle_to_wire
 from rudderpass.gossip._cold_starts import cold_from_wire, cold_to_wire
 from rudderpass.gossip._digest import Digest, Member
 from rudderpass.gossip._duties import usage_from_wire, usage_to_wire
@@ -89,6 +90,7 @@
             heartbeat.config_version,
             evacuations_to_wire(heartbeat.evacuations),
             cold_ms=cold_to_wire(heartbeat.cold) or None,
+            brittle=[brittle_to_wire(report) for report in heartbeat.brittle] or None,
         )
     )
     return data if len(data) < MIN_DEFLATED_BYTES else _deflate(data)
@@ -129,6 +131,7 @@
             _era_from_wire(raw.era),
             evacuations_from_wire(raw.evacuations),
             cold=cold_from_wire(raw.cold_ms),
+            brittle=tuple(brittle_from_wire(item) for item in raw.brittle or ()),
         )
     except TypeError as error:
         raise PeerError(f"invalid heartbeat: {error}", step="decode") from error
--- a/src/rudderpass/gossip/_gen/wire/ttypes.py
+++ b/src/rudderpass/gossip/_gen/wire/ttypes.py
@@ -1242,6 +1242,98 @@
         return not (self == other)
 
 
+class Brittle(object):
+    """
+    Attributes:
+     - pool
+     - max_rejections
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'pool',
+        'max_rejections',
+        'age_ms',
+    )
+
+
+    def __init__(self, pool=None, max_rejections=None, age_ms=None,):
+        self.pool = pool
+        self.max_rejections = max_rejections
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.max_rejections = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Brittle')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.max_rejections is not None:
+            oprot.writeFieldBegin('max_rejections', TType.I32, 2)
+            oprot.writeI32(self.max_rejections)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Evacuation(object):
     """
     Attributes:
@@ -1871,6 +1963,7 @@
      - config_version
      - evacuations
      - cold_ms
+     - brittle
 
     """
 
@@ -1900,10 +1993,11 @@
         'config_version',
         'evacuations',
         'cold_ms',
+        'brittle',
     )
 
 
-    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None, era=None, config_version=None, evacuations=None, cold_ms=None,):
+    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None, era=None, config_version=None, evacuations=None, cold_ms=None, brittle=None,):
         self.config_offset = config_offset
         self.upstreams_end = upstreams_end
         self.stopping = stopping
@@ -1929,6 +2023,7 @@
         self.config_version = config_version
         self.evacuations = evacuations
         self.cold_ms = cold_ms
+        self.brittle = brittle
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2124,6 +2219,17 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.LIST:
+                    self.brittle = []
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = Brittle()
+                        _elem152.read(iprot)
+                        self.brittle.append(_elem152)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2149,22 +2255,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter147 in self.loads:
-                iter147.write(oprot)
+            for iter153 in self.loads:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter148 in self.prompts:
-                iter148.write(oprot)
+            for iter154 in self.prompts:
+                iter154.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.peers))
-            for iter149 in self.peers:
-                oprot.writeString(iter149.encode('utf-8') if sys.version_info[0] == 2 else iter149)
+            for iter155 in self.peers:
+                oprot.writeString(iter155.encode('utf-8') if sys.version_info[0] == 2 else iter155)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.warm is not None:
@@ -2178,15 +2284,15 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter150 in self.streams:
-                iter150.write(oprot)
+            for iter156 in self.streams:
+                iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reading is not None:
             oprot.writeFieldBegin('reading', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.reading))
-            for iter151 in self.reading:
-                iter151.write(oprot)
+            for iter157 in self.reading:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.zone is not None:
@@ -2208,8 +2314,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter152 in self.suspects:
-                iter152.write(oprot)
+            for iter158 in self.suspects:
+                iter158.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.duty_token is not None:
@@ -2231,15 +2337,15 @@
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter153 in self.rate_limits:
-                iter153.write(oprot)
+            for iter159 in self.rate_limits:
+                iter159.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 22)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter154 in self.leaving:
-                oprot.writeString(iter154.encode('utf-8') if sys.version_info[0] == 2 else iter154)
+            for iter160 in self.leaving:
+                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2253,18 +2359,25 @@
         if self.evacuations is not None:
             oprot.writeFieldBegin('evacuations', TType.LIST, 25)
             oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
-            for iter155 in self.evacuations:
-                iter155.write(oprot)
+            for iter161 in self.evacuations:
+                iter161.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cold_ms is not None:
             oprot.writeFieldBegin('cold_ms', TType.MAP, 26)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.cold_ms))
-            for kiter156, viter157 in self.cold_ms.items():
-                oprot.writeString(kiter156.encode('utf-8') if sys.version_info[0] == 2 else kiter156)
-                oprot.writeI32(viter157)
+            for kiter162, viter163 in self.cold_ms.items():
+                oprot.writeString(kiter162.encode('utf-8') if sys.version_info[0] == 2 else kiter162)
+                oprot.writeI32(viter163)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.brittle is not None:
+            oprot.writeFieldBegin('brittle', TType.LIST, 27)
+            oprot.writeListBegin(TType.STRUCT, len(self.brittle))
+            for iter164 in self.brittle:
+                iter164.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2317,11 +2430,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype161, _size158) = iprot.readListBegin()
-                    for _i162 in range(_size158):
-                        _elem163 = SentPrompt()
-                        _elem163.read(iprot)
-                        self.prompts.append(_elem163)
+                    (_etype168, _size165) = iprot.readListBegin()
+                    for _i169 in range(_size165):
+                        _elem170 = SentPrompt()
+                        _elem170.read(iprot)
+                        self.prompts.append(_elem170)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2338,8 +2451,8 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter164 in self.prompts:
-                iter164.write(oprot)
+            for iter171 in self.prompts:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2510,11 +2623,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype168, _size165) = iprot.readListBegin()
-                    for _i169 in range(_size165):
-                        _elem170 = KeyedRecord()
-                        _elem170.read(iprot)
-                        self.upstreams.append(_elem170)
+                    (_etype175, _size172) = iprot.readListBegin()
+                    for _i176 in range(_size172):
+                        _elem177 = KeyedRecord()
+                        _elem177.read(iprot)
+                        self.upstreams.append(_elem177)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2526,11 +2639,11 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.ending_ms = {}
-                    (_ktype172, _vtype173, _size171) = iprot.readMapBegin()
-                    for _i175 in range(_size171):
-                        _key176 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val177 = iprot.readI32()
-                        self.ending_ms[_key176] = _val177
+                    (_ktype179, _vtype180, _size178) = iprot.readMapBegin()
+                    for _i182 in range(_size178):
+                        _key183 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val184 = iprot.readI32()
+                        self.ending_ms[_key183] = _val184
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2547,11 +2660,11 @@
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.held_ms = {}
-                    (_ktype179, _vtype180, _size178) = iprot.readMapBegin()
-                    for _i182 in range(_size178):
-                        _key183 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val184 = iprot.readI32()
-                        self.held_ms[_key183] = _val184
+                    (_ktype186, _vtype187, _size185) = iprot.readMapBegin()
+                    for _i189 in range(_size185):
+                        _key190 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val191 = iprot.readI32()
+                        self.held_ms[_key190] = _val191
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2572,8 +2685,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter185 in self.upstreams:
-                iter185.write(oprot)
+            for iter192 in self.upstreams:
+                iter192.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_end is not None:
@@ -2583,9 +2696,9 @@
         if self.ending_ms is not None:
             oprot.writeFieldBegin('ending_ms', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.ending_ms))
-            for kiter186, viter187 in self.ending_ms.items():
-                oprot.writeString(kiter186.encode('utf-8') if sys.version_info[0] == 2 else kiter186)
-                oprot.writeI32(viter187)
+            for kiter193, viter194 in self.ending_ms.items():
+                oprot.writeString(kiter193.encode('utf-8') if sys.version_info[0] == 2 else kiter193)
+                oprot.writeI32(viter194)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.changes_from is not None:
@@ -2599,9 +2712,9 @@
         if self.held_ms is not None:
             oprot.writeFieldBegin('held_ms', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.held_ms))
-            for kiter188, viter189 in self.held_ms.items():
-                oprot.writeString(kiter188.encode('utf-8') if sys.version_info[0] == 2 else kiter188)
-                oprot.writeI32(viter189)
+            for kiter195, viter196 in self.held_ms.items():
+                oprot.writeString(kiter195.encode('utf-8') if sys.version_info[0] == 2 else kiter195)
+                oprot.writeI32(viter196)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2716,6 +2829,13 @@
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.DOUBLE, 'rate', None, None, ),  # 3
 )
+all_structs.append(Brittle)
+Brittle.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'max_rejections', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(Evacuation)
 Evacuation.thrift_spec = (
     None,  # 0
@@ -2788,6 +2908,7 @@
     (24, TType.I64, 'config_version', None, None, ),  # 24
     (25, TType.LIST, 'evacuations', (TType.STRUCT, [Evacuation, None], False), None, ),  # 25
     (26, TType.MAP, 'cold_ms', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 26
+    (27, TType.LIST, 'brittle', (TType.STRUCT, [Brittle, None], False), None, ),  # 27
 )
 all_structs.append(Prompts)
 Prompts.thrift_spec = (
--- a/src/rudderpass/gossip/_heartbeat.py
+++ b/src/rudderpass/gossip/_heartbeat.py
@@ -8,7 +8,13 @@
 from rudderpass._ids import AvailabilityZone, NodeId, PoolId, StoreEra, UpstreamId
 from rudderpass.directory import UNKNOWN_ERA, EvacuationStatement, ViewPosition
 from rudderpass.duties import DutyStatus, HostUsage
-from rudderpass.exchange import Load, PrefillRate, RateLimitUpdate, SentPrompt
+from rudderpass.exchange import (
+    BrittleReport,
+    Load,
+    PrefillRate,
+    RateLimitUpdate,
+    SentPrompt,
+)
 from rudderpass.gossip._digest import Digest
 from rudderpass.learning import StreamSample
 from rudderpass.quarantine import SuspectUpdate
@@ -42,6 +48,7 @@
     :param era: of the platform's store, as its list of upstreams has it.
     :param evacuations: what it knows of evacuated zones.
     :param cold: seconds for which upstreams stay cold, as their responses told.
+    :param brittle: services with brittle upstreams.
     """
 
     sender: NodeId
@@ -68,6 +75,7 @@
     era: StoreEra = UNKNOWN_ERA
     evacuations: tuple[EvacuationStatement, ...] = ()
     cold: Mapping[UpstreamId, float] = field(default_factory=dict)
+    brittle: tuple[BrittleReport, ...] = ()
 
     @property
     def position(self) -> ViewPosition:
--- a/src/rudderpass/gossip/_peer_table.py
+++ b/src/rudderpass/gossip/_peer_table.py
@@ -259,6 +259,20 @@
         rank = sum(hash_host(key, name) > own for name in known)
         return HostRank(rank, len(known) + 1)
 
+    def rank_slot_holder(self, key: str, now: float) -> HostRank:
+        """Return this host's rendezvous rank among the hosts that it knows.
+
+        Peers count whether live or not, as for cold upstreams. A host that has not yet
+        had time to learn of all assumes that there are some that it does not know.
+        """
+        known = self._known_senders(now)
+        own = hash_host(key, self._own)
+        rank = sum(hash_host(key, name) > own for name in known)
+        count = len(known) + 1
+        if self._listed_at is None or now - self._listed_at < SETTLING_SECONDS:
+            count = max(MIN_HOSTS, count)
+        return HostRank(rank, count)
+
     def _known_senders(self, now: float) -> list[NodeId]:
         """Return the peers without those that were replaced.
 
--- a/src/rudderpass/host/_gossip_protocol.py
+++ b/src/rudderpass/host/_gossip_protocol.py
@@ -17,6 +17,7 @@
     LoadReport,
     RateLimitUpdate,
     SentPrompt,
+    log_brittle,
     log_leaving,
     log_rate_limit,
 )
@@ -189,6 +190,8 @@
         for upstream, rate in self._core.rate_limits.merge(heartbeat.rate_limits, now):
             log_rate_limit(upstream, rate, heartbeat.sender)
         self._core.cold_starts.merge(heartbeat.cold, now)
+        for service in self._core.brittle.merge(heartbeat.brittle, now):
+            log_brittle(service, heartbeat.sender)
         for upstream in heartbeat.leaving:
             if self._core.directory.record_leaving(upstream):
                 log_leaving(upstream, heartbeat.sender)
@@ -450,4 +453,5 @@
             position.era,
             directory.evacuations.statements(now),
             cold=self._core.cold_starts.describe_reported(now),
+            brittle=self._core.brittle.reports(now),
         )
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -91,6 +91,7 @@
             lambda upstream, now: self._peers.peer_table.rank_host(upstream, now),
             settings.cold_limit,
             lambda name, now: self._peers.peer_table.rank_cold_sender(name, now),
+            lambda name, now: self._peers.peer_table.rank_slot_holder(name, now),
         )
         self._peers = PeerGossip(
             settings.peer,
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -44,6 +44,7 @@
     zones_evacuated: int
     requests_in_evacuated_zones: int
     upstreams_cold: int
+    services_brittle: int
     upstreams_unreachable: int
     upstreams_behind_relays: int
     tunnels_open: int
--- a/src/rudderpass/host/_status.py
+++ b/src/rudderpass/host/_status.py
@@ -77,6 +77,7 @@
                     core.running_by_evacuated_zone().values()
                 ),
                 upstreams_cold=len(core.cold_starts.cold),
+                services_brittle=len(core.brittle.find_services(_clock.now())),
                 upstreams_unreachable=core.reachability.unreachable_count,
                 upstreams_behind_relays=self._tunnels.broken_count,
                 tunnels_open=self._tunnels.open_count,
--- a/src/rudderpass/platform/_dialect.py
+++ b/src/rudderpass/platform/_dialect.py
@@ -20,6 +20,7 @@
     SendContext,
 )
 from rudderpass.platform._headers import (
+    BRITTLE,
     COLD_MS,
     COPY_FROM,
     CREDENTIAL,
@@ -152,6 +153,7 @@
             is_leaving=fields.get(LEAVING.lower()) == _TRUE,
             retry_after=_parse_nonnegative(fields.get(RETRY_AFTER.lower())),
             cold_seconds=_parse_cold_seconds(fields.get(COLD_MS.lower())),
+            max_rejections=_parse_count(fields.get(BRITTLE.lower(), "")),
         )
 
     def build_refusal_headers(
--- a/src/rudderpass/platform/_headers.py
+++ b/src/rudderpass/platform/_headers.py
@@ -34,6 +34,7 @@
 RATE_LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"
 COLD_MS = "X-Cold-Ms"
+BRITTLE = "Server-Brittle"
 RETRY_AFTER = "Retry-After"
 
 
@@ -74,6 +75,7 @@
     RATE_LIMIT: Owner.UPSTREAM,
     LEAVING: Owner.UPSTREAM,
     COLD_MS: Owner.UPSTREAM,
+    BRITTLE: Owner.UPSTREAM,
 }
 
 _NOT_FORWARDED = frozenset(
--- a/tests/exchange/harness.py
+++ b/tests/exchange/harness.py
@@ -244,7 +244,7 @@
         *behaviours: Behaviour,
         unreachable: int = 0,
         core: ExchangeCore | None = None,
-        on_cold_upstream: Callable[[], None] = lambda: None,
+        on_urgent_head: Callable[[], None] = lambda: None,
         before_decision: Callable[[], None] = lambda: None,
     ) -> None:
         self.upstreams = [FakeUpstream(behaviour) for behaviour in behaviours]
@@ -265,7 +265,7 @@
             lambda service, retry: self.retries.append(retry),
             self.initialized,
             before_decision=before_decision,
-            on_cold_upstream=on_cold_upstream,
+            on_urgent_head=on_urgent_head,
         )
         self.app = ExchangeApp(context)
         self._server = HttpServer(self.app, "127.0.0.1:0", ServerLimits(threads=16))
--- a/tests/exchange/test_cold_serving.py
+++ b/tests/exchange/test_cold_serving.py
@@ -107,7 +107,7 @@
     host = HostHarness(
         make_route(),
         core=make_cold_core(upstream.address, 0, 0.0),
-        on_cold_upstream=lambda: told.append(None),
+        on_urgent_head=lambda: told.append(None),
     )
     assert [host.ask("r1").status, host.ask("r2").status] == [200, 200]
     assert host.ask("r3").status == 503, "it was sent one since it is known to be cold"
--- a/tests/exchange/test_serve.py
+++ b/tests/exchange/test_serve.py
@@ -18,6 +18,7 @@
     UpstreamConnection,
     UpstreamConnectionPool,
 )
+from rudderpass.tunnels import AllowsZone
 from tests.directory.builders import make_route, upstream_tombstone
 from tests.exchange.harness import (
     TIMEOUT,
@@ -191,8 +192,11 @@
         address: str,
         may_reuse: bool,
         timeout: float,
+        allows_zone: AllowsZone,
     ) -> UpstreamConnection:
-        connection = original_open(connections, address, may_reuse, timeout)
+        connection = original_open(
+            connections, address, may_reuse, timeout, allows_zone
+        )
         left = [upstream_tombstone(2, 1)]
         harness.core.directory.apply_upstream_changes(left, 3, "store", _clock.now())
         return connection
@@ -540,9 +544,13 @@
     is_suspended = threading.Event()
 
     def connect_and_suspend(
-        pool: UpstreamConnectionPool, address: str, may_reuse: bool, timeout: float
+        pool: UpstreamConnectionPool,
+        address: str,
+        may_reuse: bool,
+        timeout: float,
+        allows_zone: AllowsZone,
     ) -> UpstreamConnection:
-        connection = connect(pool, address, may_reuse, timeout)
+        connection = connect(pool, address, may_reuse, timeout, allows_zone)
         is_suspended.set()
         return connection
 
--- a/tests/exchange/test_serve_regions.py
+++ b/tests/exchange/test_serve_regions.py
@@ -17,6 +17,7 @@
     UpstreamConnection,
     UpstreamConnectionPool,
 )
+from rudderpass.tunnels import AllowsZone
 from tests.directory.builders import (
     CONFIG_KEY,
     FakeDecoders,
@@ -170,9 +171,13 @@
     connect = UpstreamConnectionPool.open
 
     def change_and_connect(
-        pool: UpstreamConnectionPool, address: str, may_reuse: bool, timeout: float
+        pool: UpstreamConnectionPool,
+        address: str,
+        may_reuse: bool,
+        timeout: float,
+        allows_zone: AllowsZone,
     ) -> UpstreamConnection:
-        connection = connect(pool, address, may_reuse, timeout)
+        connection = connect(pool, address, may_reuse, timeout, allows_zone)
         if harness.directory.config_offset == 1:
             harness.allow(2, SOUTH)
         return connection
--- a/tests/host/test_suspension.py
+++ b/tests/host/test_suspension.py
@@ -19,6 +19,7 @@
 from rudderpass.exchange import UpstreamConnection, UpstreamConnectionPool
 from rudderpass.host import ExchangeHost
 from rudderpass.host._suspension import RefreshSources, SuspensionRecovery
+from rudderpass.tunnels import AllowsZone
 from tests.exchange.builders import make_core
 from tests.exchange.test_serve import wait_for
 from tests.host.test_host import Deployment, deployment, read_gauge
@@ -129,9 +130,13 @@
     connect = UpstreamConnectionPool.open
 
     def connect_then_suspend(
-        pool: UpstreamConnectionPool, address: str, may_reuse: bool, seconds: float
+        pool: UpstreamConnectionPool,
+        address: str,
+        may_reuse: bool,
+        seconds: float,
+        allows_zone: AllowsZone,
     ) -> UpstreamConnection:
-        connection = connect(pool, address, may_reuse, seconds)
+        connection = connect(pool, address, may_reuse, seconds, allows_zone)
         suspend()
         return connection
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -252,3 +252,16 @@
         503, "", [("X-Not-Executed", "1"), *headers], REQUEST
     )
     assert (head.is_leaving, head.retry_after) == (is_leaving, retry_after)
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [("6", 6), ("0", 0), ("", None), ("-1", None), ("six", None), ("1.5", None)],
+)
+def test_the_header_of_brittle_upstreams_is_parsed(
+    value: str, limit: int | None
+) -> None:
+    headers = [("Server-Brittle", value)]
+    head = DIALECT.parse_response_head(200, "OK", headers, REQUEST)
+    assert head.max_rejections == limit
+    assert DIALECT.parse_response_head(200, "OK", [], REQUEST).max_rejections is None
--- a/tests/soak/test_brittle.py
+++ b/tests/soak/test_brittle.py
@@ -5,11 +5,12 @@
 import signal
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from tests.soak.callers import Callers
-from tests.soak.deployment import SoakDeployment
+from tests.soak.deployment import SoakDeployment, make_route
 from tests.soak.upstreams import SLOT_COUNT
 
 DESK_COUNT = 3
@@ -25,11 +26,20 @@
 MIN_SERVED_SHARE = 0.5
 
 
+class BrittleDeployment(SoakDeployment):
+    """A deployment with both routes that callers of desks use."""
+
+    def make_config(self) -> dict[str, Any]:
+        config = super().make_config()
+        config["routes"].append(make_route("vary", "idempotent", "desk"))
+        return config
+
+
 @pytest.mark.parametrize("is_restarted", [False, True], ids=["all live", "restart"])
 def test_brittle_upstreams_do_not_fall_over_under_overload(
     tmp_path: Path, is_restarted: bool
 ) -> None:
-    deployment = SoakDeployment(1, tmp_path, engines=1, desks=DESK_COUNT)
+    deployment = BrittleDeployment(1, tmp_path, engines=1, desks=DESK_COUNT)
     callers = Callers(deployment, 1, routes=("look",), desk_callers=DESK_CALLERS)
     try:
         deployment.start()
