Show that a second of silence of all upstreams fails requests

The stand-in for a cut now hangs connections that do not block in a full queue; before, they looked established and failed later.

--- a/tests/soak/cuttable_host.py
+++ b/tests/soak/cuttable_host.py
@@ -24,15 +24,32 @@
 
 CUTS_FILE = "cuts"
 RESETS_FILE = "resets"
+_kept_open: list[socket.socket] = []
 _MAX_CONNECT_SECONDS = 10.0
 """Time-out of a connection to a cut-off address for a socket that has none."""
 
 
+def open_black_hole(ip: str) -> tuple[str, int]:
+    """Return an address at which connections hang: the queue of its port is full."""
+    listener = socket.socket()
+    listener.bind((ip, 0))
+    listener.listen(0)
+    address: tuple[str, int] = listener.getsockname()
+    waiting = [socket.socket() for _ in range(3)]
+    for sock in waiting:
+        sock.setblocking(False)
+        sock.connect_ex(address)
+    _kept_open.extend([listener, *waiting])
+    return address
+
+
 def cut_sockets(own_ip: str, cuts: Path, resets: Path) -> None:
     """Make all sockets of this process lose what goes to cut-off addresses."""
     send_datagram, connect = socket.socket.sendto, socket.socket.connect
     connect_without_error = socket.socket.connect_ex
 
+    black_hole = open_black_hole(own_ip)
+
     def is_listed(address: tuple[str, int], file: Path) -> bool:
         listed = file.read_text().split() if file.exists() else []
         return address[0] in listed or f"{address[0]}:{address[1]}" in listed
@@ -58,7 +75,7 @@
         if is_listed(address, resets):
             return errno.ECONNREFUSED
         if is_listed(address, cuts):
-            return errno.EINPROGRESS
+            return connect_without_error(sock, black_hole)
         if sock.getsockname()[1] == 0:
             sock.bind((own_ip, 0))
         return connect_without_error(sock, address)
--- a/tests/soak/test_partition.py
+++ b/tests/soak/test_partition.py
@@ -81,3 +81,23 @@
     callers: Callers,
 ) -> None:
     check_partition(callers, [0, 1], Partition.HANG)
+
+
+SILENCE_SECONDS = 1.2
+
+
+def test_a_second_of_silence_of_all_upstreams_fails_no_request(
+    callers: Callers,
+) -> None:
+    deployment = deployment_of(callers)
+    for host in deployment.hosts:
+        deployment.partition(host, Partition.HANG)
+    time.sleep(SILENCE_SECONDS)
+    for host in deployment.hosts:
+        deployment.heal(host)
+    time.sleep(1.0)
+    callers.stop()
+    callers.check()
+    assert callers.violations == []
+    failed = [(a.route, a.status) for a in callers.attempts if a.status != 200]
+    assert failed == []
