Go on trying upstreams that are silent for a second

Cause: a connection that was not established in 0.4 s excluded its upstream from the request; with all excluded, it was given up. Change: upstreams that did not reply are tried again until each has been out of reach for 1.5 s; refused connections and other failures exclude as before. An outage that lasts longer is refused as fast as before.

--- a/src/rudderpass/errors.py
+++ b/src/rudderpass/errors.py
@@ -142,6 +142,10 @@
     """No process listens on the upstream's port: its machine refuses connections."""
 
 
+class UpstreamUnreachable(UpstreamError):
+    """No connection could be established, and none was refused: it may be silent."""
+
+
 class CallerGone(RudderpassError):
     """The caller closed its connection."""
 
--- a/src/rudderpass/exchange/_connections.py
+++ b/src/rudderpass/exchange/_connections.py
@@ -12,7 +12,7 @@
 
 from rudderpass import _clock
 from rudderpass._ids import AvailabilityZone, NodeId
-from rudderpass.errors import ConnectionRefused, UpstreamError
+from rudderpass.errors import ConnectionRefused, UpstreamError, UpstreamUnreachable
 from rudderpass.exchange._request import ExchangeRequest, Headers
 from rudderpass.tunnels import AllowsZone, Dialer, DirectDialer
 
@@ -187,7 +187,7 @@
             dialed = self._dialer.dial(address, limit, allows_zone)
         except OSError as error:
             is_refused = isinstance(error, ConnectionRefusedError)
-            error_type = ConnectionRefused if is_refused else UpstreamError
+            error_type = ConnectionRefused if is_refused else UpstreamUnreachable
             raise error_type(
                 f"could not connect: {error}", sent=False, step="connect", peer=address
             ) from error
--- a/src/rudderpass/exchange/_reachability.py
+++ b/src/rudderpass/exchange/_reachability.py
@@ -53,6 +53,10 @@
         self._unreachable_since[upstream] = now
         return PathChange(upstream, False, 0.0, self.unreachable_count)
 
+    def silence(self, upstream: UpstreamId, now: float) -> float:
+        """Return the seconds for which an upstream has been unreachable."""
+        return now - self._unreachable_since.get(upstream, now)
+
     def forget_unlisted(self, listed: Container[UpstreamId]) -> None:
         """Remove the upstreams that are no longer listed."""
         self._unreachable_since = {
--- a/src/rudderpass/exchange/_serve.py
+++ b/src/rudderpass/exchange/_serve.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterable
 from http import HTTPStatus
 
 from rudderpass import _clock
 from rudderpass._ids import UpstreamId
-from rudderpass.errors import CallerGone, ConnectionCut, StaleConnection, UpstreamError
+from rudderpass.errors import (
+    CallerGone,
+    ConnectionCut,
+    StaleConnection,
+    UpstreamError,
+    UpstreamUnreachable,
+)
 from rudderpass.exchange._assignment import Accepted, Assignment, RefusalReason, Refused
 from rudderpass.exchange._budget import RetryDecision
 from rudderpass.exchange._logging import log_attempt, log_choice, log_response
@@ -44,6 +51,13 @@
 """Interval at which a request that waits for a slot tries again by itself: a slot may
 also become free because this host's share has grown."""
 
+SILENCE_SECONDS = 1.5
+"""How long requests go on trying to connect to an upstream that does not reply. A sound
+one may be silent for a second or so."""
+
+SILENT_RETRY_SECONDS = 0.05
+"""Pause before upstreams that did not reply are tried once more."""
+
 START_WAIT_SECONDS = 0.3
 """How long a request may wait for the first configuration of a host that has just
 started. The store or a peer responds in milliseconds, whereas a refused caller retries
@@ -98,6 +112,8 @@
         self._accepted: Accepted | None = None
         self._quarantine_gate: QuarantineGate | None = None
         self._excluded: set[UpstreamId] = set()
+        self._silent: set[UpstreamId] = set()
+        self._silent_since: float | None = None
         self._send: Send | None = None
         self._last_failure_response: UpstreamFailureResponse | None = None
         self._last_error = ""
@@ -141,6 +157,8 @@
         while True:
             assigned = self._assign(accepted, quarantine_gate)
             if isinstance(assigned, Refused):
+                if self._may_try_silent(accepted, assigned):
+                    continue
                 return self._give_up(assigned)
             self._send = Send(self._progress, accepted, assigned)
             try:
@@ -212,6 +230,30 @@
         log_choice(self._request, accepted, assigned)
         return assigned
 
+    def _may_try_silent(self, accepted: Accepted, refused: Refused) -> bool:
+        """Return whether to try upstreams once more that did not reply.
+
+        :raises CallerGone: when the caller has disconnected.
+        """
+        is_refused_for_silence = refused.reason is RefusalReason.NO_UPSTREAM
+        if self._silent_since is None or not self._silent or not is_refused_for_silence:
+            return False
+        now = _clock.now()
+        until = min(self._silent_since + SILENCE_SECONDS, accepted.deadline)
+        if now + SILENT_RETRY_SECONDS >= until:
+            return False
+        with self._context.lock:
+            reachability = self._context.core.reachability
+            silent_for = min(reachability.silence(name, now) for name in self._silent)
+        if silent_for > SILENCE_SECONDS:
+            return False
+        time.sleep(SILENT_RETRY_SECONDS)
+        if self._caller.is_disconnected:
+            raise CallerGone("the caller left", step="connect")
+        self._excluded -= self._silent
+        self._silent.clear()
+        return True
+
     def _after_failure(
         self,
         accepted: Accepted,
@@ -228,6 +270,9 @@
         progress = self._progress
         progress.state = record_failure(progress.state, error)
         now = _clock.now()
+        if isinstance(error, UpstreamUnreachable):
+            self._silent.add(assigned.upstream)
+            self._silent_since = self._silent_since or now
         has_time_left = now < accepted.deadline - MIN_SEND_SECONDS
         may_retry = quarantine_gate.record_failure(assigned, error)
         step = decide_next(
--- a/tests/exchange/test_reachability.py
+++ b/tests/exchange/test_reachability.py
@@ -20,6 +20,16 @@
     assert reachability.record_connected(FIRST, 5.0) is None
 
 
+def test_a_silence_is_counted_from_the_first_failure() -> None:
+    reachability = Reachability()
+    assert reachability.silence(FIRST, 5.0) == 0.0
+    reachability.record_unreachable(FIRST, 1.0)
+    reachability.record_unreachable(FIRST, 2.0)
+    assert reachability.silence(FIRST, 4.0) == 3.0
+    reachability.record_connected(FIRST, 4.0)
+    assert reachability.silence(FIRST, 5.0) == 0.0
+
+
 def test_upstreams_that_have_left_are_not_counted() -> None:
     reachability = Reachability()
     reachability.record_unreachable(FIRST, 0.0)
