State what decides when a silent peer counts as gone

By the platform's new term, a TCP_USER_TIMEOUT that is set also decides when keep-alive probes give up, whatever their count: here after 3 s, at the first probe after it. The number of probes is now that of the same 3 s, for systems on which the time-out does not apply to probes; before, they gave up after 2 unanswered ones, which the time-out already overruled.

The soak cuts hosts off from upstreams (all, one service, all but one; hang, reset, new connections only; flapping), silences all upstreams for about a second and makes services brittle.

--- a/src/rudderpass/_sockets.py
+++ b/src/rudderpass/_sockets.py
@@ -4,17 +4,24 @@
 
 import socket
 
+USER_TIMEOUT_MS = 3000
+"""How long sent data may stay unacknowledged. Once it is set, it also decides when
+keep-alive probes give up, whatever their number. A sound peer may be silent for a
+second or so; one that is silent for three is considered unreachable."""
+
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 2
-USER_TIMEOUT_MS = 3000
-"""Together these detect a silent peer within about three seconds, the time after which
-the users' platform considers a host unreachable."""
+"""An idle connection to a silent peer thus ends with the first probe after
+USER_TIMEOUT_MS, and one that waits for a response is noticed as soon."""
+
+KEEPALIVE_PROBES = 3
+"""For systems where USER_TIMEOUT_MS does not apply to probes: the same three seconds."""
 
 
 def set_tcp_options(sock: socket.socket) -> None:
     """Send data without delay, and detect a peer that has gone silent."""
     options = (
+        # Events of a stream are small, and each is awaited.
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
--- a/tests/soak/partition.py
+++ b/tests/soak/partition.py
@@ -55,6 +55,14 @@
             if kind is Partition.RESET:
                 link.reset_client(host.ip)
 
+    def clear_faults(self) -> None:
+        """Also end all partitions, and let no upstream be brittle."""
+        super().clear_faults()
+        for host in self.hosts:
+            self.heal(host)
+        for upstream in self.upstreams.values():
+            upstream.brittle = None
+
     def heal(self, host: HostProcess) -> None:
         """End a host's partition."""
         assert isinstance(host, PartitionableHost)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -8,10 +8,12 @@
 from pathlib import Path
 
 from tests.soak.callers import Attempt, Callers
-from tests.soak.deployment import ENGINE_COUNT, HOST_COUNT, SoakDeployment, service_of
+from tests.soak.deployment import HOST_COUNT, SoakDeployment, service_of
 from tests.soak.fatal import FatalBodies
 from tests.soak.faults import DRAIN_SECONDS, Faults
 from tests.soak.host_process import RETRY_BUDGET
+from tests.soak.partition import PartitionDeployment
+from tests.soak.partition_faults import PartitionFaults
 from tests.soak.upstreams import RunTracker
 
 FAULT_SECONDS = 10.0
@@ -54,10 +56,13 @@
     :param has_fatal_bodies: whether bodies that crash engines are sent alongside all
         other faults, and a share of the callers' requests has one harmless body.
     """
-    deployment = SoakDeployment(
-        seed, folder, FATAL_ENGINE_COUNT if has_fatal_bodies else ENGINE_COUNT
-    )
-    faults = Faults(deployment, seed)
+    deployment: SoakDeployment
+    if has_fatal_bodies:
+        deployment = SoakDeployment(seed, folder, FATAL_ENGINE_COUNT)
+        faults = Faults(deployment, seed)
+    else:
+        deployment = PartitionDeployment(seed, folder)
+        faults = PartitionFaults(deployment, seed)
     callers = Callers(deployment, seed, has_fatal_bodies)
     fatal = FatalBodies(deployment, seed)
     try:
