--- a/src/rudderpass/_sockets.py
+++ b/src/rudderpass/_sockets.py
@@ -15,7 +15,7 @@
 USER_TIMEOUT_MS, and one that waits for a response is noticed as soon."""
 
 KEEPALIVE_PROBES = 3
-"""For systems where USER_TIMEOUT_MS does not apply to probes: the same three seconds."""
+"""For systems where USER_TIMEOUT_MS does not apply to probes: three seconds as well."""
 
 
 def set_tcp_options(sock: socket.socket) -> None:
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -338,6 +338,13 @@
         self._sends.record_connected(assignment, seconds, now)
         return self._reachability.record_connected(assignment.upstream, now)
 
+    def record_relayed(self, assignment: Assignment, now: float) -> PathChange | None:
+        """Record a connection to an upstream through another host.
+
+        :returns: the change of its reachability, if it changed.
+        """
+        return self._reachability.record_connected(assignment.upstream, now)
+
     def record_unreachable(
         self, assignment: Assignment, now: float
     ) -> PathChange | None:
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -145,6 +145,10 @@
             raise
         if self._connection.relay is not None:
             log_relayed(self._progress.request, self._assigned, self._connection.relay)
+            with self._context.lock:
+                core = self._context.core
+                change = core.record_relayed(self._assigned, _clock.now())
+            log_path(change)
         seconds = self._connection.connect_seconds
         if seconds is not None:
             with self._context.lock:
--- a/src/rudderpass/tunnels/_dialer.py
+++ b/src/rudderpass/tunnels/_dialer.py
@@ -129,13 +129,9 @@
             is_broken = self._paths.is_broken(address)
         if is_broken:
             return self._dial_around(address, until, allows_zone)
-        has_relays = bool(self._choose_relays(address, allows_zone))
-        limit = min(timeout, DIRECT_SECONDS) if has_relays else timeout
         try:
-            return self._dial_directly(address, limit)
+            return self._dial_directly(address, min(timeout, DIRECT_SECONDS))
         except OSError as error:
-            if not has_relays:
-                raise
             first_error = error
         tunnel, statuses = self._dial_relays(address, until, allows_zone)
         if tunnel is not None:
