Test what passes through another host, and more kinds of partitions

Hosts as processes: one that starts within its partition, a partition from one service, a heal, after which nothing is relayed any more.

--- a/tests/exchange/harness.py
+++ b/tests/exchange/harness.py
@@ -22,6 +22,7 @@
     UpstreamConnectionPool,
 )
 from rudderpass.platform import PlatformDialect
+from rudderpass.tunnels import Dialer
 from rudderpass.webserver import HttpServer, ServerLimits
 from tests.directory.builders import (
     HOST,
@@ -246,6 +247,7 @@
         core: ExchangeCore | None = None,
         on_urgent_head: Callable[[], None] = lambda: None,
         before_decision: Callable[[], None] = lambda: None,
+        dialer: Dialer | None = None,
     ) -> None:
         self.upstreams = [FakeUpstream(behaviour) for behaviour in behaviours]
         self.summaries: list[ExchangeSummary] = []
@@ -259,7 +261,7 @@
         context = ExchangeContext(
             self.core,
             threading.RLock(),
-            UpstreamConnectionPool(),
+            UpstreamConnectionPool(dialer),
             PlatformDialect(),
             self.summaries.append,
             lambda service, retry: self.retries.append(retry),
--- a/tests/soak/test_partition.py
+++ b/tests/soak/test_partition.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import signal
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -9,6 +11,7 @@
 import pytest
 
 from tests.soak.callers import Attempt, Callers
+from tests.soak.host_process import HostProcess
 from tests.soak.partition import Partition, PartitionDeployment
 
 CONTACT_SECONDS = 3.0
@@ -19,6 +22,7 @@
 """Share of first attempts served at partitioned hosts, relative to the others."""
 
 HEAL_SECONDS = 1.5
+"""Time within which a healed path must be used again."""
 
 
 @pytest.fixture
@@ -52,12 +56,20 @@
     return [a for a in attempts if a.started >= since and a.host in names]
 
 
-def check_partition(callers: Callers, cut: list[int], kind: Partition) -> None:
-    """Partition some hosts, and check that their callers are served like others."""
+def check_partition(
+    callers: Callers,
+    cut: list[int],
+    kind: Partition,
+    names: list[str] | None = None,
+) -> None:
+    """Partition some hosts, and check that their callers are served like others.
+
+    :param names: the upstreams that they cannot reach; all by default.
+    """
     deployment = deployment_of(callers)
     began = time.monotonic()
     for index in cut:
-        deployment.partition(deployment.hosts[index], kind)
+        deployment.partition(deployment.hosts[index], kind, names)
     time.sleep(CONTACT_SECONDS + LOAD_SECONDS)
     callers.stop()
     callers.check()
@@ -77,6 +89,49 @@
     check_partition(callers, [0], kind)
 
 
+def test_a_host_that_starts_without_a_path_to_upstreams_serves_its_callers(
+    callers: Callers,
+) -> None:
+    deployment = deployment_of(callers)
+    host = deployment.hosts[0]
+    deployment.partition(host, Partition.HANG)
+    host.send_signal(signal.SIGKILL)
+    host.wait(5.0)
+    host.start()
+    check_partition(callers, [0], Partition.HANG)
+
+
+@pytest.mark.parametrize("service", ["llm", "desk"])
+def test_a_host_without_a_path_to_one_service_serves_its_callers(
+    callers: Callers, service: str
+) -> None:
+    names = [name for name in deployment_of(callers).links if f"-{service}-" in name]
+    check_partition(callers, [0], Partition.RESET, names)
+
+
+def test_a_healed_path_is_used_directly_again(callers: Callers) -> None:
+    deployment = deployment_of(callers)
+    host = deployment.hosts[0]
+    deployment.partition(host, Partition.RESET)
+    time.sleep(CONTACT_SECONDS)
+    assert relayed_requests(host)
+    deployment.heal(host)
+    time.sleep(HEAL_SECONDS)
+    before = relayed_requests(host)
+    time.sleep(LOAD_SECONDS)
+    assert relayed_requests(host) == before
+    callers.stop()
+    callers.check()
+    assert callers.violations == []
+
+
+def relayed_requests(host: HostProcess) -> list[str]:
+    """Return the requests that a host has sent through other hosts so far."""
+    lines = (host.folder / "log.jsonl").read_text().splitlines()
+    records = [json.loads(line) for line in lines if '"path"' in line]
+    return [record["request"] for record in records if "request" in record]
+
+
 def test_most_hosts_without_a_path_to_upstreams_serve_their_callers(
     callers: Callers,
 ) -> None:
