Log a request that waits for a slot once

Each attempt to find a slot of a brittle upstream wrote a route line, ten a second for each waiting request, which would crowd out other lines at the bound of 400 a second. Now only the outcome is logged.

--- a/src/rudderpass/exchange/_serve.py
+++ b/src/rudderpass/exchange/_serve.py
@@ -189,14 +189,14 @@
         if isinstance(permit, Refused):
             return permit
         wait_until = self._find_wait_end(accepted)
-        while True:
+        assigned = self._try_assign(accepted, permit)
+        while isinstance(assigned, Refused):
+            is_full = assigned.reason is RefusalReason.NO_SLOT
+            if not is_full or not self._await_slot(accepted, wait_until):
+                break
             assigned = self._try_assign(accepted, permit)
-            if not isinstance(assigned, Refused):
-                return assigned
-            if assigned.reason is not RefusalReason.NO_SLOT:
-                return assigned
-            if not self._await_slot(accepted, wait_until):
-                return assigned
+        log_choice(self._request, accepted, assigned)
+        return assigned
 
     def _find_wait_end(self, accepted: Accepted) -> float:
         """Return until when the request may wait for a slot of a brittle upstream."""
@@ -220,15 +220,13 @@
 
     def _try_assign(self, accepted: Accepted, permit: Permit) -> Assignment | Refused:
         with self._context.lock:
-            assigned = self._context.core.assign(
+            return self._context.core.assign(
                 self._request,
                 accepted,
                 self._excluded,
                 _clock.now(),
                 permit.isolate,
             )
-        log_choice(self._request, accepted, assigned)
-        return assigned
 
     def _may_try_silent(self, accepted: Accepted, refused: Refused) -> bool:
         """Return whether to try upstreams once more that did not reply.
