--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -172,3 +172,14 @@
 def test_a_zone_whose_region_is_no_text_is_reported(tmp_path: Path) -> None:
     with pytest.raises(SettingsError, match="zones.hall-a is not a string"):
         read_settings_file(write(tmp_path, f"{GOOD}[zones]\nhall-a = 3\n"))
+
+
+@pytest.mark.parametrize(("last", "tunnel"), [("7355", True), ("7340", False)])
+def test_tunnels_use_the_second_internal_port_if_there_is_one(
+    tmp_path: Path, last: str, tunnel: bool
+) -> None:
+    text = GOOD.replace("[7340, 7355]", f"[7340, {last}]")
+    settings = read_settings_file(write(tmp_path, text))
+    ip = settings.peer.rpartition(":")[0]
+    assert settings.peer == f"{ip}:7340"
+    assert settings.tunnel == (f"{ip}:7341" if tunnel else None)
