Ask hosts of different zones for a connection

Cause: the hosts to ask were taken from the own zone first. Where all hosts of a zone of fifty are cut off, a request would have asked three of them, and the next one three others, before any host of another zone. Change: after hosts that lately opened a tunnel, one host of each zone comes first, that of the own zone at their head.

--- a/src/rudderpass/tunnels/_paths.py
+++ b/src/rudderpass/tunnels/_paths.py
@@ -152,8 +152,9 @@
     ) -> list[NodeId]:
         """Return the relaying hosts to ask for an upstream, in order.
 
-        Those that opened a tunnel lately come first, then those of the own zone, since
-        the way through them crosses no more zones than the direct one.
+        Those that opened a tunnel lately come first, the own zone before others: the
+        way through it crosses no more zones than the direct one. The others come from
+        different zones, since all hosts of a zone may be cut off together.
         """
         usable = [
             relay
@@ -162,13 +163,13 @@
             and now >= self._unreachable_until.get((relay.peer, address), now)
         ]
         self._rng.shuffle(usable)
-        usable.sort(
-            key=lambda relay: (
-                now >= self._good_until.get(relay.peer, now),
-                relay.zone != self._zone,
-            )
-        )
-        return [relay.peer for relay in usable[:MAX_RELAYS_ASKED]]
+        usable.sort(key=lambda relay: relay.zone != self._zone)
+        good = [
+            relay for relay in usable if now < self._good_until.get(relay.peer, now)
+        ]
+        others = [relay for relay in usable if relay not in good]
+        chosen = good[:MAX_RELAYS_ASKED] + _spread_over_zones(others)
+        return [relay.peer for relay in chosen[:MAX_RELAYS_ASKED]]
 
     def choose_untried(
         self, relays: Sequence[RelayHost], now: float
@@ -200,5 +201,14 @@
         }
 
 
+def _spread_over_zones(relays: Sequence[RelayHost]) -> list[RelayHost]:
+    """Return the first relay of each zone, and then the rest."""
+    first_of_zone: dict[AvailabilityZone | None, RelayHost] = {}
+    for relay in relays:
+        first_of_zone.setdefault(relay.zone, relay)
+    first = list(first_of_zone.values())
+    return first + [relay for relay in relays if relay not in first]
+
+
 def _unexpired(until: dict[NodeId, float], now: float) -> dict[NodeId, float]:
     return {peer: end for peer, end in until.items() if end > now}
