--- a/tests/duties/test_log_restored.py
+++ b/tests/duties/test_log_restored.py
@@ -118,6 +118,20 @@
     assert simulation.find_violations() == []
 
 
+def test_a_late_call_of_a_killed_holder_does_not_count_as_held_by_its_restart() -> None:
+    simulation = DutySimulation(4, seed=6, loss=0.3)
+    run(simulation, 8.0)
+    (holder,) = simulation.holders
+    simulation.start(holder.name)
+    run(simulation, 0.5)
+    isolated = simulation.hosts[NodeId("10.0.0.4:7000")]
+    isolated.reaches_peers = False
+    run(simulation, 24.5)
+    early = [call for call in simulation.platform.completed if 8.0 < call.at < 15.0]
+    assert {call.host for call in early} == {holder.name, isolated.name}
+    assert simulation.find_violations() == []
+
+
 EVENTS = st.lists(
     st.tuples(
         st.sampled_from([*sorted(FAULTS), "restore", "restore"]),
