Log the versions of upstreams and which requests resume streams

The logs could not tell a stream that the host takes to another version within an answer from one that a caller resumes, or from an upstream whose version changes. Decodes the version and the resumed request; decides nothing by them.

--- a/src/rudderpass/_ids.py
+++ b/src/rudderpass/_ids.py
@@ -25,6 +25,9 @@
 UpstreamName = NewType("UpstreamName", str)
 """The id under which an upstream registers; it may keep the id when it restarts."""
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of the software that an upstream runs; versions have no order."""
+
 PoolId = NewType("PoolId", str)
 """The runner whose upstreams share one queue."""
 
--- a/src/rudderpass/directory/_directory.py
+++ b/src/rudderpass/directory/_directory.py
@@ -9,7 +9,13 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import replace
 
-from rudderpass._ids import AvailabilityZone, PoolId, StoreEra, UpstreamId
+from rudderpass._ids import (
+    AvailabilityZone,
+    PoolId,
+    SoftwareVersion,
+    StoreEra,
+    UpstreamId,
+)
 from rudderpass.directory._active_config import ActiveConfig
 from rudderpass.directory._config import EngineTraits, ExchangeConfig
 from rudderpass.directory._evacuations import Evacuations
@@ -178,6 +184,14 @@
             return ready
         return [entry for entry in ready if entry.zone not in evacuated]
 
+    def count_versions(self) -> int:
+        """Return the largest number of software versions that a service has listed."""
+        versions: dict[PoolId, set[SoftwareVersion]] = {}
+        for record in self._upstreams.records.values():
+            entry = record.entry
+            versions.setdefault(entry.service, set()).add(entry.version)
+        return max(map(len, versions.values()), default=0)
+
     def is_evacuated(self, service: PoolId) -> bool:
         """Return whether only evacuated zones have upstreams ready for a service."""
         if not self._evacuations.zones:
--- a/src/rudderpass/directory/_messages.py
+++ b/src/rudderpass/directory/_messages.py
@@ -71,6 +71,8 @@
     """
     entry = record.entry
     status = "is leaving" if entry.leaving else f"serves {entry.service}"
+    if entry.version:
+        status = f"{status}, version {entry.version}"
     if previous is not None and previous.entry.upstream != entry.upstream:
         status = f"{status}, started again after {previous.entry.upstream}"
     return DirectoryChange(f"{entry.upstream} {status}", source, record.offset)
--- a/src/rudderpass/directory/_upstreams.py
+++ b/src/rudderpass/directory/_upstreams.py
@@ -11,7 +11,14 @@
 from dataclasses import dataclass, replace
 from typing import TypeVar
 
-from rudderpass._ids import AvailabilityZone, PoolId, StoreEra, UpstreamId, UpstreamName
+from rudderpass._ids import (
+    AvailabilityZone,
+    PoolId,
+    SoftwareVersion,
+    StoreEra,
+    UpstreamId,
+    UpstreamName,
+)
 from rudderpass.directory._position import UNKNOWN_ERA, LogPosition
 
 _Remembered = TypeVar("_Remembered")
@@ -51,6 +58,7 @@
     :param name: the name it registered under, which upstreams use for themselves.
     :param is_spot: whether it runs on cheaper capacity that may be reclaimed.
     :param cold_seconds: for which it stays cold, from when it wrote its registration.
+    :param version: of its software; empty if it registered none.
     """
 
     upstream: UpstreamId
@@ -62,6 +70,7 @@
     leaving: bool = False
     is_spot: bool = False
     cold_seconds: float = 0.0
+    version: SoftwareVersion = SoftwareVersion("")
 
 
 @dataclass(frozen=True)
--- a/src/rudderpass/exchange/_logging.py
+++ b/src/rudderpass/exchange/_logging.py
@@ -31,6 +31,7 @@
             route=accepted.route.name,
             service=accepted.service,
             config_version=accepted.config_version,
+            **_describe_resumption(request),
             **_describe_regions(assigned),
         )
         return
@@ -57,6 +58,7 @@
         under_way_by_rank=list(load.ranks),
         slots=slots,
         chosen=assigned.upstream,
+        version=choice.chosen.upstream.version if choice.chosen else None,
         tight=round(assigned.tight, 2),
         expected=round(assigned.expected, 4),
         copy_from=assigned.copy_from,
@@ -69,9 +71,16 @@
         list_offset=assigned.list_offset,
         list_age=round_age(assigned.list_age),
         **({} if assigned.region is None else {"region": assigned.region}),
+        **_describe_resumption(request),
     )
 
 
+def _describe_resumption(request: ExchangeRequest) -> dict[str, object]:
+    """Return the log fields of a request with which a caller resumes a stream."""
+    fields = {"resumes": request.resumes, "last_event": request.last_event_id}
+    return {name: value for name, value in fields.items() if value is not None}
+
+
 def _describe_regions(refused: Refused) -> dict[str, object]:
     """Return the log fields of a refusal that is due to the allowed regions."""
     if refused.reason is not RefusalReason.NO_REGION:
--- a/src/rudderpass/exchange/_request.py
+++ b/src/rudderpass/exchange/_request.py
@@ -35,6 +35,8 @@
     :param parts: the prompt's parts, in order.
     :param output_tokens: maximum number of response tokens; 0 if unknown.
     :param last_event_id: the last event that the caller received, if it resumes.
+    :param resumes: the request whose response held the stream's first event, if the
+        caller resumes a stream of another request.
     """
 
     request_id: RequestId
@@ -49,6 +51,7 @@
     parts: tuple[PromptPart, ...] = ()
     output_tokens: int = 0
     last_event_id: str | None = None
+    resumes: RequestId | None = None
 
     @property
     def split_key(self) -> str:
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -46,6 +46,7 @@
     upstreams_cold: int
     services_brittle: int
     upstreams_unreachable: int
+    service_versions: int
     upstreams_behind_relays: int
     tunnels_open: int
     tunnels_opened: int
--- a/src/rudderpass/host/_status.py
+++ b/src/rudderpass/host/_status.py
@@ -79,6 +79,7 @@
                 upstreams_cold=len(core.cold_starts.cold),
                 services_brittle=len(core.brittle.find_services(_clock.now())),
                 upstreams_unreachable=core.reachability.unreachable_count,
+                service_versions=directory.count_versions(),
                 upstreams_behind_relays=self._tunnels.broken_count,
                 tunnels_open=self._tunnels.open_count,
                 tunnels_opened=self._tunnels.opened_count,
--- a/src/rudderpass/platform/_dialect.py
+++ b/src/rudderpass/platform/_dialect.py
@@ -31,6 +31,7 @@
     RATE_LIMIT,
     REQUEST_ID,
     RESPONSE_SIGNATURE,
+    RESUMES,
     RETRY_AFTER,
     TEAM,
     TIER,
@@ -102,6 +103,7 @@
                 environ.get(_environ_key(TOKEN_COUNTS), "")
             ),
             last_event_id=environ.get(_environ_key(LAST_EVENT_ID)),
+            resumes=_parse_resumes(environ.get(_environ_key(RESUMES))),
         )
 
     def build_send_headers(
@@ -248,6 +250,10 @@
     return max(0.0, milliseconds) / _MS
 
 
+def _parse_resumes(value: str | None) -> RequestId | None:
+    return RequestId(value) if value else None
+
+
 def _parse_prompt_parts(value: str) -> tuple[PromptPart, ...]:
     parts: list[PromptPart] = []
     for item in value.split(",") if value else ():
--- a/src/rudderpass/platform/_headers.py
+++ b/src/rudderpass/platform/_headers.py
@@ -16,6 +16,7 @@
 UPSTREAM_ID = "X-Expect-Instance"
 TIER = "X-Request-Priority"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Resumes"
 COPY_FROM = "Kv-Fetch"
 PROMPT_PARTS = "X-Prompt-Prefix"
 TOKEN_COUNTS = "X-Token-Count"
@@ -52,6 +53,7 @@
     TOKEN_COUNTS: Owner.CALLER,
     PROMPT_PARTS: Owner.CALLER,
     LENGTH_HINT: Owner.CALLER,
+    RESUMES: Owner.CALLER,
     # The host reads the caller's values, but sends its own values to the upstream.
     TIME_LIMIT_MS: Owner.HOST,
     LAST_EVENT_ID: Owner.HOST,
--- a/src/rudderpass/platform/_records.py
+++ b/src/rudderpass/platform/_records.py
@@ -9,6 +9,7 @@
     PoolId,
     Region,
     RouteName,
+    SoftwareVersion,
     TeamId,
     UpstreamName,
 )
@@ -87,6 +88,7 @@
         leaving=entry.state == _DRAINING_STATE,
         is_spot=entry.spot is True,
         cold_seconds=entry.cold_remaining / _MS,
+        version=SoftwareVersion(entry.version),
     )
 
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -55,6 +55,18 @@
     assert request.output_tokens == 80
 
 
+@pytest.mark.parametrize(
+    ("value", "resumes"),
+    [("41d07be2a35f689c", "41d07be2a35f689c"), ("", None), (None, None)],
+)
+def test_the_request_that_a_caller_resumes_is_parsed(
+    value: str | None, resumes: str | None
+) -> None:
+    changes = {} if value is None else {"HTTP_RESUMES": value}
+    request = DIALECT.parse_request(environ(**changes), b"body")
+    assert request.resumes == resumes
+
+
 def test_headers_that_the_host_sets_ignore_the_callers_values() -> None:
     request = DIALECT.parse_request(environ(), b"body")
     context = SendContext(UpstreamName("i-1"), TeamId("team"), 0.75, 3, "7")
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -57,6 +57,11 @@
 }
 
 
+def test_an_upstreams_software_version_is_decoded() -> None:
+    assert decode_upstream("i-1", encode_entry(version="v1.2")).version == "v1.2"
+    assert decode_upstream("i-1", encode_entry(version="")).version == ""
+
+
 def test_a_configuration_is_decoded() -> None:
     config = decode_config(json.dumps(CONFIG).encode())
     stream = config.match("SHOP.example", "/a/x")
