Show that streams hold events of two versions of their upstreams' software

What callers saw: a stream that goes on, in one answer or in their next try, holds pieces of two versions.

--- a/tests/exchange/harness.py
+++ b/tests/exchange/harness.py
@@ -7,11 +7,11 @@
 import struct
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
-from rudderpass._ids import AvailabilityZone, UpstreamId
+from rudderpass._ids import AvailabilityZone, SoftwareVersion, UpstreamId
 from rudderpass.directory import ExchangeRoute
 from rudderpass.exchange import (
     ExchangeApp,
@@ -237,7 +237,10 @@
 
 
 class HostHarness:
-    """One host's HTTP server and its upstreams, tried in the order given."""
+    """One host's HTTP server and its upstreams, tried in the order given.
+
+    :param versions: of the upstreams' software; all of one version by default.
+    """
 
     def __init__(
         self,
@@ -248,6 +251,7 @@
         on_urgent_head: Callable[[], None] = lambda: None,
         before_decision: Callable[[], None] = lambda: None,
         dialer: Dialer | None = None,
+        versions: Sequence[str] = (),
     ) -> None:
         self.upstreams = [FakeUpstream(behaviour) for behaviour in behaviours]
         self.summaries: list[ExchangeSummary] = []
@@ -257,7 +261,7 @@
         addresses = [upstream.address for upstream in self.upstreams]
         addresses = ["127.0.0.1:1"] * unreachable + addresses
         zone = AvailabilityZone("here")
-        self.core = core or self._make_core(route, addresses, zone)
+        self.core = core or self._make_core(route, addresses, zone, versions)
         context = ExchangeContext(
             self.core,
             threading.RLock(),
@@ -275,13 +279,17 @@
 
     @staticmethod
     def _make_core(
-        route: ExchangeRoute, addresses: list[str], zone: AvailabilityZone
+        route: ExchangeRoute,
+        addresses: list[str],
+        zone: AvailabilityZone,
+        versions: Sequence[str],
     ) -> ExchangeCore:
         records = FakeDecoders()
         records.configs[b"1"] = make_config(1, route)
         directory = make_directory(records)
         directory.apply_config([config_record(0, 1)], 1, "store")
         listed = []
+        all_versions = versions or [""] * len(addresses)
         for number, address in enumerate(addresses, 1):
             # The first is in the host's zone, which makes the order of attempts known.
             upstream_zone = zone if number == 1 else AvailabilityZone(f"zone-{number}")
@@ -290,6 +298,7 @@
                 address=address,
                 zone=upstream_zone,
                 upstream=UpstreamId(f"u{number}"),
+                version=SoftwareVersion(all_versions[number - 1]),
             )
             listed.append(upstream_record(number - 1, number))
         directory.apply_upstream_changes(listed, len(listed), "store", 0.0)
