Take a broken stream only to upstreams of the version that began it

Cause: a host chose the next upstream of a broken answer like that of a new request, and nothing read the version of a record. Now the version of the first event binds all later sends of the answer; with no upstream of it the answer is broken off, so that the caller may resume elsewhere. An instance keeps the version of its first record.

--- a/src/rudderpass/directory/_upstreams.py
+++ b/src/rudderpass/directory/_upstreams.py
@@ -180,6 +180,11 @@
         if known is not None and known.entry.upstream != entry.upstream:
             self._delete(known.entry.upstream)
             _remember(self._ended, known.entry.upstream, None)
+        if known is not None and known.entry.upstream == entry.upstream:
+            # A process does not change its software: whatever a later record says,
+            # streams that it began hold events of the first version.
+            entry = replace(entry, version=known.entry.version)
+            record = replace(record, entry=entry)
         if entry.leaving or entry.upstream in self._leaving:
             # A leaving instance never becomes ready again, so a ready entry is stale.
             _remember(self._leaving, entry.upstream, entry.leaving)
--- a/src/rudderpass/exchange/_assigner.py
+++ b/src/rudderpass/exchange/_assigner.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Collection
 
-from rudderpass._ids import Fingerprint, UpstreamId
+from rudderpass._ids import Fingerprint, SoftwareVersion, UpstreamId
 from rudderpass.directory import Directory
 from rudderpass.exchange._acceptance import EVACUATED_RETRY_SECONDS, refuse_unassigned
 from rudderpass.exchange._assignment import Accepted, Assignment, RefusalReason, Refused
@@ -57,10 +57,12 @@
         excluded: Collection[UpstreamId],
         now: float,
         isolate: Fingerprint | None,
+        version: SoftwareVersion | None,
     ) -> Assignment | Refused:
         """Choose an upstream for a request and add the request to its load.
 
         :param isolate: the request's fingerprint if it may crash the upstream.
+        :param version: the only software version that may be chosen; None for any.
         """
         self._directory.expire(now)
         if self._directory.is_evacuated(accepted.service):
@@ -70,6 +72,10 @@
         )
         if isinstance(upstreams, Refused):
             return upstreams
+        if version is not None:
+            upstreams = [entry for entry in upstreams if entry.version == version]
+            if not upstreams:
+                return Refused(RefusalReason.NO_VERSION)
         stall_risk = self._forecasts.stall_risk(accepted, upstreams, now)
         throttled = self._throttling.find_throttled(upstreams, now)
         choice = choose_upstream(
--- a/src/rudderpass/exchange/_assignment.py
+++ b/src/rudderpass/exchange/_assignment.py
@@ -5,7 +5,14 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from rudderpass._ids import PoolId, Region, TeamId, UpstreamId, UpstreamName
+from rudderpass._ids import (
+    PoolId,
+    Region,
+    SoftwareVersion,
+    TeamId,
+    UpstreamId,
+    UpstreamName,
+)
 from rudderpass.directory import ExchangeRoute, RegisteredUpstream
 from rudderpass.exchange._choice import Choice
 from rudderpass.exchange._load import Load, request_load
@@ -20,6 +27,7 @@
     UNKNOWN_KEY = "unknown key"
     NO_SERVICE = "the route leads to no service"
     NO_UPSTREAM = "no upstream to send it to"
+    NO_VERSION = "no upstream of the software version that began the stream"
     NO_REGION = "no upstream in a region that its route and team allow"
     QUARANTINED = "upstreams crashed under this request"
     ON_TRIAL = "another copy of this request is on trial"
@@ -108,6 +116,12 @@
         source = chosen.copy_source
         return [chosen.upstream] if source is None else [chosen.upstream, source]
 
+    @property
+    def version(self) -> SoftwareVersion:
+        """The upstream's software version at the time of the choice."""
+        chosen = self.choice.chosen
+        return SoftwareVersion("") if chosen is None else chosen.upstream.version
+
     @property
     def has_response_started(self) -> bool:
         """Whether the response has started."""
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -4,7 +4,14 @@
 
 from collections.abc import Callable, Collection, Sequence
 
-from rudderpass._ids import AvailabilityZone, Fingerprint, NodeId, PoolId, UpstreamId
+from rudderpass._ids import (
+    AvailabilityZone,
+    Fingerprint,
+    NodeId,
+    PoolId,
+    SoftwareVersion,
+    UpstreamId,
+)
 from rudderpass.directory import Directory, RegisteredUpstream
 from rudderpass.exchange._acceptance import (
     STOPPING_RETRY_SECONDS,
@@ -234,14 +241,17 @@
         excluded: Collection[UpstreamId],
         now: float,
         isolate: Fingerprint | None = None,
+        version: SoftwareVersion | None = None,
     ) -> Assignment | Refused:
         """Choose an upstream for a request and add the request to its load.
 
         :param isolate: the request's fingerprint if it may crash the upstream.
+        :param version: the only software version that may go on with the request's
+            stream; None for any.
         """
         if self._is_stale:
             return Refused(RefusalReason.SUSPENDED, SUSPENDED_RETRY_SECONDS)
-        return self._assigner.assign(request, accepted, excluded, now, isolate)
+        return self._assigner.assign(request, accepted, excluded, now, isolate, version)
 
     def accepts_requests(
         self, accepted: Accepted, assignment: Assignment, now: float
--- a/src/rudderpass/exchange/_progress.py
+++ b/src/rudderpass/exchange/_progress.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 from rudderpass import _clock
-from rudderpass._ids import PoolId, TeamId
+from rudderpass._ids import PoolId, SoftwareVersion, TeamId
 from rudderpass.exchange._assignment import Assignment
 from rudderpass.exchange._budget import RetryDecision
 from rudderpass.exchange._connections import UpstreamConnectionPool
@@ -103,6 +103,8 @@
     :ivar longest_pause: seconds between two events of a stream, so far.
     :ivar latest_pause: seconds between the two latest events.
     :ivar late_pauses: pauses so far beyond the route's target.
+    :ivar version: the software version that began the stream; the caller holds events
+        of it, and no other may go on with the stream. None before the first event.
 
     .. versionadded:: 0.2
     """
@@ -125,6 +127,7 @@
         self.longest_pause = 0.0
         self.latest_pause = 0.0
         self.late_pauses = 0
+        self.version: SoftwareVersion | None = None
         self._has_started = False
         self._pauses: list[float] = []
         self._last_event_at: float | None = None
@@ -169,9 +172,10 @@
             self._write = convert_disconnect(self.begin_response(*self._stream_head))
         return self._write
 
-    def forward_events(self, data: bytes) -> bool:
+    def forward_events(self, data: bytes, assigned: Assignment) -> bool:
         """Forward the events that ``data`` completes; return whether there were any.
 
+        :param assigned: the send that the events come from.
         :raises EventError: when the event stream is invalid.
         :raises CallerGone: when the caller has disconnected.
         """
@@ -180,6 +184,8 @@
             return False
         self.record_first_response()
         self._record_event(_clock.now())
+        if self.version is None:
+            self.version = assigned.version
         self.state = replace(self.state, produced=self.state.produced + events.count)
         self.begin_stream()(events.data)
         return True
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -353,7 +353,7 @@
 
     def _forward_events(self, data: bytes) -> None:
         try:
-            has_forwarded = self._progress.forward_events(data)
+            has_forwarded = self._progress.forward_events(data, self._assigned)
         except EventError as error:
             raise self._upstream_error(f"invalid event stream: {error}") from error
         if not has_forwarded:
--- a/src/rudderpass/exchange/_serve.py
+++ b/src/rudderpass/exchange/_serve.py
@@ -73,6 +73,7 @@
     RefusalReason.UNKNOWN_KEY: HTTPStatus.UNAUTHORIZED,
     RefusalReason.NO_SERVICE: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.NO_UPSTREAM: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.NO_VERSION: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.NO_REGION: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.THROTTLED: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.NO_SLOT: HTTPStatus.SERVICE_UNAVAILABLE,
@@ -226,6 +227,7 @@
                 self._excluded,
                 _clock.now(),
                 permit.isolate,
+                self._progress.version,
             )
 
     def _may_try_silent(self, accepted: Accepted, refused: Refused) -> bool:
--- a/tests/directory/test_restarts.py
+++ b/tests/directory/test_restarts.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from rudderpass._ids import UpstreamId, UpstreamName
+from rudderpass._ids import SoftwareVersion, UpstreamId, UpstreamName
 from rudderpass.directory import Directory, KeyedRecord, ViewPosition, make_instance_id
 from tests.directory.builders import (
+    SERVICE,
     FakeDecoders,
     make_directory,
     make_upstream,
+    upstream_record,
     upstream_tombstone,
 )
 from tests.directory.test_directory import SOURCE, serving
@@ -114,3 +116,27 @@
     directory.expire(100.0)
     assert serving(directory) == {OLD}
     assert removed(directory) == []
+
+
+def test_an_instance_keeps_its_version_whatever_later_records_say() -> None:
+    records = FakeDecoders()
+    records.upstreams["u1"] = make_upstream(1, version=SoftwareVersion("v1"))
+    directory = make_directory(records)
+    directory.apply_upstream_changes([upstream_record(0, 1)], 1, "store", 0.0)
+    records.upstreams["u1"] = make_upstream(1, version=SoftwareVersion("v2"))
+    directory.apply_upstream_changes([upstream_record(1, 1)], 2, "store", 1.0)
+    assert directory.serving(SERVICE)[0].version == "v1"
+
+
+def test_a_new_instance_under_an_old_name_has_its_own_version() -> None:
+    records = FakeDecoders()
+    records.upstreams["u1"] = make_upstream(
+        1, upstream=UpstreamId("u1~1"), version=SoftwareVersion("v1")
+    )
+    directory = make_directory(records)
+    directory.apply_upstream_changes([upstream_record(0, 1)], 1, "store", 0.0)
+    records.upstreams["u1"] = make_upstream(
+        1, upstream=UpstreamId("u1~2"), version=SoftwareVersion("v2")
+    )
+    directory.apply_upstream_changes([upstream_record(1, 1)], 2, "store", 1.0)
+    assert directory.serving(SERVICE)[0].version == "v2"
