--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -145,6 +145,33 @@
 
 /* Offsets are those of the platform's log in one era; a later era is newer at any
  * offset. The sender is the datagram's source address. Field 1 was the sender's name. */
+/* A software version of which a service has, or recently had, upstreams. */
+struct ServiceVersion {
+  1: string pool
+  2: string version
+  3: i32 age_ms /* since an upstream of it was listed */
+}
+
+/* The software version that began a stream. */
+struct StreamOrigin {
+  1: binary key
+  2: string version
+  3: i32 left_ms /* for which the caller may resume the stream */
+}
+
+/* A datagram about streams that callers may resume; a tag byte goes before it. */
+struct StreamOrigins {
+  1: optional list<StreamOrigin> told
+  2: optional list<binary> asked
+  3: optional list<binary> unknown /* asked before, and not known to the sender */
+}
+
+/* The origins that a host keeps in the platform's log, under its address. */
+struct ArchivedOrigins {
+  1: list<StreamOrigin> origins /* as of the time of writing */
+  2: i64 written_ms /* Unix time */
+}
+
 struct Beat {
   2: i64 config_offset
   3: i64 upstreams_end
@@ -172,6 +199,7 @@
   25: optional list<Evacuation> evacuations /* the newest statement on each zone */
   26: optional map<string, i32> cold_ms /* for which upstreams stay cold, as their responses report */
   27: optional list<Brittle> brittle /* services with brittle upstreams, as their responses report */
+  28: optional list<ServiceVersion> versions /* of services that have several */
 }
 
 /* All that the sender believes to be kept in caches. */
--- a/src/rudderpass/exchange/_assignment.py
+++ b/src/rudderpass/exchange/_assignment.py
@@ -28,6 +28,7 @@
     NO_SERVICE = "the route leads to no service"
     NO_UPSTREAM = "no upstream to send it to"
     NO_VERSION = "no upstream of the software version that began the stream"
+    UNKNOWN_STREAM = "the software version that began the stream is not known"
     NO_REGION = "no upstream in a region that its route and team allow"
     QUARANTINED = "upstreams crashed under this request"
     ON_TRIAL = "another copy of this request is on trial"
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -46,6 +46,7 @@
 from rudderpass.exchange._throttling import Throttling
 from rudderpass.exchange._timeouts import compute_response_start_timeout
 from rudderpass.learning import StreamSample
+from rudderpass.origins import StreamOrigins
 from rudderpass.quarantine import QuarantineTracker
 
 
@@ -131,6 +132,7 @@
             self._throttling,
         )
         self._reachability = Reachability()
+        self._origins = StreamOrigins(directory)
         self._removed_zones: dict[UpstreamId, AvailabilityZone] = {}
         self._is_stopping = False
         self._refuses_all = False
@@ -177,6 +179,11 @@
         """The evidence that upstreams crashed."""
         return self._crashes
 
+    @property
+    def origins(self) -> StreamOrigins:
+        """The software versions that began streams."""
+        return self._origins
+
     @property
     def reachability(self) -> Reachability:
         """The upstreams that this host can connect to."""
@@ -422,6 +429,7 @@
             self._forecasts.forget_upstream(entry.upstream)
             self._crashes.record_removed(entry.upstream, now)
             self.rate_limits.forget_upstream(entry.upstream)
+        self._origins.tick(removed, now)
         self._keep_removed_zones(removed)
         self._crashes.retract_disproved(now)
         self.rate_limits.tick(now)
--- a/src/rudderpass/exchange/_logging.py
+++ b/src/rudderpass/exchange/_logging.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from rudderpass import _clock
-from rudderpass._ids import Fingerprint, NodeId, PoolId, UpstreamId
+from rudderpass._ids import Fingerprint, NodeId, PoolId, SoftwareVersion, UpstreamId
 from rudderpass.errors import ConnectionCut, ConnectionRefused, UpstreamError
 from rudderpass.eventlog import log, round_age
 from rudderpass.exchange._assignment import Accepted, Assignment, RefusalReason, Refused
@@ -81,6 +81,27 @@
     return {name: value for name, value in fields.items() if value is not None}
 
 
+def log_origin(
+    request: ExchangeRequest,
+    accepted: Accepted,
+    version: SoftwareVersion | Refused | None,
+) -> None:
+    """Log which version must go on with a resumed stream, if any must."""
+    if version is None:
+        return
+    is_known = not isinstance(version, Refused)
+    found = f"of version {version}" if is_known else "of an unknown version"
+    log(
+        "origin",
+        f"{request.request_id} resumes a stream {found}.",
+        request=request.request_id,
+        service=accepted.service,
+        team=accepted.team,
+        version=version if is_known else None,
+        **_describe_resumption(request),
+    )
+
+
 def _describe_regions(refused: Refused) -> dict[str, object]:
     """Return the log fields of a refusal that is due to the allowed regions."""
     if refused.reason is not RefusalReason.NO_REGION:
--- a/src/rudderpass/exchange/_progress.py
+++ b/src/rudderpass/exchange/_progress.py
@@ -16,6 +16,7 @@
 from rudderpass.exchange._dialect import ExchangeDialect
 from rudderpass.exchange._events import EventSplitter
 from rudderpass.exchange._request import ExchangeRequest
+from rudderpass.exchange._resumption import NoOtherHosts, OriginSource
 from rudderpass.exchange._slot_queue import SlotQueue
 from rudderpass.streams import AttemptState
 from rudderpass.webserver import CallerConnection, convert_disconnect
@@ -76,6 +77,7 @@
     :param on_urgent_head: called when a response reported that its upstream is cold or
         brittle, which peers must learn at once.
     :param slot_queue: the requests that wait for a slot of a brittle upstream.
+    :param origins: where origins of streams are kept besides this host.
     """
 
     core: ExchangeCore
@@ -90,6 +92,7 @@
     on_started: Callable[[TeamId | None, float], None] = lambda team, moment: None
     on_urgent_head: Callable[[], None] = lambda: None
     slot_queue: SlotQueue = field(default_factory=SlotQueue)
+    origins: OriginSource = field(default_factory=NoOtherHosts)
 
 
 class Progress:
@@ -172,10 +175,12 @@
             self._write = convert_disconnect(self.begin_response(*self._stream_head))
         return self._write
 
-    def forward_events(self, data: bytes, assigned: Assignment) -> bool:
+    def forward_events(
+        self, data: bytes, on_first: Callable[[], None] = lambda: None
+    ) -> bool:
         """Forward the events that ``data`` completes; return whether there were any.
 
-        :param assigned: the send that the events come from.
+        :param on_first: called before the first event is passed on.
         :raises EventError: when the event stream is invalid.
         :raises CallerGone: when the caller has disconnected.
         """
@@ -184,8 +189,8 @@
             return False
         self.record_first_response()
         self._record_event(_clock.now())
-        if self.version is None:
-            self.version = assigned.version
+        if self.state.produced == 0:
+            on_first()
         self.state = replace(self.state, produced=self.state.produced + events.count)
         self.begin_stream()(events.data)
         return True
--- a/src/rudderpass/exchange/_request.py
+++ b/src/rudderpass/exchange/_request.py
@@ -53,6 +53,11 @@
     last_event_id: str | None = None
     resumes: RequestId | None = None
 
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the caller holds events of the stream already."""
+        return self.resumes is not None or self.last_event_id is not None
+
     @property
     def split_key(self) -> str:
         """The key that assigns the request to one service of a split route.
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -42,6 +42,7 @@
     read_complete_body,
     stale_connection_error,
 )
+from rudderpass.exchange._resumption import record_stream_begun
 from rudderpass.learning import StreamSample
 
 _OVERDUE_POLL_SECONDS = 0.1
@@ -353,7 +354,7 @@
 
     def _forward_events(self, data: bytes) -> None:
         try:
-            has_forwarded = self._progress.forward_events(data, self._assigned)
+            has_forwarded = self._progress.forward_events(data, self._bind_version)
         except EventError as error:
             raise self._upstream_error(f"invalid event stream: {error}") from error
         if not has_forwarded:
@@ -362,6 +363,18 @@
         self._progress.record_started(self._accepted.team, _clock.now())
         self._record_late_pause()
 
+    def _bind_version(self) -> None:
+        """Bind the stream to the version of its first event, on all hosts."""
+        self._progress.version = self._assigned.version
+        record_stream_begun(
+            self._progress.request,
+            self._accepted,
+            self._assigned.version,
+            self._context.core,
+            self._context.lock,
+            self._context.origins,
+        )
+
     def _record_late_pause(self) -> None:
         pause = self._progress.latest_pause
         if pause > (self._accepted.route.gap_target or math.inf):
--- a/src/rudderpass/exchange/_serve.py
+++ b/src/rudderpass/exchange/_serve.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 
 from rudderpass import _clock
-from rudderpass._ids import UpstreamId
+from rudderpass._ids import SoftwareVersion, UpstreamId
 from rudderpass.errors import (
     CallerGone,
     ConnectionCut,
@@ -17,7 +17,12 @@
 )
 from rudderpass.exchange._assignment import Accepted, Assignment, RefusalReason, Refused
 from rudderpass.exchange._budget import RetryDecision
-from rudderpass.exchange._logging import log_attempt, log_choice, log_response
+from rudderpass.exchange._logging import (
+    log_attempt,
+    log_choice,
+    log_origin,
+    log_response,
+)
 from rudderpass.exchange._progress import (
     ExchangeContext,
     ExchangeOutcome,
@@ -33,6 +38,7 @@
     UpstreamFailureResponse,
     forward_response,
 )
+from rudderpass.exchange._resumption import find_stream_version
 from rudderpass.exchange._send import Send
 from rudderpass.streams import AttemptState, NextStep, decide_next, record_failure
 from rudderpass.webserver import CallerConnection
@@ -74,6 +80,7 @@
     RefusalReason.NO_SERVICE: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.NO_UPSTREAM: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.NO_VERSION: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.UNKNOWN_STREAM: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.NO_REGION: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.THROTTLED: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.NO_SLOT: HTTPStatus.SERVICE_UNAVAILABLE,
@@ -155,6 +162,10 @@
         self._progress.state = AttemptState(
             route.is_repeatable, max_attempts=max(1, route.max_attempts)
         )
+        version = self._find_version(accepted)
+        if isinstance(version, Refused):
+            return self._give_up(version)
+        self._progress.version = version
         while True:
             assigned = self._assign(accepted, quarantine_gate)
             if isinstance(assigned, Refused):
@@ -182,6 +193,20 @@
         if not self._context.initialized.is_set():
             self._context.initialized.wait(START_WAIT_SECONDS)
 
+    def _find_version(self, accepted: Accepted) -> SoftwareVersion | Refused | None:
+        """Return the version that must go on with a resumed stream, if any must.
+
+        :raises CallerGone: when the caller has disconnected.
+        """
+        context = self._context
+        version = find_stream_version(
+            self._request, accepted, context.core, context.lock, context.origins
+        )
+        if self._caller.is_disconnected:
+            raise CallerGone("the caller left", step="origin")
+        log_origin(self._request, accepted, version)
+        return version
+
     def _assign(
         self, accepted: Accepted, quarantine_gate: QuarantineGate
     ) -> Assignment | Refused:
--- a/src/rudderpass/gossip/__init__.py
+++ b/src/rudderpass/gossip/__init__.py
@@ -23,6 +23,12 @@
     encode_settled_usage as encode_settled_usage,
 )
 from rudderpass.gossip._heartbeat import Heartbeat as Heartbeat
+from rudderpass.gossip._origins import (
+    MAX_SENT_ORIGINS as MAX_SENT_ORIGINS,
+    OriginMessage as OriginMessage,
+    decode_archived as decode_archived,
+    encode_archived as encode_archived,
+)
 from rudderpass.gossip._peer_table import (
     CANDIDATE_SECONDS as CANDIDATE_SECONDS,
     HEARTBEATS_PER_PEER_SAMPLE as HEARTBEATS_PER_PEER_SAMPLE,
--- a/src/rudderpass/gossip/_codec.py
+++ b/src/rudderpass/gossip/_codec.py
@@ -27,6 +27,7 @@
 from rudderpass.gossip._evacuations import evacuations_from_wire, evacuations_to_wire
 from rudderpass.gossip._gen.wire import ttypes as wire
 from rudderpass.gossip._heartbeat import Heartbeat
+from rudderpass.gossip._origins import versions_from_wire, versions_to_wire
 from rudderpass.gossip._rate_limits import rate_limit_from_wire, rate_limit_to_wire
 from rudderpass.gossip._suspects import suspect_from_wire, suspect_to_wire
 from rudderpass.gossip._wire import MAX_I32, required
@@ -91,6 +92,7 @@
             evacuations_to_wire(heartbeat.evacuations),
             cold_ms=cold_to_wire(heartbeat.cold) or None,
             brittle=[brittle_to_wire(report) for report in heartbeat.brittle] or None,
+            versions=versions_to_wire(heartbeat.versions),
         )
     )
     return data if len(data) < MIN_DEFLATED_BYTES else _deflate(data)
@@ -132,6 +134,7 @@
             evacuations_from_wire(raw.evacuations),
             cold=cold_from_wire(raw.cold_ms),
             brittle=tuple(brittle_from_wire(item) for item in raw.brittle or ()),
+            versions=versions_from_wire(raw.versions),
         )
     except TypeError as error:
         raise PeerError(f"invalid heartbeat: {error}", step="decode") from error
--- a/src/rudderpass/gossip/_gen/wire/ttypes.py
+++ b/src/rudderpass/gossip/_gen/wire/ttypes.py
@@ -1935,6 +1935,396 @@
         return not (self == other)
 
 
+class ServiceVersion(object):
+    """
+    Attributes:
+     - pool
+     - version
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'pool',
+        'version',
+        'age_ms',
+    )
+
+
+    def __init__(self, pool=None, version=None, age_ms=None,):
+        self.pool = pool
+        self.version = version
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceVersion')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamOrigin(object):
+    """
+    Attributes:
+     - key
+     - version
+     - left_ms
+
+    """
+
+    __slots__ = (
+        'key',
+        'version',
+        'left_ms',
+    )
+
+
+    def __init__(self, key=None, version=None, left_ms=None,):
+        self.key = key
+        self.version = version
+        self.left_ms = left_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamOrigin')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeBinary(self.key)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 3)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamOrigins(object):
+    """
+    Attributes:
+     - told
+     - asked
+     - unknown
+
+    """
+
+    __slots__ = (
+        'told',
+        'asked',
+        'unknown',
+    )
+
+
+    def __init__(self, told=None, asked=None, unknown=None,):
+        self.told = told
+        self.asked = asked
+        self.unknown = unknown
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.told = []
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = StreamOrigin()
+                        _elem91.read(iprot)
+                        self.told.append(_elem91)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.asked = []
+                    (_etype95, _size92) = iprot.readListBegin()
+                    for _i96 in range(_size92):
+                        _elem97 = iprot.readBinary()
+                        self.asked.append(_elem97)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.unknown = []
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readBinary()
+                        self.unknown.append(_elem103)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamOrigins')
+        if self.told is not None:
+            oprot.writeFieldBegin('told', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.told))
+            for iter104 in self.told:
+                iter104.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.asked is not None:
+            oprot.writeFieldBegin('asked', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.asked))
+            for iter105 in self.asked:
+                oprot.writeBinary(iter105)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.unknown is not None:
+            oprot.writeFieldBegin('unknown', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.unknown))
+            for iter106 in self.unknown:
+                oprot.writeBinary(iter106)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ArchivedOrigins(object):
+    """
+    Attributes:
+     - origins
+     - written_ms
+
+    """
+
+    __slots__ = (
+        'origins',
+        'written_ms',
+    )
+
+
+    def __init__(self, origins=None, written_ms=None,):
+        self.origins = origins
+        self.written_ms = written_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.origins = []
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = StreamOrigin()
+                        _elem112.read(iprot)
+                        self.origins.append(_elem112)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.written_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ArchivedOrigins')
+        if self.origins is not None:
+            oprot.writeFieldBegin('origins', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.origins))
+            for iter113 in self.origins:
+                iter113.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.written_ms is not None:
+            oprot.writeFieldBegin('written_ms', TType.I64, 2)
+            oprot.writeI64(self.written_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Beat(object):
     """
     Attributes:
@@ -1964,6 +2354,7 @@
      - evacuations
      - cold_ms
      - brittle
+     - versions
 
     """
 
@@ -1994,10 +2385,11 @@
         'evacuations',
         'cold_ms',
         'brittle',
+        'versions',
     )
 
 
-    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None, era=None, config_version=None, evacuations=None, cold_ms=None, brittle=None,):
+    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None, era=None, config_version=None, evacuations=None, cold_ms=None, brittle=None, versions=None,):
         self.config_offset = config_offset
         self.upstreams_end = upstreams_end
         self.stopping = stopping
@@ -2024,6 +2416,7 @@
         self.evacuations = evacuations
         self.cold_ms = cold_ms
         self.brittle = brittle
+        self.versions = versions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2052,32 +2445,32 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = UpstreamLoad()
-                        _elem91.read(iprot)
-                        self.loads.append(_elem91)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = UpstreamLoad()
+                        _elem119.read(iprot)
+                        self.loads.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype95, _size92) = iprot.readListBegin()
-                    for _i96 in range(_size92):
-                        _elem97 = SentPrompt()
-                        _elem97.read(iprot)
-                        self.prompts.append(_elem97)
+                    (_etype123, _size120) = iprot.readListBegin()
+                    for _i124 in range(_size120):
+                        _elem125 = SentPrompt()
+                        _elem125.read(iprot)
+                        self.prompts.append(_elem125)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.peers.append(_elem103)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.peers.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2094,22 +2487,22 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.streams = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = StreamSample()
-                        _elem109.read(iprot)
-                        self.streams.append(_elem109)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = StreamSample()
+                        _elem137.read(iprot)
+                        self.streams.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.reading = []
-                    (_etype113, _size110) = iprot.readListBegin()
-                    for _i114 in range(_size110):
-                        _elem115 = ServiceReading()
-                        _elem115.read(iprot)
-                        self.reading.append(_elem115)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = ServiceReading()
+                        _elem143.read(iprot)
+                        self.reading.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2137,11 +2530,11 @@
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = Suspect()
-                        _elem121.read(iprot)
-                        self.suspects.append(_elem121)
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = Suspect()
+                        _elem149.read(iprot)
+                        self.suspects.append(_elem149)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2169,21 +2562,21 @@
             elif fid == 21:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype125, _size122) = iprot.readListBegin()
-                    for _i126 in range(_size122):
-                        _elem127 = RateLimit()
-                        _elem127.read(iprot)
-                        self.rate_limits.append(_elem127)
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = RateLimit()
+                        _elem155.read(iprot)
+                        self.rate_limits.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 22:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving.append(_elem133)
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem161)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2200,33 +2593,44 @@
             elif fid == 25:
                 if ftype == TType.LIST:
                     self.evacuations = []
-                    (_etype137, _size134) = iprot.readListBegin()
-                    for _i138 in range(_size134):
-                        _elem139 = Evacuation()
-                        _elem139.read(iprot)
-                        self.evacuations.append(_elem139)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = Evacuation()
+                        _elem167.read(iprot)
+                        self.evacuations.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 26:
                 if ftype == TType.MAP:
                     self.cold_ms = {}
-                    (_ktype141, _vtype142, _size140) = iprot.readMapBegin()
-                    for _i144 in range(_size140):
-                        _key145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val146 = iprot.readI32()
-                        self.cold_ms[_key145] = _val146
+                    (_ktype169, _vtype170, _size168) = iprot.readMapBegin()
+                    for _i172 in range(_size168):
+                        _key173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val174 = iprot.readI32()
+                        self.cold_ms[_key173] = _val174
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 27:
                 if ftype == TType.LIST:
                     self.brittle = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = Brittle()
-                        _elem152.read(iprot)
-                        self.brittle.append(_elem152)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = Brittle()
+                        _elem180.read(iprot)
+                        self.brittle.append(_elem180)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 28:
+                if ftype == TType.LIST:
+                    self.versions = []
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = ServiceVersion()
+                        _elem186.read(iprot)
+                        self.versions.append(_elem186)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2255,22 +2659,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter153 in self.loads:
-                iter153.write(oprot)
+            for iter187 in self.loads:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter154 in self.prompts:
-                iter154.write(oprot)
+            for iter188 in self.prompts:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.peers))
-            for iter155 in self.peers:
-                oprot.writeString(iter155.encode('utf-8') if sys.version_info[0] == 2 else iter155)
+            for iter189 in self.peers:
+                oprot.writeString(iter189.encode('utf-8') if sys.version_info[0] == 2 else iter189)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.warm is not None:
@@ -2284,15 +2688,15 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter156 in self.streams:
-                iter156.write(oprot)
+            for iter190 in self.streams:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reading is not None:
             oprot.writeFieldBegin('reading', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.reading))
-            for iter157 in self.reading:
-                iter157.write(oprot)
+            for iter191 in self.reading:
+                iter191.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.zone is not None:
@@ -2314,8 +2718,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter158 in self.suspects:
-                iter158.write(oprot)
+            for iter192 in self.suspects:
+                iter192.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.duty_token is not None:
@@ -2337,15 +2741,15 @@
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter159 in self.rate_limits:
-                iter159.write(oprot)
+            for iter193 in self.rate_limits:
+                iter193.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 22)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter160 in self.leaving:
-                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
+            for iter194 in self.leaving:
+                oprot.writeString(iter194.encode('utf-8') if sys.version_info[0] == 2 else iter194)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2359,23 +2763,30 @@
         if self.evacuations is not None:
             oprot.writeFieldBegin('evacuations', TType.LIST, 25)
             oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
-            for iter161 in self.evacuations:
-                iter161.write(oprot)
+            for iter195 in self.evacuations:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cold_ms is not None:
             oprot.writeFieldBegin('cold_ms', TType.MAP, 26)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.cold_ms))
-            for kiter162, viter163 in self.cold_ms.items():
-                oprot.writeString(kiter162.encode('utf-8') if sys.version_info[0] == 2 else kiter162)
-                oprot.writeI32(viter163)
+            for kiter196, viter197 in self.cold_ms.items():
+                oprot.writeString(kiter196.encode('utf-8') if sys.version_info[0] == 2 else kiter196)
+                oprot.writeI32(viter197)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.brittle is not None:
             oprot.writeFieldBegin('brittle', TType.LIST, 27)
             oprot.writeListBegin(TType.STRUCT, len(self.brittle))
-            for iter164 in self.brittle:
-                iter164.write(oprot)
+            for iter198 in self.brittle:
+                iter198.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.versions is not None:
+            oprot.writeFieldBegin('versions', TType.LIST, 28)
+            oprot.writeListBegin(TType.STRUCT, len(self.versions))
+            for iter199 in self.versions:
+                iter199.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2430,11 +2841,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype168, _size165) = iprot.readListBegin()
-                    for _i169 in range(_size165):
-                        _elem170 = SentPrompt()
-                        _elem170.read(iprot)
-                        self.prompts.append(_elem170)
+                    (_etype203, _size200) = iprot.readListBegin()
+                    for _i204 in range(_size200):
+                        _elem205 = SentPrompt()
+                        _elem205.read(iprot)
+                        self.prompts.append(_elem205)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2451,8 +2862,8 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter171 in self.prompts:
-                iter171.write(oprot)
+            for iter206 in self.prompts:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2623,11 +3034,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype175, _size172) = iprot.readListBegin()
-                    for _i176 in range(_size172):
-                        _elem177 = KeyedRecord()
-                        _elem177.read(iprot)
-                        self.upstreams.append(_elem177)
+                    (_etype210, _size207) = iprot.readListBegin()
+                    for _i211 in range(_size207):
+                        _elem212 = KeyedRecord()
+                        _elem212.read(iprot)
+                        self.upstreams.append(_elem212)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2639,11 +3050,11 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.ending_ms = {}
-                    (_ktype179, _vtype180, _size178) = iprot.readMapBegin()
-                    for _i182 in range(_size178):
-                        _key183 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val184 = iprot.readI32()
-                        self.ending_ms[_key183] = _val184
+                    (_ktype214, _vtype215, _size213) = iprot.readMapBegin()
+                    for _i217 in range(_size213):
+                        _key218 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val219 = iprot.readI32()
+                        self.ending_ms[_key218] = _val219
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2660,11 +3071,11 @@
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.held_ms = {}
-                    (_ktype186, _vtype187, _size185) = iprot.readMapBegin()
-                    for _i189 in range(_size185):
-                        _key190 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val191 = iprot.readI32()
-                        self.held_ms[_key190] = _val191
+                    (_ktype221, _vtype222, _size220) = iprot.readMapBegin()
+                    for _i224 in range(_size220):
+                        _key225 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val226 = iprot.readI32()
+                        self.held_ms[_key225] = _val226
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2685,8 +3096,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter192 in self.upstreams:
-                iter192.write(oprot)
+            for iter227 in self.upstreams:
+                iter227.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_end is not None:
@@ -2696,9 +3107,9 @@
         if self.ending_ms is not None:
             oprot.writeFieldBegin('ending_ms', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.ending_ms))
-            for kiter193, viter194 in self.ending_ms.items():
-                oprot.writeString(kiter193.encode('utf-8') if sys.version_info[0] == 2 else kiter193)
-                oprot.writeI32(viter194)
+            for kiter228, viter229 in self.ending_ms.items():
+                oprot.writeString(kiter228.encode('utf-8') if sys.version_info[0] == 2 else kiter228)
+                oprot.writeI32(viter229)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.changes_from is not None:
@@ -2712,9 +3123,9 @@
         if self.held_ms is not None:
             oprot.writeFieldBegin('held_ms', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.held_ms))
-            for kiter195, viter196 in self.held_ms.items():
-                oprot.writeString(kiter195.encode('utf-8') if sys.version_info[0] == 2 else kiter195)
-                oprot.writeI32(viter196)
+            for kiter230, viter231 in self.held_ms.items():
+                oprot.writeString(kiter230.encode('utf-8') if sys.version_info[0] == 2 else kiter230)
+                oprot.writeI32(viter231)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2879,6 +3290,33 @@
     (2, TType.LIST, 'windows', (TType.STRUCT, [WindowUsage, None], False), None, ),  # 2
     (3, TType.I64, 'era', None, None, ),  # 3
 )
+all_structs.append(ServiceVersion)
+ServiceVersion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(StreamOrigin)
+StreamOrigin.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'left_ms', None, None, ),  # 3
+)
+all_structs.append(StreamOrigins)
+StreamOrigins.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'told', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 1
+    (2, TType.LIST, 'asked', (TType.STRING, 'BINARY', False), None, ),  # 2
+    (3, TType.LIST, 'unknown', (TType.STRING, 'BINARY', False), None, ),  # 3
+)
+all_structs.append(ArchivedOrigins)
+ArchivedOrigins.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 1
+    (2, TType.I64, 'written_ms', None, None, ),  # 2
+)
 all_structs.append(Beat)
 Beat.thrift_spec = (
     None,  # 0
@@ -2909,6 +3347,7 @@
     (25, TType.LIST, 'evacuations', (TType.STRUCT, [Evacuation, None], False), None, ),  # 25
     (26, TType.MAP, 'cold_ms', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 26
     (27, TType.LIST, 'brittle', (TType.STRUCT, [Brittle, None], False), None, ),  # 27
+    (28, TType.LIST, 'versions', (TType.STRUCT, [ServiceVersion, None], False), None, ),  # 28
 )
 all_structs.append(Prompts)
 Prompts.thrift_spec = (
--- a/src/rudderpass/gossip/_heartbeat.py
+++ b/src/rudderpass/gossip/_heartbeat.py
@@ -5,7 +5,14 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from rudderpass._ids import AvailabilityZone, NodeId, PoolId, StoreEra, UpstreamId
+from rudderpass._ids import (
+    AvailabilityZone,
+    NodeId,
+    PoolId,
+    SoftwareVersion,
+    StoreEra,
+    UpstreamId,
+)
 from rudderpass.directory import UNKNOWN_ERA, EvacuationStatement, ViewPosition
 from rudderpass.duties import DutyStatus, HostUsage
 from rudderpass.exchange import (
@@ -49,6 +56,8 @@
     :param evacuations: what it knows of evacuated zones.
     :param cold: seconds for which upstreams stay cold, as their responses told.
     :param brittle: services with brittle upstreams.
+    :param versions: for services with several software versions, the seconds since an
+        upstream of each was listed.
     """
 
     sender: NodeId
@@ -76,6 +85,9 @@
     evacuations: tuple[EvacuationStatement, ...] = ()
     cold: Mapping[UpstreamId, float] = field(default_factory=dict)
     brittle: tuple[BrittleReport, ...] = ()
+    versions: Mapping[PoolId, Mapping[SoftwareVersion, float]] = field(
+        default_factory=dict
+    )
 
     @property
     def position(self) -> ViewPosition:
--- a/src/rudderpass/gossip/_transport.py
+++ b/src/rudderpass/gossip/_transport.py
@@ -22,6 +22,12 @@
     encode_state,
 )
 from rudderpass.gossip._heartbeat import Heartbeat
+from rudderpass.gossip._origins import (
+    ORIGINS_TAG,
+    OriginMessage,
+    decode_origins,
+    encode_origins,
+)
 from rudderpass.webserver import HttpServer, ServerLimits
 
 STATE_PATH = "/state"
@@ -53,6 +59,7 @@
     :param on_error: called with each error in sending or receiving.
     :param state: returns what a peer at a position is missing.
     :param prompts: returns the prompts that this host assumes to be cached.
+    :param on_origins: called with each message about streams, and its sender.
 
     .. versionadded:: 0.2
     """
@@ -64,12 +71,16 @@
         on_error: Callable[[PeerError], None],
         state: Callable[[ViewPosition], DirectoryState],
         prompts: Callable[[], tuple[SentPrompt, ...]],
+        on_origins: Callable[
+            [OriginMessage, NodeId], None
+        ] = lambda message, peer: None,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._on_heartbeat = on_heartbeat
         self._on_error = on_error
         self._state = state
         self._prompts = prompts
+        self._on_origins = on_origins
         self._socket, self._server = self._bind(host, int(port))
         self._address = NodeId(self._server.address)
         self._stopping = False
@@ -107,6 +118,13 @@
         data = encode_heartbeat(heartbeat)
         if len(data) > MAX_DATAGRAM_BYTES:
             raise PeerError(f"heartbeat of {len(data)} bytes is too long", step="tell")
+        self._send(data, peers)
+
+    def send_origins(self, message: OriginMessage, peers: Iterable[NodeId]) -> None:
+        """Send a message about streams to peers."""
+        self._send(encode_origins(message), peers)
+
+    def _send(self, data: bytes, peers: Iterable[NodeId]) -> None:
         burst = 0
         for peer in peers:
             if burst + len(data) > MAX_BURST_BYTES:
@@ -117,7 +135,7 @@
             try:
                 self._socket.sendto(data, (host, int(port)))
             except OSError as error:
-                text = f"heartbeat not sent: {error}"
+                text = f"datagram not sent: {error}"
                 self._on_error(PeerError(text, step="tell", peer=peer))
                 continue
             self.sent_bytes += len(data)
@@ -194,15 +212,21 @@
             if self._stopping:
                 return
             try:
-                self._on_heartbeat(decode_heartbeat(data, NodeId(f"{host}:{port}")))
+                self._process(data, NodeId(f"{host}:{port}"))
             except PeerError as error:
                 self._on_error(error)
             except Exception as error:
-                # A faulty heartbeat must not stop the receiving of all others.
+                # A faulty datagram must not stop the receiving of all others.
                 self._on_error(
-                    PeerError(f"heartbeat not processed: {error!r}", step="beat")
+                    PeerError(f"datagram not processed: {error!r}", step="beat")
                 )
 
+    def _process(self, data: bytes, sender: NodeId) -> None:
+        if data[:1] == ORIGINS_TAG:
+            self._on_origins(decode_origins(data), sender)
+        else:
+            self._on_heartbeat(decode_heartbeat(data, sender))
+
 
 def _format_position(position: ViewPosition) -> str:
     """Return a query; hosts that know only its first two numbers return everything."""
--- a/src/rudderpass/host/_gossip_protocol.py
+++ b/src/rudderpass/host/_gossip_protocol.py
@@ -190,6 +190,7 @@
         for upstream, rate in self._core.rate_limits.merge(heartbeat.rate_limits, now):
             log_rate_limit(upstream, rate, heartbeat.sender)
         self._core.cold_starts.merge(heartbeat.cold, now)
+        self._core.origins.merge_versions(heartbeat.versions, now)
         for service in self._core.brittle.merge(heartbeat.brittle, now):
             log_brittle(service, heartbeat.sender)
         for upstream in heartbeat.leaving:
@@ -454,4 +455,5 @@
             directory.evacuations.statements(now),
             cold=self._core.cold_starts.describe_reported(now),
             brittle=self._core.brittle.reports(now),
+            versions=self._core.origins.describe_versions(now),
         )
--- /dev/null
+++ b/src/rudderpass/origins/_tracker.py
@@ -0,0 +1,131 @@
+"""Decides which software version may go on with a stream, without clocks or sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from hashlib import blake2b
+
+from rudderpass._ids import PoolId, RequestId, SoftwareVersion, TeamId
+from rudderpass.directory import Directory, RegisteredUpstream
+from rudderpass.origins._table import (
+    MAX_KEPT_SECONDS,
+    OriginTable,
+    StreamKey,
+    StreamOrigin,
+)
+from rudderpass.origins._versions import ServiceVersions
+
+_KEY_BYTES = 12
+"""Large enough to rule out collisions among the streams of a few minutes."""
+
+
+def make_stream_key(
+    service: PoolId, team: TeamId | None, request_id: RequestId
+) -> StreamKey:
+    """Return the key of the stream that a request began.
+
+    The team is part of it: the id of another team's request finds nothing.
+    """
+    digest = blake2b(digest_size=_KEY_BYTES)
+    for field in (service, team or "", request_id):
+        encoded = field.encode("utf-8", "surrogateescape")
+        digest.update(len(encoded).to_bytes(4, "big"))
+        digest.update(encoded)
+    return StreamKey(digest.digest())
+
+
+class StreamOrigins:
+    """The origins of streams that this host knows, and the versions of each service.
+
+    Streams that this host began are kept whether or not their service has several
+    versions: a second version may appear while they run.
+
+    Not thread-safe: the host's lock guards it.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, directory: Directory) -> None:
+        self._directory = directory
+        self._versions = ServiceVersions()
+        self._own = OriginTable()
+        self._kept = OriginTable()
+
+    @property
+    def own(self) -> OriginTable:
+        """Streams that this host passed on."""
+        return self._own
+
+    @property
+    def kept(self) -> OriginTable:
+        """Streams that other hosts passed on."""
+        return self._kept
+
+    @property
+    def count(self) -> int:
+        """Number of streams whose origin is known here."""
+        return len(self._own) + len(self._kept)
+
+    def has_several_versions(self, service: PoolId, now: float) -> bool:
+        """Return whether streams of a service may have begun at several versions."""
+        listed = self._directory.listed.values()
+        self._versions.record(
+            (item.entry for item in listed if item.entry.service == service), now
+        )
+        return self._versions.has_several(service, now)
+
+    def record_begun(
+        self, key: StreamKey, version: SoftwareVersion, left: float, now: float
+    ) -> StreamOrigin:
+        """Record that this host passes on a stream of a version.
+
+        :param left: seconds for which the caller may resume it.
+        """
+        origin = StreamOrigin(key, version, min(left, MAX_KEPT_SECONDS))
+        self._own.add(origin, now)
+        self._remember_for(origin.left)
+        return origin
+
+    def merge(self, origins: Iterable[StreamOrigin], now: float) -> None:
+        """Keep origins that a peer or the store tells."""
+        for origin in origins:
+            self._kept.add(origin, now)
+            self._remember_for(min(origin.left, MAX_KEPT_SECONDS))
+
+    def merge_versions(
+        self, ages: Mapping[PoolId, Mapping[SoftwareVersion, float]], now: float
+    ) -> None:
+        """Merge the versions that a peer has seen, as ages in seconds."""
+        self._versions.merge(ages, now)
+
+    def describe_versions(
+        self, now: float
+    ) -> dict[PoolId, dict[SoftwareVersion, float]]:
+        """Return the ages of the versions of each service that has several."""
+        return self._versions.describe_several(now)
+
+    def find(self, key: StreamKey, now: float) -> StreamOrigin | None:
+        """Return a stream's origin, if this host knows it."""
+        return self._own.find(key, now) or self._kept.find(key, now)
+
+    def tick(self, removed: Iterable[RegisteredUpstream], now: float) -> None:
+        """Record the listed versions, and remove expired state.
+
+        :param removed: upstreams that were listed until now.
+        """
+        listed = (record.entry for record in self._directory.listed.values())
+        self._remember_for(self._find_longest_timeout())
+        self._versions.record((*listed, *removed), now)
+        self._versions.remove_expired(now)
+        self._own.remove_expired(now)
+        self._kept.remove_expired(now)
+
+    def _find_longest_timeout(self) -> float:
+        config = self._directory.config
+        routes = () if config is None else config.routes
+        timeouts = (route.timeout for route in routes if route.resumable)
+        return min(MAX_KEPT_SECONDS, max(timeouts, default=0.0))
+
+    def _remember_for(self, seconds: float) -> None:
+        versions = self._versions
+        versions.remembered = max(versions.remembered, seconds)
--- a/src/rudderpass/platform/_records.py
+++ b/src/rudderpass/platform/_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from hashlib import blake2b
+
 from msgspec import UNSET
 
 from rudderpass._ids import (
@@ -48,6 +50,10 @@
 }
 _DRAINING_STATE = "draining"
 _MS = 1000.0
+
+MAX_VERSION_LENGTH = 64
+"""Characters of a version that is kept as it is."""
+
 _BYTES_PER_MEGABIT = 1_000_000 / 8
 
 _config_schema = Schema(Configuration, "configuration record")
@@ -88,10 +94,18 @@
         leaving=entry.state == _DRAINING_STATE,
         is_spot=entry.spot is True,
         cold_seconds=entry.cold_remaining / _MS,
-        version=SoftwareVersion(entry.version),
+        version=_make_version(entry.version),
     )
 
 
+def _make_version(text: str) -> SoftwareVersion:
+    """Return a version, which hosts tell one another; a long one by its digest."""
+    if len(text) <= MAX_VERSION_LENGTH:
+        return SoftwareVersion(text)
+    encoded = text.encode("utf-8", "surrogateescape")
+    return SoftwareVersion(blake2b(encoded, digest_size=16).hexdigest())
+
+
 def _make_route(item: Route) -> ExchangeRoute:
     gap = item.gap_target_ms
     return ExchangeRoute(
