Keep the origins of streams with peers and in the store

Cause: what a host knows of a stream ended at that host. While a service has several versions a host tells the version of a stream, before it passes on the first event, to three peers that all hosts compute by rendezvous hashing; a host that does not know a resumed stream asks them for up to 0.4 s. One host in eight also writes the origins to the store once a second; its successor, or the same host started again, reads them. Nothing is sent while all services have one version.

--- a/src/rudderpass/exchange/_resumption.py
+++ b/src/rudderpass/exchange/_resumption.py
@@ -100,10 +100,10 @@
         limit = UNLIMITED_TIMEOUTS * accepted.route.timeout
     with lock:
         now = _clock.now()
-        origin = core.origins.record_begun(
-            key, version, limit + RETURN_MARGIN_SECONDS, now
-        )
-        has_several = core.origins.has_several_versions(accepted.service, now)
+        left = limit + RETURN_MARGIN_SECONDS
+        service = accepted.service
+        origin = core.origins.record_begun(service, key, version, left, now)
+        has_several = core.origins.has_several_versions(service, now)
     if has_several:
         source.tell(origin)
 
--- a/src/rudderpass/host/_command.py
+++ b/src/rudderpass/host/_command.py
@@ -27,6 +27,7 @@
     DUTIES_TOPIC,
     EVACUATION_PREFIX,
     HOSTS_TOPIC,
+    ORIGINS_TOPIC,
     SETTINGS_VARIABLE,
     UPSTREAMS_TOPIC,
     CloudApi,
@@ -58,6 +59,7 @@
         config_topic=CONFIG_TOPIC,
         upstreams_topic=UPSTREAMS_TOPIC,
         hosts_topic=HOSTS_TOPIC,
+        origins_topic=ORIGINS_TOPIC,
         duties=duties,
         evacuation_prefix=EVACUATION_PREFIX,
     )
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -29,6 +29,7 @@
 from rudderpass.host._duties import HostDuties
 from rudderpass.host._logging import log_history, log_learned, log_reachability
 from rudderpass.host._metrics import HostMetrics
+from rudderpass.host._origins import PeerOrigins
 from rudderpass.host._peers import PeerGossip
 from rudderpass.host._platform import Platform
 from rudderpass.host._quarantine import QuarantineControl
@@ -102,8 +103,19 @@
             self._lock,
             self._record_learned,
             lambda now: self._suspension_recovery.record_peer_current(now),
+            lambda message, peer: self._origins.receive(message, peer),
         )
         self._stopping = threading.Event()
+        self._origins = PeerOrigins(
+            self._core,
+            self._lock,
+            self._peers.peer_table,
+            self._peers.address,
+            self._peers.transport.send_origins,
+            platform.store,
+            platform.origins_topic,
+            self._stopping,
+        )
         self._duties = self._make_duties()
         self._tunnels = HostTunnels(
             settings.tunnel,
@@ -131,6 +143,7 @@
             lambda: self._suspension_recovery.check(),
             self._record_started,
             self._peers.send_soon,
+            origins=self._origins,
         )
         self._app = ExchangeApp(context)
         self._caller_server = HttpServer(
@@ -204,6 +217,7 @@
                 ("register", registration.run),
                 ("warmup", warmup.run),
                 ("archive", self._quarantine.run_archive),
+                ("origins", self._origins.run_archive),
                 *self._tunnels.threads,
             )
         ]
@@ -324,6 +338,7 @@
         if self._duties is not None:
             self._duties.tick(now)
         self._peers.run_due(now)
+        self._origins.tick(now)
 
     def _make_duties(self) -> HostDuties | None:
         """Return this host's duties, or None if the platform has none."""
--- /dev/null
+++ b/src/rudderpass/host/_origins.py
@@ -0,0 +1,293 @@
+"""Keeps the origins of streams with peers and in the store, and asks for them."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from rudderpass import _clock
+from rudderpass._ids import NodeId
+from rudderpass.errors import PeerError, PlatformError
+from rudderpass.eventlog import log
+from rudderpass.exchange import ExchangeCore
+from rudderpass.gossip import (
+    MAX_SENT_ORIGINS,
+    OriginMessage,
+    PeerTable,
+    decode_archived,
+    encode_archived,
+)
+from rudderpass.host._registry import HostStore
+from rudderpass.origins import (
+    StreamKey,
+    StreamOrigin,
+    choose_archiver,
+    choose_keepers,
+    is_archiver,
+)
+
+ASK_SECONDS = 0.4
+"""How long a resumed stream may wait for its origin. Peers answer in milliseconds; an
+archiver that has just started reads the store first."""
+
+ASK_AGAIN_SECONDS = 0.1
+"""Interval at which peers that have not answered are asked again: datagrams may get
+lost."""
+
+LISTEN_SECONDS = 0.6
+"""How long a started host may wait for a first heartbeat of a peer."""
+
+LISTEN_POLL_SECONDS = 0.02
+
+ISOLATED_SECONDS = 1.5
+"""After this time without a word from the store or a peer, a host does not rely on
+knowing all versions of a service."""
+
+ARCHIVE_SECONDS = 1.0
+"""Interval at which an archiver writes new origins to the store."""
+
+IDLE_SECONDS = 10.0
+"""Interval at which the thread of an archiver wakes while it has nothing to write."""
+
+SendOrigins = Callable[[OriginMessage, Iterable[NodeId]], None]
+
+
+@dataclass
+class _Lookup:
+    """A stream whose origin is asked for.
+
+    :ivar unknown_at: peers that answered that they do not know it.
+    :ivar waiting: number of requests that wait for it.
+    """
+
+    unknown_at: set[NodeId] = field(default_factory=set)
+    waiting: int = 0
+
+
+class PeerOrigins:
+    """Tells origins to the hosts that keep them, and asks these.
+
+    Nothing is sent while all services have a single software version.
+
+    :param lock: guards the core and the peers.
+    :param own: this host's address among its peers.
+    :param send: sends a message to peers.
+    :param store: the platform's store.
+    :param topic: this router's topic for origins.
+    :param stopping: set when the host stops.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        core: ExchangeCore,
+        lock: threading.RLock,
+        peers: PeerTable,
+        own: NodeId,
+        send: SendOrigins,
+        store: HostStore,
+        topic: str,
+        stopping: threading.Event,
+    ) -> None:
+        self._core = core
+        self._changed = threading.Condition(lock)
+        self._peers = peers
+        self._own = own
+        self._send = send
+        self._store = store
+        self._topic = topic
+        self._stopping = stopping
+        self._started = _clock.now()
+        self._lookups: dict[StreamKey, _Lookup] = {}
+        self._told_hosts: frozenset[NodeId] | None = None
+        self._loaded_hosts: frozenset[NodeId] | None = None
+        self._archived: frozenset[StreamKey] = frozenset()
+        self._archive_due = threading.Event()
+        self._written_at = -ARCHIVE_SECONDS
+
+    def may_lack_versions(self, deadline: float) -> bool:
+        """Return whether services may have versions that this host has not heard of."""
+        until = min(deadline, self._started + LISTEN_SECONDS)
+        with self._changed:
+            while self._peers.known and self._peers.last_heard is None:
+                left = until - _clock.now()
+                if left <= 0.0:
+                    break
+                self._changed.wait(min(left, LISTEN_POLL_SECONDS))
+            return self._is_isolated(_clock.now())
+
+    def tell(self, origin: StreamOrigin) -> None:
+        """Tell an origin to the hosts that keep it."""
+        with self._changed:
+            keepers = self._choose_keepers(origin.key)
+        self._send(OriginMessage(told=(origin,)), keepers)
+
+    def find(self, key: StreamKey, deadline: float) -> StreamOrigin | None:
+        """Ask the hosts that keep a stream's origin.
+
+        :returns: None if none of them knows it, or if they do not answer in time.
+        """
+        until = min(deadline, _clock.now() + ASK_SECONDS)
+        with self._changed:
+            lookup = self._lookups.setdefault(key, _Lookup())
+            lookup.waiting += 1
+            try:
+                return self._await_origin(key, lookup, until)
+            finally:
+                lookup.waiting -= 1
+                if not lookup.waiting:
+                    del self._lookups[key]
+
+    def receive(self, message: OriginMessage, sender: NodeId) -> None:
+        """Process a peer's message, and answer what it asks."""
+        with self._changed:
+            now = _clock.now()
+            self._core.origins.merge(message.told, now)
+            for key in message.unknown:
+                if key in self._lookups:
+                    self._lookups[key].unknown_at.add(sender)
+            if message.told or message.unknown:
+                self._changed.notify_all()
+            known = [
+                origin
+                for key in message.asked
+                if (origin := self._core.origins.find(key, now)) is not None
+            ]
+            found = {origin.key for origin in known}
+            missing = tuple(key for key in message.asked if key not in found)
+            if missing and not self._is_loaded():
+                # The store may know them.
+                self._archive_due.set()
+                missing = ()
+        if known or missing:
+            self._send(OriginMessage(tuple(known), unknown=missing), [sender])
+
+    def tick(self, now: float) -> None:
+        """Tell the own streams to hosts that have newly become their keepers."""
+        with self._changed:
+            if not self._core.origins.describe_versions(now):
+                self._told_hosts = None
+                return
+            hosts, told = self._find_hosts(now), self._told_hosts
+            if hosts == told:
+                return
+            if told is None:
+                self._archive_due.set()
+            self._told_hosts = hosts
+            by_keeper: dict[NodeId, list[StreamOrigin]] = {}
+            for origin in self._core.origins.list_own(now):
+                before = choose_keepers(origin.key, told, self._own) if told else []
+                for keeper in choose_keepers(origin.key, hosts, self._own):
+                    if keeper not in before:
+                        by_keeper.setdefault(keeper, []).append(origin)
+        for keeper, origins in by_keeper.items():
+            for first in range(0, len(origins), MAX_SENT_ORIGINS):
+                part = origins[first : first + MAX_SENT_ORIGINS]
+                self._send(OriginMessage(told=tuple(part)), [keeper])
+
+    def run_archive(self) -> None:
+        """Read and write origins in the store until the host stops."""
+        while not self._stopping.is_set():
+            is_idle = self._told_hosts is None
+            self._archive_due.wait(IDLE_SECONDS if is_idle else ARCHIVE_SECONDS)
+            self._archive_due.clear()
+            try:
+                self._load()
+                self._write()
+            except PlatformError as error:
+                log("origin", "not archived yet; will retry.", error=error.show())
+            self._stopping.wait(ASK_AGAIN_SECONDS)
+
+    def _await_origin(
+        self, key: StreamKey, lookup: _Lookup, until: float
+    ) -> StreamOrigin | None:
+        ask_at = 0.0
+        while True:
+            now = _clock.now()
+            known = self._core.origins.find(key, now)
+            if known is not None or now >= until:
+                return known
+            keepers = set(self._choose_keepers(key)) - lookup.unknown_at
+            if not keepers and self._is_loaded():
+                return None
+            if now >= ask_at:
+                ask_at = now + ASK_AGAIN_SECONDS
+                self._archive_due.set()
+                self._send(OriginMessage(asked=(key,)), keepers)
+            self._changed.wait(min(until, ask_at) - now)
+
+    def _choose_keepers(self, key: StreamKey) -> list[NodeId]:
+        return choose_keepers(key, self._find_hosts(_clock.now()), self._own)
+
+    def _find_hosts(self, now: float) -> frozenset[NodeId]:
+        return frozenset((self._own, *self._peers.live(now)))
+
+    def _is_isolated(self, now: float) -> bool:
+        """Return whether neither the store nor a peer has been heard from recently."""
+        heard = self._peers.last_heard
+        if not self._peers.known or heard is None:
+            return False
+        list_age = self._core.directory.list_age(now)
+        return min(now - heard, list_age) > ISOLATED_SECONDS
+
+    def _is_loaded(self) -> bool:
+        """Return whether this host has read what it must know as an archiver.
+
+        The records of an archiver that has ended must be read by its successors.
+        """
+        hosts = self._find_hosts(_clock.now())
+        if not is_archiver(self._own, hosts):
+            return True
+        return self._loaded_hosts is not None and self._loaded_hosts <= hosts
+
+    def _load(self) -> None:
+        """Read the origins that archivers have written, if this host must know them.
+
+        :raises PlatformError: when the store does not answer.
+        """
+        with self._changed:
+            now = _clock.now()
+            has_several = bool(self._core.origins.describe_versions(now))
+            if self._is_loaded() or not has_several:
+                return
+            hosts = self._find_hosts(now)
+        page = self._store.read_newest(self._topic)
+        origins: list[StreamOrigin] = []
+        for record in page.records:
+            try:
+                origins += decode_archived(record.value or b"", time.time())
+            except PeerError as error:
+                log("origin", f"a record cannot be read, {error.show()}.")
+        with self._changed:
+            self._core.origins.merge(origins, _clock.now())
+            self._loaded_hosts = hosts
+            self._changed.notify_all()
+        log("origin", f"{len(origins)} origins read from the store.")
+
+    def _write(self) -> None:
+        """Write the origins that this host archives, if there are new ones.
+
+        :raises PlatformError: when they may not have been written.
+        """
+        with self._changed:
+            now = _clock.now()
+            hosts = self._find_hosts(now)
+            is_due = now - self._written_at >= ARCHIVE_SECONDS
+            if not is_due or not is_archiver(self._own, hosts) or not self._is_loaded():
+                return
+            origins = [
+                origin
+                for origin in self._core.origins.list_all(now)
+                if choose_archiver(origin.key, hosts) == self._own
+            ]
+        keys = frozenset(origin.key for origin in origins)
+        if keys <= self._archived:
+            return
+        self._written_at = now
+        self._store.append(
+            self._topic, self._own, encode_archived(origins, time.time())
+        )
+        self._archived = keys
--- a/src/rudderpass/host/_peers.py
+++ b/src/rudderpass/host/_peers.py
@@ -25,6 +25,7 @@
     FollowRule,
     GossipTransport,
     Heartbeat,
+    OriginMessage,
     PeerTable,
 )
 from rudderpass.host._duties import HostDuties
@@ -59,6 +60,7 @@
     :param on_learned: called with the changes fetched from a peer.
     :param on_confirmed: called when a peer that follows the store has no newer state
         than this host.
+    :param on_origins: called with each message about streams, and its sender.
 
     .. versionadded:: 0.2
     """
@@ -73,6 +75,9 @@
         lock: threading.RLock,
         on_learned: Callable[[list[DirectoryChange]], None],
         on_confirmed: Callable[[float], None],
+        on_origins: Callable[
+            [OriginMessage, NodeId], None
+        ] = lambda message, peer: None,
     ) -> None:
         self._duties: HostDuties | None = None
         self._core = core
@@ -94,6 +99,7 @@
             self._record_error,
             self._read_state,
             self._read_prompts,
+            on_origins,
         )
         own = self._transport.address
         self._rng = random.Random(own)
--- a/src/rudderpass/host/_platform.py
+++ b/src/rudderpass/host/_platform.py
@@ -23,5 +23,6 @@
     config_topic: str
     upstreams_topic: str
     hosts_topic: str
+    origins_topic: str
     duties: DutyAccess | None = None
     evacuation_prefix: str | None = None
--- a/src/rudderpass/origins/_tracker.py
+++ b/src/rudderpass/origins/_tracker.py
@@ -48,23 +48,13 @@
     def __init__(self, directory: Directory) -> None:
         self._directory = directory
         self._versions = ServiceVersions()
-        self._own = OriginTable()
+        self._own: dict[PoolId, OriginTable] = {}
         self._kept = OriginTable()
 
-    @property
-    def own(self) -> OriginTable:
-        """Streams that this host passed on."""
-        return self._own
-
-    @property
-    def kept(self) -> OriginTable:
-        """Streams that other hosts passed on."""
-        return self._kept
-
     @property
     def count(self) -> int:
         """Number of streams whose origin is known here."""
-        return len(self._own) + len(self._kept)
+        return sum(map(len, self._own.values())) + len(self._kept)
 
     def has_several_versions(self, service: PoolId, now: float) -> bool:
         """Return whether streams of a service may have begun at several versions."""
@@ -75,14 +65,19 @@
         return self._versions.has_several(service, now)
 
     def record_begun(
-        self, key: StreamKey, version: SoftwareVersion, left: float, now: float
+        self,
+        service: PoolId,
+        key: StreamKey,
+        version: SoftwareVersion,
+        left: float,
+        now: float,
     ) -> StreamOrigin:
         """Record that this host passes on a stream of a version.
 
         :param left: seconds for which the caller may resume it.
         """
         origin = StreamOrigin(key, version, min(left, MAX_KEPT_SECONDS))
-        self._own.add(origin, now)
+        self._own.setdefault(service, OriginTable()).add(origin, now)
         self._remember_for(origin.left)
         return origin
 
@@ -106,7 +101,25 @@
 
     def find(self, key: StreamKey, now: float) -> StreamOrigin | None:
         """Return a stream's origin, if this host knows it."""
-        return self._own.find(key, now) or self._kept.find(key, now)
+        found = (table.find(key, now) for table in self._own.values())
+        own = next((origin for origin in found if origin is not None), None)
+        return own or self._kept.find(key, now)
+
+    def list_own(self, now: float) -> list[StreamOrigin]:
+        """Return the streams that this host passed on of services of several versions.
+
+        The oldest of each service come first.
+        """
+        return [
+            origin
+            for service, table in self._own.items()
+            if self._versions.has_several(service, now)
+            for origin in table.list_all(now)
+        ]
+
+    def list_all(self, now: float) -> list[StreamOrigin]:
+        """Return the streams of services of several versions that this host knows."""
+        return [*self._kept.list_all(now), *self.list_own(now)]
 
     def tick(self, removed: Iterable[RegisteredUpstream], now: float) -> None:
         """Record the listed versions, and remove expired state.
@@ -117,7 +130,8 @@
         self._remember_for(self._find_longest_timeout())
         self._versions.record((*listed, *removed), now)
         self._versions.remove_expired(now)
-        self._own.remove_expired(now)
+        for table in self._own.values():
+            table.remove_expired(now)
         self._kept.remove_expired(now)
 
     def _find_longest_timeout(self) -> float:
--- a/src/rudderpass/platform/__init__.py
+++ b/src/rudderpass/platform/__init__.py
@@ -20,6 +20,7 @@
     DUTIES_TOPIC as DUTIES_TOPIC,
     EVACUATION_PREFIX as EVACUATION_PREFIX,
     HOSTS_TOPIC as HOSTS_TOPIC,
+    ORIGINS_TOPIC as ORIGINS_TOPIC,
     UPSTREAMS_TOPIC as UPSTREAMS_TOPIC,
     KeyedStore as KeyedStore,
 )
--- a/src/rudderpass/platform/_store.py
+++ b/src/rudderpass/platform/_store.py
@@ -27,6 +27,9 @@
 HOSTS_TOPIC = "keyed.rudderpass-hosts"
 """This router's own topic for the addresses at which hosts reach each other."""
 
+ORIGINS_TOPIC = "keyed.rudderpass-origins"
+"""This router's own topic for the software versions that began streams."""
+
 DUTIES_TOPIC = "keyed.rudderpass-duties"
 """This router's own topic for the holder of the duties, and for settled usage."""
 
--- a/tests/host/test_stream_versions.py
+++ b/tests/host/test_stream_versions.py
@@ -8,6 +8,7 @@
 import pytest
 
 from rudderpass.host import ExchangeHost
+from rudderpass.platform import ORIGINS_TOPIC
 from tests.host.test_host import read_gauge
 from tests.host.versions import VersionedDeployment, wait_until
 
@@ -90,3 +91,95 @@
     served = resume(deployment, started, names)
     assert count_mixed(deployment, served) == 0
     assert len(served) >= STREAMS / 2
+
+
+def test_a_stream_is_resumed_at_another_host_after_its_host_was_killed(
+    deployment: VersionedDeployment,
+) -> None:
+    first, second, third = start_hosts(deployment, 3)
+    names = begin(deployment, first)
+    first.close()
+    served = resume(deployment, second, names[::2])
+    served += resume(deployment, third, names[1::2])
+    assert sorted(served) == sorted(names)
+    assert count_mixed(deployment, names) == 0
+
+
+def test_a_third_attempt_that_names_the_first_is_served_by_its_version(
+    deployment: VersionedDeployment,
+) -> None:
+    first, second, third = start_hosts(deployment, 3)
+    names = begin(deployment, first)
+    resume(deployment, second, names)
+    first.close()
+    for name in names:
+        taken = deployment.take(third, f"{name}-third", 3, name, 6)
+        assert taken.status == 200
+        assert deployment.version_of(f"{name}-third") == deployment.version_of(name)
+
+
+def test_streams_that_began_before_the_second_version_hold_one_version() -> None:
+    deployment = VersionedDeployment()
+    try:
+        deployment.add_upstream("v1")
+        hosts = start_hosts(deployment, 2)
+        names = begin(deployment, hosts[0])
+        for version in ("v2", "v1", "v2"):
+            deployment.add_upstream(version)
+        deployment.end_upstream("i-0")
+        wait_until(lambda: read_gauge(hosts[1], "service_versions") == 2)
+        served = resume(deployment, hosts[1], names)
+        assert count_mixed(deployment, served) == 0
+        assert len(served) >= STREAMS / 2
+    finally:
+        deployment.close()
+
+
+def test_a_stream_whose_version_has_ended_is_refused_at_once(
+    deployment: VersionedDeployment,
+) -> None:
+    (host,) = start_hosts(deployment, 1)
+    assert deployment.take(host, "s", 3).status == 200
+    version = deployment.version_of("s")
+    for name in [n for n, v in deployment.versions.items() if v == version]:
+        deployment.end_upstream(name)
+    wait_until(lambda: read_gauge(host, "upstreams") == 2)
+    began = time.monotonic()
+    taken = deployment.take(host, "s-again", 3, "s", 3)
+    assert (taken.status, taken.retry_after) == (503, None)
+    assert time.monotonic() - began < 0.3
+    assert deployment.version_of("s-again") is None
+
+
+@pytest.mark.parametrize("resumes", ["never-seen", "\u00e9", "x" * 2000])
+def test_an_unknown_stream_is_refused_while_there_are_two_versions(
+    deployment: VersionedDeployment, resumes: str
+) -> None:
+    hosts = start_hosts(deployment, 2)
+    taken = deployment.take(hosts[0], "again", 3, resumes, 3)
+    assert taken.status == 503
+    assert taken.retry_after is not None
+    assert deployment.version_of("again") is None
+
+
+def test_the_id_of_another_teams_stream_is_unknown(
+    deployment: VersionedDeployment,
+) -> None:
+    hosts = start_hosts(deployment, 2)
+    assert deployment.take(hosts[0], "s", 3).status == 200
+    taken = deployment.take(hosts[0], "again", 3, "s", 3, team="other")
+    assert taken.status == 503
+
+
+def test_with_one_version_a_stream_of_unknown_origin_goes_on() -> None:
+    deployment = VersionedDeployment()
+    try:
+        deployment.add_upstream("v1")
+        deployment.add_upstream("v1")
+        hosts = start_hosts(deployment, 2)
+        names = begin(deployment, hosts[0])
+        hosts[0].close()
+        assert resume(deployment, hosts[1], names) == names
+        assert deployment.store.newest(ORIGINS_TOPIC) == {}
+    finally:
+        deployment.close()
--- a/tests/origins/test_tracker.py
+++ b/tests/origins/test_tracker.py
@@ -83,7 +83,7 @@
 
 def test_a_version_counts_while_its_streams_may_be_resumed() -> None:
     origins, _ = make_origins(V1, V2)
-    origins.record_begun(KEY, V1, 20.0, 0.0)
+    origins.record_begun(SERVICE, KEY, V1, 20.0, 0.0)
     origins.tick((), 0.0)
     directory = origins._directory
     directory.apply_upstream_changes([upstream_tombstone(2, 1)], 3, "store", 0.1)
