Copy no cache from an upstream of another software version

A prompt's cache could be copied from an upstream of one version to one of another, so that a stream's run continued from what another version wrote. The sources are now chosen by region and version. The test failed before (copy_from was u1's address); with one version the choice is the same.

--- a/src/rudderpass/exchange/_choice.py
+++ b/src/rudderpass/exchange/_choice.py
@@ -173,7 +173,7 @@
                 loads.get(entry.upstream, Load()),
                 placement,
                 state,
-                sources.find(entry.zone),
+                sources.find(entry),
                 paths[entry.zone],
                 slots,
                 now,
--- a/src/rudderpass/exchange/_copies.py
+++ b/src/rudderpass/exchange/_copies.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from rudderpass._ids import AvailabilityZone, Region
+from rudderpass._ids import AvailabilityZone, Region, SoftwareVersion
 from rudderpass.directory import EngineTraits, RegionMap, RegisteredUpstream
 from rudderpass.exchange._prefixes import PrefixIndex
 from rudderpass.exchange._proximity import Proximity, find_proximity
@@ -47,7 +47,10 @@
 
 
 class CopySources:
-    """The upstreams that a prompt's cache can be copied from, one in each region.
+    """The upstreams that a prompt's cache can be copied from.
+
+    One for each region and software version: what two versions keep may not fit
+    together.
 
     :param upstreams: those that may be copied from.
     :param engine: the service's engine properties; None without engines.
@@ -65,8 +68,8 @@
         now: float,
     ) -> None:
         self._regions = regions
-        self._by_region: dict[Region | None, CopySource] = {}
-        self._best: CopySource | None = None
+        self._by_region: dict[tuple[Region | None, SoftwareVersion], CopySource] = {}
+        self._best: dict[SoftwareVersion, CopySource] = {}
         if engine is None or engine.link_bytes_per_second is None:
             return
         seconds = engine.token_bytes / engine.link_bytes_per_second
@@ -75,15 +78,18 @@
             if tokens >= MIN_COPY_TOKENS:
                 self._add(CopySource(entry, tokens, seconds))
 
-    def find(self, zone: AvailabilityZone) -> CopySource | None:
-        """Return the source for an upstream in a zone: one of its region, if any."""
-        return self._by_region.get(self._regions.group_of(zone), self._best)
+    def find(self, entry: RegisteredUpstream) -> CopySource | None:
+        """Return the source for an upstream: one of its region, if any."""
+        region = self._regions.group_of(entry.zone)
+        best = self._best.get(entry.version)
+        return self._by_region.get((region, entry.version), best)
 
     def _add(self, source: CopySource) -> None:
+        version = source.entry.version
         region = self._regions.group_of(source.entry.zone)
-        known = self._by_region.get(region)
-        self._by_region[region] = _more_cached(known, source)
-        self._best = _more_cached(self._best, source)
+        known = self._by_region.get((region, version))
+        self._by_region[region, version] = _more_cached(known, source)
+        self._best[version] = _more_cached(self._best.get(version), source)
 
 
 def _more_cached(known: CopySource | None, other: CopySource) -> CopySource:
--- a/tests/exchange/test_core.py
+++ b/tests/exchange/test_core.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rudderpass._ids import NodeId, TeamId, UpstreamId
+from rudderpass._ids import NodeId, SoftwareVersion, TeamId, UpstreamId
 from rudderpass.directory import (
     URGENCY_RANKS,
     EngineTraits,
@@ -29,10 +29,13 @@
 from tests.directory.builders import (
     OTHER_ZONE,
     SERVICE,
+    FakeDecoders,
+    config_record,
     make_config,
     make_directory,
     make_route,
     make_upstream,
+    upstream_record,
     upstream_tombstone,
 )
 from tests.exchange.builders import (
@@ -182,15 +185,26 @@
     assert assign(core, make_request(parts=LONG), 0.3).upstream == holder
 
 
-def make_core_with_cache_copying() -> ExchangeCore:
+def make_core_with_cache_copying(
+    versions: tuple[str, str] = ("", ""),
+) -> ExchangeCore:
     """Return a core with two upstreams whose engines can copy caches."""
     config = make_config()
     engine = EngineTraits(64, 100_000, 18_432, 22.5e9)
     services = (ServiceSpec(SERVICE, 100, engine),)
     config = type(config)(1, config.routes, services, config.teams)
+    records = FakeDecoders()
+    records.configs[b"1"] = config
+    for number, version in enumerate(versions, 1):
+        entry = make_upstream(number, version=SoftwareVersion(version))
+        records.upstreams[f"u{number}"] = entry
+    directory = make_directory(records)
+    directory.apply_config([config_record(0, 1)], 1, "store")
+    listed = [upstream_record(0, 1), upstream_record(1, 2)]
+    directory.apply_upstream_changes(listed, 2, "store", 0.0)
     return ExchangeCore(
         make_upstream(1).zone,
-        fill_directory(config, 2),
+        directory,
         RULE,
         REREAD_WINDOW,
         lambda: 1,
@@ -208,6 +222,15 @@
     assert sent.unread_tokens == 0
 
 
+def test_no_cache_is_copied_between_two_versions() -> None:
+    core = make_core_with_cache_copying(("v1", "v2"))
+    holder = UpstreamId("u1")
+    receive_from_peer(core, NodeId("peer"), {}, [SentPrompt(holder, LONG)], 0.0)
+    receive_from_peer(core, NodeId("peer"), {holder: Load(4, 90_000)}, (), 2.0)
+    sent = assign(core, make_request(parts=LONG), 2.1)
+    assert (sent.upstream, sent.copy_from) == ("u2", None)
+
+
 def test_a_cache_is_copied_from_an_upstream_that_sent_retry_after() -> None:
     core = make_core_with_cache_copying()
     holder = assign(core, make_request(parts=LONG), 0.0)
