Begin streams where they can end while a service has several versions

A stream that begins at the only upstream of a version has nowhere to go on when that ends, and one that begins at a version of which other hosts have not heard may be resumed there as if there were one version. New resumable streams prefer versions with two upstreams that have been listed for 2 s, unless less than half of the upstreams is left. With one version the same upstreams as before are offered.

--- a/src/rudderpass/exchange/_assigner.py
+++ b/src/rudderpass/exchange/_assigner.py
@@ -6,7 +6,11 @@
 
 from rudderpass._ids import Fingerprint, SoftwareVersion, UpstreamId
 from rudderpass.directory import Directory
-from rudderpass.exchange._acceptance import EVACUATED_RETRY_SECONDS, refuse_unassigned
+from rudderpass.exchange._acceptance import (
+    EVACUATED_RETRY_SECONDS,
+    NO_UPSTREAM_RETRY_SECONDS,
+    refuse_unassigned,
+)
 from rudderpass.exchange._assignment import Accepted, Assignment, RefusalReason, Refused
 from rudderpass.exchange._caches import CacheTracker
 from rudderpass.exchange._choice import (
@@ -22,6 +26,7 @@
 from rudderpass.exchange._request import ExchangeRequest
 from rudderpass.exchange._slots import HoldTimes, SlotContention
 from rudderpass.exchange._throttling import Throttling
+from rudderpass.origins import StreamOrigins
 
 
 class Assigner:
@@ -40,6 +45,7 @@
         hold_times: HoldTimes,
         caches: CacheTracker,
         throttling: Throttling,
+        origins: StreamOrigins,
     ) -> None:
         self._directory = directory
         self._state = state
@@ -49,6 +55,7 @@
         self._hold_times = hold_times
         self._caches = caches
         self._throttling = throttling
+        self._origins = origins
 
     def assign(
         self,
@@ -75,7 +82,11 @@
         if version is not None:
             upstreams = [entry for entry in upstreams if entry.version == version]
             if not upstreams:
-                return Refused(RefusalReason.NO_VERSION)
+                return Refused(RefusalReason.NO_VERSION, NO_UPSTREAM_RETRY_SECONDS)
+        elif accepted.route.resumable:
+            upstreams = self._origins.prefer_lasting(
+                accepted.service, upstreams, excluded, now
+            )
         stall_risk = self._forecasts.stall_risk(accepted, upstreams, now)
         throttled = self._throttling.find_throttled(upstreams, now)
         choice = choose_upstream(
--- a/src/rudderpass/exchange/_core.py
+++ b/src/rudderpass/exchange/_core.py
@@ -110,6 +110,7 @@
         self._throttling = Throttling(
             self._state, rank_host, self._cold_starts, self._brittle
         )
+        self._origins = StreamOrigins(directory)
         self._count_hosts = count_hosts
         self._response_order = ResponseOrder()
         self._sends = SendRecorder(
@@ -130,9 +131,9 @@
             hold_times,
             self._caches,
             self._throttling,
+            self._origins,
         )
         self._reachability = Reachability()
-        self._origins = StreamOrigins(directory)
         self._removed_zones: dict[UpstreamId, AvailabilityZone] = {}
         self._is_stopping = False
         self._refuses_all = False
--- a/src/rudderpass/origins/_tracker.py
+++ b/src/rudderpass/origins/_tracker.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from hashlib import blake2b
 
-from rudderpass._ids import PoolId, RequestId, SoftwareVersion, TeamId
+from rudderpass._ids import PoolId, RequestId, SoftwareVersion, TeamId, UpstreamId
 from rudderpass.directory import Directory, RegisteredUpstream
 from rudderpass.origins._table import (
     MAX_KEPT_SECONDS,
@@ -64,6 +65,33 @@
         )
         return self._versions.has_several(service, now)
 
+    def prefer_lasting(
+        self,
+        service: PoolId,
+        upstreams: Sequence[RegisteredUpstream],
+        excluded: Collection[UpstreamId],
+        now: float,
+    ) -> Sequence[RegisteredUpstream]:
+        """Return the upstreams at which a new stream should begin.
+
+        A stream can go on only at its version, so it should not begin at the only
+        upstream of one, nor at a version that other hosts may not have heard of.
+
+        :param excluded: upstreams that the request must not go to again.
+        :returns: all upstreams if too few are left.
+        """
+        usable = [entry for entry in upstreams if entry.upstream not in excluded]
+        counts = Counter(entry.version for entry in usable)
+        if len(counts) < 2:
+            return upstreams
+        lasting = [
+            entry
+            for entry in usable
+            if counts[entry.version] > 1
+            and self._versions.is_settled(service, entry.version, now)
+        ]
+        return lasting if 2 * len(lasting) >= len(usable) else upstreams
+
     def record_begun(
         self,
         service: PoolId,
--- a/src/rudderpass/origins/_versions.py
+++ b/src/rudderpass/origins/_versions.py
@@ -10,6 +10,10 @@
 MIN_REMEMBERED_SECONDS = 10.0
 """How long a version counts at least after its last upstream has gone."""
 
+SETTLING_SECONDS = 2.0
+"""From when a host sees a new version until it begins streams there, if others serve.
+A host that has heard neither the store nor a peer for less does not know of it."""
+
 MAX_VERSIONS = 16
 """Maximum number of versions remembered of a service; the oldest is evicted first."""
 
@@ -26,6 +30,7 @@
 
     def __init__(self) -> None:
         self._seen: dict[PoolId, dict[SoftwareVersion, float]] = {}
+        self._appeared: dict[tuple[PoolId, SoftwareVersion], float] = {}
         self.remembered = MIN_REMEMBERED_SECONDS
 
     def record(self, entries: Iterable[RegisteredUpstream], now: float) -> None:
@@ -45,6 +50,14 @@
         """Return whether streams of a service may have begun at several versions."""
         return len(self._current(service, now)) > 1
 
+    def is_settled(self, service: PoolId, version: SoftwareVersion, now: float) -> bool:
+        """Return whether all hosts in touch have heard of a version.
+
+        The first version of a service that a host sees is taken to be an old one.
+        """
+        appeared = self._appeared.get((service, version))
+        return appeared is None or now - appeared >= SETTLING_SECONDS
+
     def describe_several(
         self, now: float
     ) -> dict[PoolId, dict[SoftwareVersion, float]]:
@@ -60,6 +73,11 @@
     def remove_expired(self, now: float) -> None:
         """Remove versions that count no longer."""
         self._seen = {service: self._current(service, now) for service in self._seen}
+        self._appeared = {
+            (service, version): at
+            for (service, version), at in self._appeared.items()
+            if version in self._seen[service]
+        }
 
     def _current(self, service: PoolId, now: float) -> dict[SoftwareVersion, float]:
         earliest = now - self.remembered
@@ -68,6 +86,8 @@
 
     def _record(self, service: PoolId, version: SoftwareVersion, at: float) -> None:
         seen = self._seen.setdefault(service, {})
+        if seen and version not in seen:
+            self._appeared[service, version] = at
         seen[version] = max(at, seen.get(version, at))
         if len(seen) > MAX_VERSIONS:
             del seen[min(seen, key=lambda name: seen[name])]
--- a/tests/origins/test_tracker.py
+++ b/tests/origins/test_tracker.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from rudderpass._ids import PoolId, RequestId, SoftwareVersion, TeamId
+from rudderpass._ids import PoolId, RequestId, SoftwareVersion, TeamId, UpstreamId
 from rudderpass.origins import (
     MAX_KEPT_SECONDS,
     MAX_ORIGINS,
@@ -101,3 +101,36 @@
     assert not started.has_several_versions(SERVICE, 0.0)
     started.merge_versions(peer.describe_versions(1.0), 0.0)
     assert started.has_several_versions(SERVICE, 0.0)
+
+
+def serving_versions(origins: StreamOrigins, now: float, *excluded: str) -> list[str]:
+    upstreams = origins._directory.serving(SERVICE)
+    names = {UpstreamId(name) for name in excluded}
+    return [
+        entry.version
+        for entry in origins.prefer_lasting(SERVICE, upstreams, names, now)
+    ]
+
+
+def test_new_streams_avoid_the_only_upstream_of_a_version() -> None:
+    origins, _ = make_origins(V1, V1, V2)
+    assert serving_versions(origins, 0.0) == [V1, V1]
+
+
+def test_new_streams_use_all_upstreams_if_few_versions_last() -> None:
+    origins, _ = make_origins(V1, V2)
+    assert serving_versions(origins, 0.0) == [V1, V2]
+    origins, _ = make_origins(V1, V1, V2)
+    assert serving_versions(origins, 0.0, "u1") == [V1, V1, V2]
+
+
+def test_new_streams_avoid_a_version_that_other_hosts_may_not_have_heard_of() -> None:
+    origins, records = make_origins(V1, V1)
+    origins.tick((), 0.0)
+    for number in (3, 4):
+        records.upstreams[f"u{number}"] = make_upstream(number, version=V2)
+    added = [upstream_record(2, 3), upstream_record(3, 4)]
+    origins._directory.apply_upstream_changes(added, 4, "store", 1.0)
+    origins.tick((), 1.0)
+    assert serving_versions(origins, 2.9) == [V1, V1]
+    assert serving_versions(origins, 3.1) == [V1, V1, V2, V2]
