Tell started hosts of versions that ended before their start

Archivers now write the recent versions of services that have several into their records of hosts, every 5 s; a starting host reads these records anyway, and a resumed stream waits for that and for a first peer. With one version the records are the same as before.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -109,11 +109,19 @@
   5: optional i32 ended_ms /* since a host learned the end */
 }
 
+/* A software version of which a service has, or recently had, upstreams. */
+struct ServiceVersion {
+  1: string pool
+  2: string version
+  3: i32 age_ms /* since an upstream of it was listed */
+}
+
 /* What a host keeps of itself in the platform's log, under its address. */
 struct HostRecord {
   1: string zone
   2: list<Suspect> quarantined /* as of the time of writing */
   3: i64 written_ms /* Unix time */
+  4: optional list<ServiceVersion> versions /* of services that have several */
 }
 
 /* Requests that began to run within one window of the usage report, by team. */
@@ -145,13 +153,6 @@
 
 /* Offsets are those of the platform's log in one era; a later era is newer at any
  * offset. The sender is the datagram's source address. Field 1 was the sender's name. */
-/* A software version of which a service has, or recently had, upstreams. */
-struct ServiceVersion {
-  1: string pool
-  2: string version
-  3: i32 age_ms /* since an upstream of it was listed */
-}
-
 /* The software version that began a stream. */
 struct StreamOrigin {
   1: binary key
--- a/src/rudderpass/exchange/_resumption.py
+++ b/src/rudderpass/exchange/_resumption.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from rudderpass import _clock
-from rudderpass._ids import SoftwareVersion
+from rudderpass._ids import PoolId, SoftwareVersion
 from rudderpass.exchange._acceptance import OTHER_HOST_RETRY_SECONDS
 from rudderpass.exchange._assignment import Accepted, RefusalReason, Refused
 from rudderpass.exchange._core import ExchangeCore
@@ -23,8 +23,8 @@
 class OriginSource(Protocol):
     """Where the origins of streams are kept besides this host."""
 
-    def may_lack_versions(self, deadline: float) -> bool:
-        """Return whether services may have versions that this host has not heard of.
+    def may_lack_versions(self, service: PoolId, deadline: float) -> bool:
+        """Return whether a service may have versions that this host has not heard of.
 
         May wait until a starting host has heard from its peers.
         """
@@ -39,7 +39,7 @@
 class NoOtherHosts:
     """The source of a host without peers."""
 
-    def may_lack_versions(self, deadline: float) -> bool:
+    def may_lack_versions(self, service: PoolId, deadline: float) -> bool:
         """Return False: nobody else begins streams."""
         return False
 
@@ -71,7 +71,9 @@
         has_several = core.origins.has_several_versions(accepted.service, now)
     if known is not None:
         return known.version
-    if not has_several and not source.may_lack_versions(accepted.deadline):
+    if not has_several and not source.may_lack_versions(
+        accepted.service, accepted.deadline
+    ):
         return None
     found = None if key is None else source.find(key, accepted.deadline)
     if found is None:
--- a/src/rudderpass/gossip/__init__.py
+++ b/src/rudderpass/gossip/__init__.py
@@ -26,6 +26,7 @@
 from rudderpass.gossip._origins import (
     MAX_SENT_ORIGINS as MAX_SENT_ORIGINS,
     OriginMessage as OriginMessage,
+    Versions as Versions,
     decode_archived as decode_archived,
     encode_archived as encode_archived,
 )
@@ -42,6 +43,7 @@
 from rudderpass.gossip._store_following import FollowRule as FollowRule
 from rudderpass.gossip._suspects import (
     decode_quarantined as decode_quarantined,
+    decode_recorded_versions as decode_recorded_versions,
     encode_host_record as encode_host_record,
 )
 from rudderpass.gossip._transport import GossipTransport as GossipTransport
--- a/src/rudderpass/gossip/_gen/wire/ttypes.py
+++ b/src/rudderpass/gossip/_gen/wire/ttypes.py
@@ -1450,12 +1450,105 @@
         return not (self == other)
 
 
+class ServiceVersion(object):
+    """
+    Attributes:
+     - pool
+     - version
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'pool',
+        'version',
+        'age_ms',
+    )
+
+
+    def __init__(self, pool=None, version=None, age_ms=None,):
+        self.pool = pool
+        self.version = version
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceVersion')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HostRecord(object):
     """
     Attributes:
      - zone
      - quarantined
      - written_ms
+     - versions
 
     """
 
@@ -1463,13 +1556,15 @@
         'zone',
         'quarantined',
         'written_ms',
+        'versions',
     )
 
 
-    def __init__(self, zone=None, quarantined=None, written_ms=None,):
+    def __init__(self, zone=None, quarantined=None, written_ms=None, versions=None,):
         self.zone = zone
         self.quarantined = quarantined
         self.written_ms = written_ms
+        self.versions = versions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1501,6 +1596,17 @@
                     self.written_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.versions = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = ServiceVersion()
+                        _elem67.read(iprot)
+                        self.versions.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1518,14 +1624,21 @@
         if self.quarantined is not None:
             oprot.writeFieldBegin('quarantined', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantined))
-            for iter62 in self.quarantined:
-                iter62.write(oprot)
+            for iter68 in self.quarantined:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.written_ms is not None:
             oprot.writeFieldBegin('written_ms', TType.I64, 3)
             oprot.writeI64(self.written_ms)
             oprot.writeFieldEnd()
+        if self.versions is not None:
+            oprot.writeFieldBegin('versions', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.versions))
+            for iter69 in self.versions:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1586,11 +1699,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.counts = {}
-                    (_ktype64, _vtype65, _size63) = iprot.readMapBegin()
-                    for _i67 in range(_size63):
-                        _key68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val69 = iprot.readI32()
-                        self.counts[_key68] = _val69
+                    (_ktype71, _vtype72, _size70) = iprot.readMapBegin()
+                    for _i74 in range(_size70):
+                        _key75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val76 = iprot.readI32()
+                        self.counts[_key75] = _val76
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1611,9 +1724,9 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.counts))
-            for kiter70, viter71 in self.counts.items():
-                oprot.writeString(kiter70.encode('utf-8') if sys.version_info[0] == 2 else kiter70)
-                oprot.writeI32(viter71)
+            for kiter77, viter78 in self.counts.items():
+                oprot.writeString(kiter77.encode('utf-8') if sys.version_info[0] == 2 else kiter77)
+                oprot.writeI32(viter78)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1684,11 +1797,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.windows = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = WindowUsage()
-                        _elem77.read(iprot)
-                        self.windows.append(_elem77)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = WindowUsage()
+                        _elem84.read(iprot)
+                        self.windows.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1713,8 +1826,8 @@
         if self.windows is not None:
             oprot.writeFieldBegin('windows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.windows))
-            for iter78 in self.windows:
-                iter78.write(oprot)
+            for iter85 in self.windows:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1872,11 +1985,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.windows = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = WindowUsage()
-                        _elem84.read(iprot)
-                        self.windows.append(_elem84)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = WindowUsage()
+                        _elem91.read(iprot)
+                        self.windows.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1902,8 +2015,8 @@
         if self.windows is not None:
             oprot.writeFieldBegin('windows', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.windows))
-            for iter85 in self.windows:
-                iter85.write(oprot)
+            for iter92 in self.windows:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -1935,98 +2048,6 @@
         return not (self == other)
 
 
-class ServiceVersion(object):
-    """
-    Attributes:
-     - pool
-     - version
-     - age_ms
-
-    """
-
-    __slots__ = (
-        'pool',
-        'version',
-        'age_ms',
-    )
-
-
-    def __init__(self, pool=None, version=None, age_ms=None,):
-        self.pool = pool
-        self.version = version
-        self.age_ms = age_ms
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.age_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('ServiceVersion')
-        if self.pool is not None:
-            oprot.writeFieldBegin('pool', TType.STRING, 1)
-            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
-            oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.STRING, 2)
-            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
-            oprot.writeFieldEnd()
-        if self.age_ms is not None:
-            oprot.writeFieldBegin('age_ms', TType.I32, 3)
-            oprot.writeI32(self.age_ms)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class StreamOrigin(object):
     """
     Attributes:
@@ -2152,31 +2173,31 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.told = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = StreamOrigin()
-                        _elem91.read(iprot)
-                        self.told.append(_elem91)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = StreamOrigin()
+                        _elem98.read(iprot)
+                        self.told.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.asked = []
-                    (_etype95, _size92) = iprot.readListBegin()
-                    for _i96 in range(_size92):
-                        _elem97 = iprot.readBinary()
-                        self.asked.append(_elem97)
+                    (_etype102, _size99) = iprot.readListBegin()
+                    for _i103 in range(_size99):
+                        _elem104 = iprot.readBinary()
+                        self.asked.append(_elem104)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.unknown = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readBinary()
-                        self.unknown.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readBinary()
+                        self.unknown.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2193,22 +2214,22 @@
         if self.told is not None:
             oprot.writeFieldBegin('told', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.told))
-            for iter104 in self.told:
-                iter104.write(oprot)
+            for iter111 in self.told:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.asked is not None:
             oprot.writeFieldBegin('asked', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.asked))
-            for iter105 in self.asked:
-                oprot.writeBinary(iter105)
+            for iter112 in self.asked:
+                oprot.writeBinary(iter112)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unknown is not None:
             oprot.writeFieldBegin('unknown', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.unknown))
-            for iter106 in self.unknown:
-                oprot.writeBinary(iter106)
+            for iter113 in self.unknown:
+                oprot.writeBinary(iter113)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2266,11 +2287,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.origins = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = StreamOrigin()
-                        _elem112.read(iprot)
-                        self.origins.append(_elem112)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = StreamOrigin()
+                        _elem119.read(iprot)
+                        self.origins.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2292,8 +2313,8 @@
         if self.origins is not None:
             oprot.writeFieldBegin('origins', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.origins))
-            for iter113 in self.origins:
-                iter113.write(oprot)
+            for iter120 in self.origins:
+                iter120.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.written_ms is not None:
@@ -2445,32 +2466,32 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype117, _size114) = iprot.readListBegin()
-                    for _i118 in range(_size114):
-                        _elem119 = UpstreamLoad()
-                        _elem119.read(iprot)
-                        self.loads.append(_elem119)
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = UpstreamLoad()
+                        _elem126.read(iprot)
+                        self.loads.append(_elem126)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype123, _size120) = iprot.readListBegin()
-                    for _i124 in range(_size120):
-                        _elem125 = SentPrompt()
-                        _elem125.read(iprot)
-                        self.prompts.append(_elem125)
+                    (_etype130, _size127) = iprot.readListBegin()
+                    for _i131 in range(_size127):
+                        _elem132 = SentPrompt()
+                        _elem132.read(iprot)
+                        self.prompts.append(_elem132)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.peers.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.peers.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2487,22 +2508,22 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.streams = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = StreamSample()
-                        _elem137.read(iprot)
-                        self.streams.append(_elem137)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = StreamSample()
+                        _elem144.read(iprot)
+                        self.streams.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.reading = []
-                    (_etype141, _size138) = iprot.readListBegin()
-                    for _i142 in range(_size138):
-                        _elem143 = ServiceReading()
-                        _elem143.read(iprot)
-                        self.reading.append(_elem143)
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = ServiceReading()
+                        _elem150.read(iprot)
+                        self.reading.append(_elem150)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2530,11 +2551,11 @@
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype147, _size144) = iprot.readListBegin()
-                    for _i148 in range(_size144):
-                        _elem149 = Suspect()
-                        _elem149.read(iprot)
-                        self.suspects.append(_elem149)
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = Suspect()
+                        _elem156.read(iprot)
+                        self.suspects.append(_elem156)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2562,21 +2583,21 @@
             elif fid == 21:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype153, _size150) = iprot.readListBegin()
-                    for _i154 in range(_size150):
-                        _elem155 = RateLimit()
-                        _elem155.read(iprot)
-                        self.rate_limits.append(_elem155)
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = RateLimit()
+                        _elem162.read(iprot)
+                        self.rate_limits.append(_elem162)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 22:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype159, _size156) = iprot.readListBegin()
-                    for _i160 in range(_size156):
-                        _elem161 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving.append(_elem161)
+                    (_etype166, _size163) = iprot.readListBegin()
+                    for _i167 in range(_size163):
+                        _elem168 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem168)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2593,44 +2614,44 @@
             elif fid == 25:
                 if ftype == TType.LIST:
                     self.evacuations = []
-                    (_etype165, _size162) = iprot.readListBegin()
-                    for _i166 in range(_size162):
-                        _elem167 = Evacuation()
-                        _elem167.read(iprot)
-                        self.evacuations.append(_elem167)
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = Evacuation()
+                        _elem174.read(iprot)
+                        self.evacuations.append(_elem174)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 26:
                 if ftype == TType.MAP:
                     self.cold_ms = {}
-                    (_ktype169, _vtype170, _size168) = iprot.readMapBegin()
-                    for _i172 in range(_size168):
-                        _key173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val174 = iprot.readI32()
-                        self.cold_ms[_key173] = _val174
+                    (_ktype176, _vtype177, _size175) = iprot.readMapBegin()
+                    for _i179 in range(_size175):
+                        _key180 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val181 = iprot.readI32()
+                        self.cold_ms[_key180] = _val181
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 27:
                 if ftype == TType.LIST:
                     self.brittle = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = Brittle()
-                        _elem180.read(iprot)
-                        self.brittle.append(_elem180)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = Brittle()
+                        _elem187.read(iprot)
+                        self.brittle.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 28:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = ServiceVersion()
-                        _elem186.read(iprot)
-                        self.versions.append(_elem186)
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = ServiceVersion()
+                        _elem193.read(iprot)
+                        self.versions.append(_elem193)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2659,22 +2680,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter187 in self.loads:
-                iter187.write(oprot)
+            for iter194 in self.loads:
+                iter194.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter188 in self.prompts:
-                iter188.write(oprot)
+            for iter195 in self.prompts:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.peers))
-            for iter189 in self.peers:
-                oprot.writeString(iter189.encode('utf-8') if sys.version_info[0] == 2 else iter189)
+            for iter196 in self.peers:
+                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.warm is not None:
@@ -2688,15 +2709,15 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter190 in self.streams:
-                iter190.write(oprot)
+            for iter197 in self.streams:
+                iter197.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reading is not None:
             oprot.writeFieldBegin('reading', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.reading))
-            for iter191 in self.reading:
-                iter191.write(oprot)
+            for iter198 in self.reading:
+                iter198.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.zone is not None:
@@ -2718,8 +2739,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter192 in self.suspects:
-                iter192.write(oprot)
+            for iter199 in self.suspects:
+                iter199.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.duty_token is not None:
@@ -2741,15 +2762,15 @@
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter193 in self.rate_limits:
-                iter193.write(oprot)
+            for iter200 in self.rate_limits:
+                iter200.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 22)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter194 in self.leaving:
-                oprot.writeString(iter194.encode('utf-8') if sys.version_info[0] == 2 else iter194)
+            for iter201 in self.leaving:
+                oprot.writeString(iter201.encode('utf-8') if sys.version_info[0] == 2 else iter201)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2763,30 +2784,30 @@
         if self.evacuations is not None:
             oprot.writeFieldBegin('evacuations', TType.LIST, 25)
             oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
-            for iter195 in self.evacuations:
-                iter195.write(oprot)
+            for iter202 in self.evacuations:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cold_ms is not None:
             oprot.writeFieldBegin('cold_ms', TType.MAP, 26)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.cold_ms))
-            for kiter196, viter197 in self.cold_ms.items():
-                oprot.writeString(kiter196.encode('utf-8') if sys.version_info[0] == 2 else kiter196)
-                oprot.writeI32(viter197)
+            for kiter203, viter204 in self.cold_ms.items():
+                oprot.writeString(kiter203.encode('utf-8') if sys.version_info[0] == 2 else kiter203)
+                oprot.writeI32(viter204)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.brittle is not None:
             oprot.writeFieldBegin('brittle', TType.LIST, 27)
             oprot.writeListBegin(TType.STRUCT, len(self.brittle))
-            for iter198 in self.brittle:
-                iter198.write(oprot)
+            for iter205 in self.brittle:
+                iter205.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 28)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter199 in self.versions:
-                iter199.write(oprot)
+            for iter206 in self.versions:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2841,11 +2862,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype203, _size200) = iprot.readListBegin()
-                    for _i204 in range(_size200):
-                        _elem205 = SentPrompt()
-                        _elem205.read(iprot)
-                        self.prompts.append(_elem205)
+                    (_etype210, _size207) = iprot.readListBegin()
+                    for _i211 in range(_size207):
+                        _elem212 = SentPrompt()
+                        _elem212.read(iprot)
+                        self.prompts.append(_elem212)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2862,8 +2883,8 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter206 in self.prompts:
-                iter206.write(oprot)
+            for iter213 in self.prompts:
+                iter213.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3034,11 +3055,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype210, _size207) = iprot.readListBegin()
-                    for _i211 in range(_size207):
-                        _elem212 = KeyedRecord()
-                        _elem212.read(iprot)
-                        self.upstreams.append(_elem212)
+                    (_etype217, _size214) = iprot.readListBegin()
+                    for _i218 in range(_size214):
+                        _elem219 = KeyedRecord()
+                        _elem219.read(iprot)
+                        self.upstreams.append(_elem219)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3050,11 +3071,11 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.ending_ms = {}
-                    (_ktype214, _vtype215, _size213) = iprot.readMapBegin()
-                    for _i217 in range(_size213):
-                        _key218 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val219 = iprot.readI32()
-                        self.ending_ms[_key218] = _val219
+                    (_ktype221, _vtype222, _size220) = iprot.readMapBegin()
+                    for _i224 in range(_size220):
+                        _key225 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val226 = iprot.readI32()
+                        self.ending_ms[_key225] = _val226
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3071,11 +3092,11 @@
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.held_ms = {}
-                    (_ktype221, _vtype222, _size220) = iprot.readMapBegin()
-                    for _i224 in range(_size220):
-                        _key225 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val226 = iprot.readI32()
-                        self.held_ms[_key225] = _val226
+                    (_ktype228, _vtype229, _size227) = iprot.readMapBegin()
+                    for _i231 in range(_size227):
+                        _key232 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val233 = iprot.readI32()
+                        self.held_ms[_key232] = _val233
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3096,8 +3117,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter227 in self.upstreams:
-                iter227.write(oprot)
+            for iter234 in self.upstreams:
+                iter234.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_end is not None:
@@ -3107,9 +3128,9 @@
         if self.ending_ms is not None:
             oprot.writeFieldBegin('ending_ms', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.ending_ms))
-            for kiter228, viter229 in self.ending_ms.items():
-                oprot.writeString(kiter228.encode('utf-8') if sys.version_info[0] == 2 else kiter228)
-                oprot.writeI32(viter229)
+            for kiter235, viter236 in self.ending_ms.items():
+                oprot.writeString(kiter235.encode('utf-8') if sys.version_info[0] == 2 else kiter235)
+                oprot.writeI32(viter236)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.changes_from is not None:
@@ -3123,9 +3144,9 @@
         if self.held_ms is not None:
             oprot.writeFieldBegin('held_ms', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.held_ms))
-            for kiter230, viter231 in self.held_ms.items():
-                oprot.writeString(kiter230.encode('utf-8') if sys.version_info[0] == 2 else kiter230)
-                oprot.writeI32(viter231)
+            for kiter237, viter238 in self.held_ms.items():
+                oprot.writeString(kiter237.encode('utf-8') if sys.version_info[0] == 2 else kiter237)
+                oprot.writeI32(viter238)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3256,12 +3277,20 @@
     (4, TType.BOOL, 'active', None, None, ),  # 4
     (5, TType.I32, 'ended_ms', None, None, ),  # 5
 )
+all_structs.append(ServiceVersion)
+ServiceVersion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(HostRecord)
 HostRecord.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'quarantined', (TType.STRUCT, [Suspect, None], False), None, ),  # 2
     (3, TType.I64, 'written_ms', None, None, ),  # 3
+    (4, TType.LIST, 'versions', (TType.STRUCT, [ServiceVersion, None], False), None, ),  # 4
 )
 all_structs.append(WindowUsage)
 WindowUsage.thrift_spec = (
@@ -3290,13 +3319,6 @@
     (2, TType.LIST, 'windows', (TType.STRUCT, [WindowUsage, None], False), None, ),  # 2
     (3, TType.I64, 'era', None, None, ),  # 3
 )
-all_structs.append(ServiceVersion)
-ServiceVersion.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'age_ms', None, None, ),  # 3
-)
 all_structs.append(StreamOrigin)
 StreamOrigin.thrift_spec = (
     None,  # 0
--- a/src/rudderpass/gossip/_suspects.py
+++ b/src/rudderpass/gossip/_suspects.py
@@ -9,9 +9,14 @@
 from rudderpass._thrift import decode_struct, encode_struct
 from rudderpass.errors import PeerError
 from rudderpass.gossip._gen.wire import ttypes as wire
+from rudderpass.gossip._origins import Versions, versions_from_wire, versions_to_wire
 from rudderpass.gossip._wire import MAX_I32, required
 from rudderpass.quarantine import MAX_CRASHES, Crash, SuspectUpdate
 
+MAX_RECORD_AGE_SECONDS = 15.0
+"""Age from which the versions in a host's record do not count. While a service has
+several, some hosts write theirs again every few seconds."""
+
 _MS = 1000.0
 
 
@@ -46,14 +51,38 @@
 
 
 def encode_host_record(
-    zone: AvailabilityZone, quarantined: Iterable[SuspectUpdate], written: float
+    zone: AvailabilityZone,
+    quarantined: Iterable[SuspectUpdate],
+    written: float,
+    versions: Versions | None = None,
 ) -> bytes:
     """Return the record that a host keeps of itself in the platform's log.
 
+    :param versions: of the services that have several.
     :param written: Unix time to which the ages refer.
     """
     suspects = [suspect_to_wire(report) for report in quarantined]
-    return encode_struct(wire.HostRecord(zone, suspects, round(written * _MS)))
+    return encode_struct(
+        wire.HostRecord(
+            zone, suspects, round(written * _MS), versions_to_wire(versions or {})
+        )
+    )
+
+
+def decode_recorded_versions(data: bytes, now: float) -> Versions:
+    """Return the versions in a host's record; none if the record is old.
+
+    :param now: Unix time to which the returned ages refer.
+    :raises PeerError: when the bytes are not a valid host record.
+    """
+    raw = decode_struct(wire.HostRecord(), data)
+    elapsed = max(0.0, now - (raw.written_ms or 0) / _MS)
+    if elapsed > MAX_RECORD_AGE_SECONDS:
+        return {}
+    try:
+        return versions_from_wire(raw.versions)
+    except TypeError as error:
+        raise PeerError(f"invalid host record: {error}", step="decode") from error
 
 
 def decode_quarantined(data: bytes, now: float) -> tuple[SuspectUpdate, ...]:
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -114,6 +114,7 @@
             self._peers.transport.send_origins,
             platform.store,
             platform.origins_topic,
+            lambda: self._quarantine.schedule_record_write(),
             self._stopping,
         )
         self._duties = self._make_duties()
@@ -151,7 +152,11 @@
         )
         self._ready_server = make_ready_server(settings.ready, self._is_ready)
         registry = HostRegistry(
-            platform.store, platform.hosts_topic, self._peers.address, settings.zone
+            platform.store,
+            platform.hosts_topic,
+            self._peers.address,
+            settings.zone,
+            self._origins.read_versions,
         )
         self._quarantine = QuarantineControl(
             self._core.quarantine,
@@ -363,6 +368,9 @@
 
     def _apply_registered(self, registered: RegistryContents | None) -> None:
         """Apply the hosts' records; None if the store does not answer."""
+        self._origins.record_registered(
+            () if registered is None else registered.versions
+        )
         if registered is None:
             self._peers.add_peers(None)
             self._release_waiting_requests()
--- a/src/rudderpass/host/_origins.py
+++ b/src/rudderpass/host/_origins.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from rudderpass import _clock
-from rudderpass._ids import NodeId
+from rudderpass._ids import NodeId, PoolId
 from rudderpass.errors import PeerError, PlatformError
 from rudderpass.eventlog import log
 from rudderpass.exchange import ExchangeCore
@@ -16,6 +16,7 @@
     MAX_SENT_ORIGINS,
     OriginMessage,
     PeerTable,
+    Versions,
     decode_archived,
     encode_archived,
 )
@@ -48,6 +49,10 @@
 ARCHIVE_SECONDS = 1.0
 """Interval at which an archiver writes new origins to the store."""
 
+RECORD_SECONDS = 5.0
+"""Interval at which an archiver writes its record again, for hosts that start after a
+version has ended."""
+
 IDLE_SECONDS = 10.0
 """Interval at which the thread of an archiver wakes while it has nothing to write."""
 
@@ -76,6 +81,7 @@
     :param send: sends a message to peers.
     :param store: the platform's store.
     :param topic: this router's topic for origins.
+    :param schedule_record: writes this host's record, with the versions, soon.
     :param stopping: set when the host stops.
 
     .. versionadded:: 0.2
@@ -90,6 +96,7 @@
         send: SendOrigins,
         store: HostStore,
         topic: str,
+        schedule_record: Callable[[], None],
         stopping: threading.Event,
     ) -> None:
         self._core = core
@@ -99,6 +106,7 @@
         self._send = send
         self._store = store
         self._topic = topic
+        self._schedule_record = schedule_record
         self._stopping = stopping
         self._started = _clock.now()
         self._lookups: dict[StreamKey, _Lookup] = {}
@@ -107,17 +115,39 @@
         self._archived: frozenset[StreamKey] = frozenset()
         self._archive_due = threading.Event()
         self._written_at = -ARCHIVE_SECONDS
+        self._recorded_at = -RECORD_SECONDS
+        self._is_registered = False
+
+    def read_versions(self) -> Versions:
+        """Return the versions of services that have several, for the host's record."""
+        with self._changed:
+            return self._core.origins.describe_versions(_clock.now())
 
-    def may_lack_versions(self, deadline: float) -> bool:
-        """Return whether services may have versions that this host has not heard of."""
+    def record_registered(self, versions: Iterable[Versions]) -> None:
+        """Merge the versions in the records of hosts, which were read at the start.
+
+        :param versions: none if the store does not answer.
+        """
+        with self._changed:
+            for ages in versions:
+                self._core.origins.merge_versions(ages, _clock.now())
+            self._is_registered = True
+
+    def may_lack_versions(self, service: PoolId, deadline: float) -> bool:
+        """Return whether a service may have versions that this host has not heard of.
+
+        A host that has just started waits for the records of hosts and for a peer.
+        """
         until = min(deadline, self._started + LISTEN_SECONDS)
         with self._changed:
-            while self._peers.known and self._peers.last_heard is None:
+            while not self._is_informed:
                 left = until - _clock.now()
                 if left <= 0.0:
                     break
                 self._changed.wait(min(left, LISTEN_POLL_SECONDS))
-            return self._is_isolated(_clock.now())
+            now = _clock.now()
+            has_several = self._core.origins.has_several_versions(service, now)
+            return has_several or self._is_isolated(now)
 
     def tell(self, origin: StreamOrigin) -> None:
         """Tell an origin to the hosts that keep it."""
@@ -172,6 +202,11 @@
                 self._told_hosts = None
                 return
             hosts, told = self._find_hosts(now), self._told_hosts
+            if now - self._recorded_at >= RECORD_SECONDS and is_archiver(
+                self._own, hosts
+            ):
+                self._recorded_at = now
+                self._schedule_record()
             if hosts == told:
                 return
             if told is None:
@@ -225,6 +260,12 @@
     def _find_hosts(self, now: float) -> frozenset[NodeId]:
         return frozenset((self._own, *self._peers.live(now)))
 
+    @property
+    def _is_informed(self) -> bool:
+        """Whether this host has heard of versions that ended before its start."""
+        has_heard = not self._peers.known or self._peers.last_heard is not None
+        return self._is_registered and has_heard
+
     def _is_isolated(self, now: float) -> bool:
         """Return whether neither the store nor a peer has been heard from recently."""
         heard = self._peers.last_heard
--- a/src/rudderpass/host/_quarantine.py
+++ b/src/rudderpass/host/_quarantine.py
@@ -41,6 +41,10 @@
         """Write changed quarantines to the store until the host stops."""
         self._archive.run()
 
+    def schedule_record_write(self) -> None:
+        """Write this host's record to the store soon."""
+        self._archive.schedule_write()
+
     def tick(self, now: float) -> None:
         """Log and archive which requests were quarantined or released."""
         with self._lock:
--- a/src/rudderpass/host/_registry.py
+++ b/src/rudderpass/host/_registry.py
@@ -16,7 +16,12 @@
 from rudderpass.directory import KeyedLog
 from rudderpass.errors import PeerError, PlatformError
 from rudderpass.eventlog import log
-from rudderpass.gossip import decode_quarantined, encode_host_record
+from rudderpass.gossip import (
+    Versions,
+    decode_quarantined,
+    decode_recorded_versions,
+    encode_host_record,
+)
 from rudderpass.quarantine import SuspectUpdate
 
 REGISTER_PAUSE_SECONDS = 1.0
@@ -42,26 +47,38 @@
 
 @dataclass(frozen=True)
 class RegistryContents:
-    """All records of hosts in the store."""
+    """All records of hosts in the store.
+
+    :param versions: what hosts have written recently of services with several
+        software versions.
+    """
 
     hosts: Collection[NodeId]
     quarantined: tuple[SuspectUpdate, ...]
     era: StoreEra
+    versions: tuple[Versions, ...] = ()
 
 
 class HostRegistry:
     """Reads the hosts' topic, and writes this host's record to it.
 
     :param own: this host's address, the key of its record.
+    :param read_versions: returns the versions of services that have several.
     """
 
     def __init__(
-        self, store: HostStore, topic: str, own: NodeId, zone: AvailabilityZone
+        self,
+        store: HostStore,
+        topic: str,
+        own: NodeId,
+        zone: AvailabilityZone,
+        read_versions: Callable[[], Versions] = dict,
     ) -> None:
         self._store = store
         self._topic = topic
         self._own = own
         self._zone = zone
+        self._read_versions = read_versions
         self._listed_era: StoreEra | None = None
 
     def may_be_lost(self, era: StoreEra) -> bool:
@@ -80,7 +97,9 @@
 
         :raises PlatformError: when it may not have been written.
         """
-        value = encode_host_record(self._zone, quarantined, time.time())
+        value = encode_host_record(
+            self._zone, quarantined, time.time(), self._read_versions()
+        )
         self._listed_era = self._store.append(self._topic, self._own, value)
 
     def read(self) -> RegistryContents:
@@ -90,13 +109,16 @@
         """
         page = self._store.read_newest(self._topic)
         quarantined: list[SuspectUpdate] = []
+        versions: list[Versions] = []
         for record in page.records:
             try:
-                quarantined += decode_quarantined(record.value or b"", time.time())
+                value, now = record.value or b"", time.time()
+                quarantined += decode_quarantined(value, now)
+                versions.append(decode_recorded_versions(value, now))
             except PeerError as error:
                 log("host", f"a record cannot be read, {error.show()}.")
         hosts = {NodeId(record.key) for record in page.records}
-        return RegistryContents(hosts, tuple(quarantined), page.era)
+        return RegistryContents(hosts, tuple(quarantined), page.era, tuple(versions))
 
 
 class Registration:
--- a/tests/exchange/test_serve_regions.py
+++ b/tests/exchange/test_serve_regions.py
@@ -4,7 +4,7 @@
 
 import http.client
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import replace
 
 import pytest
@@ -58,7 +58,11 @@
     regions: RegionMap | None = RegionMap(ZONES, NORTH)
 
     def _make_core(  # type: ignore[override]
-        self, route: ExchangeRoute, addresses: list[str], zone: AvailabilityZone
+        self,
+        route: ExchangeRoute,
+        addresses: list[str],
+        zone: AvailabilityZone,
+        versions: Sequence[str],
     ) -> ExchangeCore:
         self.records = FakeDecoders()
         self.route = route
--- a/tests/host/test_stream_versions.py
+++ b/tests/host/test_stream_versions.py
@@ -183,3 +183,20 @@
         assert deployment.store.newest(ORIGINS_TOPIC) == {}
     finally:
         deployment.close()
+
+
+def test_hosts_that_start_after_a_version_has_ended_do_not_take_its_streams(
+    deployment: VersionedDeployment,
+) -> None:
+    hosts = start_hosts(deployment, 2)
+    names = begin(deployment, hosts[0])
+    time.sleep(ARCHIVE_SECONDS)
+    for host in hosts:
+        host.close()
+    for name, version in list(deployment.versions.items()):
+        if version == "v1":
+            deployment.end_upstream(name)
+    (started,) = start_hosts(deployment, 1)
+    served = resume(deployment, started, names)
+    assert count_mixed(deployment, served) == 0
+    assert {deployment.version_of(name) for name in served} <= {"v2"}
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,11 +12,18 @@
 
 from tests.soak.placement_soak import run_placement_seed
 from tests.soak.soak import SoakResult, run_seed
+from tests.soak.version_soak import run_version_seed
 
 
 def _run_seed_in(
-    folder: Path, has_fatal_bodies: bool, has_placement: bool, seed: int
+    folder: Path,
+    has_fatal_bodies: bool,
+    has_placement: bool,
+    has_versions: bool,
+    seed: int,
 ) -> SoakResult:
+    if has_versions:
+        return run_version_seed(seed, folder / str(seed))
     if has_placement:
         return run_placement_seed(seed, folder / str(seed))
     return run_seed(seed, folder / str(seed), has_fatal_bodies=has_fatal_bodies)
@@ -41,6 +48,11 @@
     is_flag=True,
     help="Run two regions, with evacuations, cold upstreams and allowed regions.",
 )
+@click.option(
+    "--versions",
+    is_flag=True,
+    help="Run engines of several software versions, and callers that resume streams.",
+)
 def main(
     first: int,
     seeds: int,
@@ -48,15 +60,18 @@
     folder: Path | None,
     fatal: bool,
     placement: bool,
+    versions: bool,
 ) -> None:
     """Run seeds and print the violations."""
-    if fatal and placement:
-        raise click.UsageError("--fatal and --placement are modes of their own")
+    if fatal + placement + versions > 1:
+        raise click.UsageError(
+            "--fatal, --placement and --versions are modes of their own"
+        )
     folder = folder or Path(tempfile.mkdtemp(prefix="rudderpass-soak-"))
     failed_seeds = 0
     with ProcessPoolExecutor(jobs) as executor:
         seed_range = range(first, first + seeds)
-        run = partial(_run_seed_in, folder, fatal, placement)
+        run = partial(_run_seed_in, folder, fatal, placement, versions)
         for result in executor.map(run, seed_range):
             failed_seeds += bool(result.violations)
             counts = ", ".join(f"{s}: {n}" for s, n in sorted(result.statuses.items()))
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -137,20 +137,27 @@
         """Return the remaining cold time that an upstream registers."""
         return 0
 
-    def add_upstream(self, service: str) -> SoakUpstream:
-        """Start an upstream behind a proxied link, and register it."""
-        with self._lock:
-            self._upstream_count += 1
-            # Other deployments may run at the same time, and ports are reused.
-            name = f"i-{service}-{os.getpid()}-{self._seed}-{self._upstream_count}"
-        is_engine = service == "llm"
-        upstream = SoakUpstream(
+    def software_of(self, name: str) -> str:
+        """Return the software version that an upstream registers."""
+        return "v1"
+
+    def make_upstream(self, name: str, is_engine: bool) -> SoakUpstream:
+        """Return a new upstream."""
+        return SoakUpstream(
             name,
             is_engine,
             self.run_tracker,
             self._seed,
             lambda name: self.crash_engine(name, is_caused_by_body=True),
         )
+
+    def add_upstream(self, service: str) -> SoakUpstream:
+        """Start an upstream behind a proxied link, and register it."""
+        with self._lock:
+            self._upstream_count += 1
+            # Other deployments may run at the same time, and ports are reused.
+            name = f"i-{service}-{os.getpid()}-{self._seed}-{self._upstream_count}"
+        upstream = self.make_upstream(name, service == "llm")
         self.upstreams[name] = upstream
         self.links[name] = Proxy(upstream.address)
         self.register(name)
@@ -180,7 +187,7 @@
             "service": name.split("-")[1],
             "address": self.links[name].address,
             "zone": self.zone_of(name),
-            "version": "v1",
+            "version": self.software_of(name),
             "slots": 8,
             "state": state,
             "sequence": 1,
