--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -189,6 +189,7 @@
             platform.store,
             self._duties,
             self._tunnels,
+            self._origins,
             lambda: self._app.active,
             dropped_lines,
         )
@@ -222,7 +223,7 @@
                 ("register", registration.run),
                 ("warmup", warmup.run),
                 ("archive", self._quarantine.run_archive),
-                ("origins", self._origins.run_archive),
+                ("origins", self._origins.archive.run),
                 *self._tunnels.threads,
             )
         ]
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -47,6 +47,10 @@
     services_brittle: int
     upstreams_unreachable: int
     service_versions: int
+    stream_origins: int
+    stream_origins_told: int
+    stream_origins_asked: int
+    stream_origins_unknown: int
     upstreams_behind_relays: int
     tunnels_open: int
     tunnels_opened: int
--- a/src/rudderpass/host/_origins.py
+++ b/src/rudderpass/host/_origins.py
@@ -1,33 +1,18 @@
-"""Keeps the origins of streams with peers and in the store, and asks for them."""
+"""Keeps the origins of streams with peers, and asks these for them."""
 
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from rudderpass import _clock
 from rudderpass._ids import NodeId, PoolId
-from rudderpass.errors import PeerError, PlatformError
-from rudderpass.eventlog import log
 from rudderpass.exchange import ExchangeCore
-from rudderpass.gossip import (
-    MAX_SENT_ORIGINS,
-    OriginMessage,
-    PeerTable,
-    Versions,
-    decode_archived,
-    encode_archived,
-)
+from rudderpass.gossip import MAX_SENT_ORIGINS, OriginMessage, PeerTable, Versions
+from rudderpass.host._origin_archive import OriginArchive
 from rudderpass.host._registry import HostStore
-from rudderpass.origins import (
-    StreamKey,
-    StreamOrigin,
-    choose_archiver,
-    choose_keepers,
-    is_archiver,
-)
+from rudderpass.origins import StreamKey, StreamOrigin, choose_keepers
 
 ASK_SECONDS = 0.4
 """How long a resumed stream may wait for its origin. Peers answer in milliseconds; an
@@ -46,16 +31,10 @@
 """After this time without a word from the store or a peer, a host does not rely on
 knowing all versions of a service."""
 
-ARCHIVE_SECONDS = 1.0
-"""Interval at which an archiver writes new origins to the store."""
-
 RECORD_SECONDS = 5.0
 """Interval at which an archiver writes its record again, for hosts that start after a
 version has ended."""
 
-IDLE_SECONDS = 10.0
-"""Interval at which the thread of an archiver wakes while it has nothing to write."""
-
 SendOrigins = Callable[[OriginMessage, Iterable[NodeId]], None]
 
 
@@ -83,6 +62,9 @@
     :param topic: this router's topic for origins.
     :param schedule_record: writes this host's record, with the versions, soon.
     :param stopping: set when the host stops.
+    :ivar told_count: number of own streams told to peers.
+    :ivar asked_count: number of resumed streams whose origin peers were asked for.
+    :ivar unknown_count: number of those that nobody knew.
 
     .. versionadded:: 0.2
     """
@@ -104,19 +86,29 @@
         self._peers = peers
         self._own = own
         self._send = send
-        self._store = store
-        self._topic = topic
         self._schedule_record = schedule_record
-        self._stopping = stopping
         self._started = _clock.now()
         self._lookups: dict[StreamKey, _Lookup] = {}
         self._told_hosts: frozenset[NodeId] | None = None
-        self._loaded_hosts: frozenset[NodeId] | None = None
-        self._archived: frozenset[StreamKey] = frozenset()
-        self._archive_due = threading.Event()
-        self._written_at = -ARCHIVE_SECONDS
+        self._archive = OriginArchive(
+            core.origins,
+            self._changed,
+            own,
+            self._find_hosts,
+            store,
+            topic,
+            stopping,
+        )
         self._recorded_at = -RECORD_SECONDS
         self._is_registered = False
+        self.told_count = 0
+        self.asked_count = 0
+        self.unknown_count = 0
+
+    @property
+    def archive(self) -> OriginArchive:
+        """The origins that this host keeps in the store."""
+        return self._archive
 
     def read_versions(self) -> Versions:
         """Return the versions of services that have several, for the host's record."""
@@ -152,6 +144,7 @@
     def tell(self, origin: StreamOrigin) -> None:
         """Tell an origin to the hosts that keep it."""
         with self._changed:
+            self.told_count += 1
             keepers = self._choose_keepers(origin.key)
         self._send(OriginMessage(told=(origin,)), keepers)
 
@@ -164,8 +157,11 @@
         with self._changed:
             lookup = self._lookups.setdefault(key, _Lookup())
             lookup.waiting += 1
+            self.asked_count += 1
             try:
-                return self._await_origin(key, lookup, until)
+                found = self._await_origin(key, lookup, until)
+                self.unknown_count += found is None
+                return found
             finally:
                 lookup.waiting -= 1
                 if not lookup.waiting:
@@ -188,9 +184,9 @@
             ]
             found = {origin.key for origin in known}
             missing = tuple(key for key in message.asked if key not in found)
-            if missing and not self._is_loaded():
+            if missing and not self._archive.is_loaded(now):
                 # The store may know them.
-                self._archive_due.set()
+                self._archive.schedule()
                 missing = ()
         if known or missing:
             self._send(OriginMessage(tuple(known), unknown=missing), [sender])
@@ -202,15 +198,14 @@
                 self._told_hosts = None
                 return
             hosts, told = self._find_hosts(now), self._told_hosts
-            if now - self._recorded_at >= RECORD_SECONDS and is_archiver(
-                self._own, hosts
-            ):
+            is_record_due = now - self._recorded_at >= RECORD_SECONDS
+            if is_record_due and self._archive.is_archiver(now):
                 self._recorded_at = now
                 self._schedule_record()
             if hosts == told:
                 return
             if told is None:
-                self._archive_due.set()
+                self._archive.schedule()
             self._told_hosts = hosts
             by_keeper: dict[NodeId, list[StreamOrigin]] = {}
             for origin in self._core.origins.list_own(now):
@@ -223,19 +218,6 @@
                 part = origins[first : first + MAX_SENT_ORIGINS]
                 self._send(OriginMessage(told=tuple(part)), [keeper])
 
-    def run_archive(self) -> None:
-        """Read and write origins in the store until the host stops."""
-        while not self._stopping.is_set():
-            is_idle = self._told_hosts is None
-            self._archive_due.wait(IDLE_SECONDS if is_idle else ARCHIVE_SECONDS)
-            self._archive_due.clear()
-            try:
-                self._load()
-                self._write()
-            except PlatformError as error:
-                log("origin", "not archived yet; will retry.", error=error.show())
-            self._stopping.wait(ASK_AGAIN_SECONDS)
-
     def _await_origin(
         self, key: StreamKey, lookup: _Lookup, until: float
     ) -> StreamOrigin | None:
@@ -246,11 +228,11 @@
             if known is not None or now >= until:
                 return known
             keepers = set(self._choose_keepers(key)) - lookup.unknown_at
-            if not keepers and self._is_loaded():
+            if not keepers and self._archive.is_loaded(now):
                 return None
             if now >= ask_at:
                 ask_at = now + ASK_AGAIN_SECONDS
-                self._archive_due.set()
+                self._archive.schedule()
                 self._send(OriginMessage(asked=(key,)), keepers)
             self._changed.wait(min(until, ask_at) - now)
 
@@ -273,62 +255,3 @@
             return False
         list_age = self._core.directory.list_age(now)
         return min(now - heard, list_age) > ISOLATED_SECONDS
-
-    def _is_loaded(self) -> bool:
-        """Return whether this host has read what it must know as an archiver.
-
-        The records of an archiver that has ended must be read by its successors.
-        """
-        hosts = self._find_hosts(_clock.now())
-        if not is_archiver(self._own, hosts):
-            return True
-        return self._loaded_hosts is not None and self._loaded_hosts <= hosts
-
-    def _load(self) -> None:
-        """Read the origins that archivers have written, if this host must know them.
-
-        :raises PlatformError: when the store does not answer.
-        """
-        with self._changed:
-            now = _clock.now()
-            has_several = bool(self._core.origins.describe_versions(now))
-            if self._is_loaded() or not has_several:
-                return
-            hosts = self._find_hosts(now)
-        page = self._store.read_newest(self._topic)
-        origins: list[StreamOrigin] = []
-        for record in page.records:
-            try:
-                origins += decode_archived(record.value or b"", time.time())
-            except PeerError as error:
-                log("origin", f"a record cannot be read, {error.show()}.")
-        with self._changed:
-            self._core.origins.merge(origins, _clock.now())
-            self._loaded_hosts = hosts
-            self._changed.notify_all()
-        log("origin", f"{len(origins)} origins read from the store.")
-
-    def _write(self) -> None:
-        """Write the origins that this host archives, if there are new ones.
-
-        :raises PlatformError: when they may not have been written.
-        """
-        with self._changed:
-            now = _clock.now()
-            hosts = self._find_hosts(now)
-            is_due = now - self._written_at >= ARCHIVE_SECONDS
-            if not is_due or not is_archiver(self._own, hosts) or not self._is_loaded():
-                return
-            origins = [
-                origin
-                for origin in self._core.origins.list_all(now)
-                if choose_archiver(origin.key, hosts) == self._own
-            ]
-        keys = frozenset(origin.key for origin in origins)
-        if keys <= self._archived:
-            return
-        self._written_at = now
-        self._store.append(
-            self._topic, self._own, encode_archived(origins, time.time())
-        )
-        self._archived = keys
--- a/src/rudderpass/host/_status.py
+++ b/src/rudderpass/host/_status.py
@@ -11,6 +11,7 @@
 from rudderpass.host._admin import EvacuatedZone
 from rudderpass.host._duties import HostDuties
 from rudderpass.host._metrics import HostGauges
+from rudderpass.host._origins import PeerOrigins
 from rudderpass.host._peers import PeerGossip
 from rudderpass.host._registry import HostStore
 from rudderpass.host._tunnels import HostTunnels
@@ -22,6 +23,7 @@
     :param lock: guards the core.
     :param duties: the host's duties, if it has any.
     :param tunnels: its connections through other hosts, and theirs through it.
+    :param origins: the origins of streams that other hosts keep.
     :param count_active: returns the number of requests in progress.
     :param dropped_lines: returns the number of dropped log lines.
     """
@@ -35,6 +37,7 @@
         store: HostStore,
         duties: HostDuties | None,
         tunnels: HostTunnels,
+        origins: PeerOrigins,
         count_active: Callable[[], int],
         dropped_lines: Callable[[], int],
     ) -> None:
@@ -45,6 +48,7 @@
         self._store = store
         self._duties = duties
         self._tunnels = tunnels
+        self._origins = origins
         self._count_active = count_active
         self._dropped_lines = dropped_lines
 
@@ -80,6 +84,10 @@
                 services_brittle=len(core.brittle.find_services(_clock.now())),
                 upstreams_unreachable=core.reachability.unreachable_count,
                 service_versions=directory.count_versions(),
+                stream_origins=core.origins.count,
+                stream_origins_told=self._origins.told_count,
+                stream_origins_asked=self._origins.asked_count,
+                stream_origins_unknown=self._origins.unknown_count,
                 upstreams_behind_relays=self._tunnels.broken_count,
                 tunnels_open=self._tunnels.open_count,
                 tunnels_opened=self._tunnels.opened_count,
