Test origins of streams over lost hosts, releases and a store that is away

Over sockets: the store away, two hosts stopped in order, a release between attempts, an address that goes to another version.

--- a/tests/host/test_stream_versions.py
+++ b/tests/host/test_stream_versions.py
@@ -200,3 +200,55 @@
     served = resume(deployment, started, names)
     assert count_mixed(deployment, served) == 0
     assert {deployment.version_of(name) for name in served} <= {"v2"}
+
+
+def test_streams_are_resumed_while_the_store_is_away(
+    deployment: VersionedDeployment,
+) -> None:
+    hosts = start_hosts(deployment, 3)
+    deployment.store.status = 503
+    names = begin(deployment, hosts[0])
+    hosts[0].close()
+    served = resume(deployment, hosts[1], names)
+    assert count_mixed(deployment, served) == 0
+    assert len(served) >= STREAMS / 2
+
+
+def test_streams_are_resumed_after_two_hosts_have_stopped_in_order(
+    deployment: VersionedDeployment,
+) -> None:
+    hosts = start_hosts(deployment, 4)
+    names = begin(deployment, hosts[0])
+    for host in hosts[:2]:
+        host.stop()
+    served = resume(deployment, hosts[2], names[::2])
+    served += resume(deployment, hosts[3], names[1::2])
+    assert count_mixed(deployment, served) == 0
+    assert len(served) == STREAMS
+
+
+def test_streams_are_resumed_over_a_release(deployment: VersionedDeployment) -> None:
+    first, second, _ = start_hosts(deployment, 3)
+    deployment.add_upstream("v1")
+    names = begin(deployment, first)
+    for _ in range(2):
+        deployment.add_upstream("v3")
+    deployment.end_upstream("i-0")
+    deployment.end_upstream("i-1")
+    served = resume(deployment, second, names)
+    assert count_mixed(deployment, served) == 0
+    assert len(served) >= STREAMS / 2
+
+
+def test_a_new_upstream_at_an_old_address_does_not_go_on_with_streams(
+    deployment: VersionedDeployment,
+) -> None:
+    hosts = start_hosts(deployment, 2)
+    names = begin(deployment, hosts[0])
+    deployment.end_upstream("i-0", crashes=False)
+    address = deployment.upstreams["i-0"].address
+    deployment.add_upstream("v2", address=address)
+    wait_until(lambda: read_gauge(hosts[1], "service_versions") == 2)
+    served = resume(deployment, hosts[1], names)
+    assert count_mixed(deployment, served) == 0
+    assert len(served) >= STREAMS / 2
