--- a/src/rudderpass/host/_tunnels.py
+++ b/src/rudderpass/host/_tunnels.py
@@ -8,6 +8,7 @@
 
 from rudderpass import _clock
 from rudderpass._ids import AvailabilityZone
+from rudderpass.eventlog import log
 from rudderpass.exchange import ExchangeCore
 from rudderpass.gossip import PeerTable
 from rudderpass.tunnels import (
@@ -94,8 +95,10 @@
 
     def start(self) -> None:
         """Start to relay."""
-        if self._server is not None:
-            self._server.start()
+        if self._server is None:
+            log("tunnel", "none are served or used, no port is set for them.")
+            return
+        self._server.start()
 
     def close(self) -> None:
         """Stop relaying at once."""
--- a/tests/host/test_tunnels.py
+++ b/tests/host/test_tunnels.py
@@ -20,6 +20,7 @@
 )
 from tests.directory.builders import ZONE
 from tests.exchange.builders import make_core
+from tests.exchange.test_serve import capture_log
 from tests.gossip.test_peer_table import make_peer_table
 from tests.listener import Listener
 
@@ -103,3 +104,13 @@
     assert (made.open_count, made.broken_count) == (0, 0)
     made.start()
     made.close()
+
+
+def test_a_host_without_a_tunnel_port_logs_that_it_has_no_tunnels(
+    core: ExchangeCore,
+) -> None:
+    stopping = threading.Event()
+    made = HostTunnels(None, ZONE, core, threading.RLock(), make_peer_table(), stopping)
+    with capture_log() as lines:
+        made.start()
+    assert [line["message_type"] for line in lines] == ["tunnel"]
