Wait out a rejection of a request that may have run elsewhere

After a second's silence of all upstreams callers got 502 with 2 s of their time left: the first send was given up as overdue, the second rejected by an upstream whose queue was still full of such sends, and nothing else was left to try. A request that has not run is refused at once as before.

--- a/src/rudderpass/exchange/_serve.py
+++ b/src/rudderpass/exchange/_serve.py
@@ -13,6 +13,7 @@
     ConnectionCut,
     StaleConnection,
     UpstreamError,
+    UpstreamReplaced,
     UpstreamUnreachable,
 )
 from rudderpass.exchange._assignment import Accepted, Assignment, RefusalReason, Refused
@@ -64,6 +65,10 @@
 SILENT_RETRY_SECONDS = 0.05
 """Pause before upstreams that did not reply are tried once more."""
 
+REJECTION_WAIT_SECONDS = 0.2
+"""Pause before upstreams that rejected a request are tried once more. One that was
+silent for a moment works off its queue in less."""
+
 START_WAIT_SECONDS = 0.3
 """How long a request may wait for the first configuration of a host that has just
 started. The store or a peer responds in milliseconds, whereas a refused caller retries
@@ -121,6 +126,7 @@
         self._quarantine_gate: QuarantineGate | None = None
         self._excluded: set[UpstreamId] = set()
         self._silent: set[UpstreamId] = set()
+        self._rejected_by: set[UpstreamId] = set()
         self._silent_since: float | None = None
         self._send: Send | None = None
         self._last_failure_response: UpstreamFailureResponse | None = None
@@ -171,6 +177,8 @@
             if isinstance(assigned, Refused):
                 if self._may_try_silent(accepted, assigned):
                     continue
+                if self._may_try_rejecting(accepted, assigned):
+                    continue
                 return self._give_up(assigned)
             self._send = Send(self._progress, accepted, assigned)
             try:
@@ -279,6 +287,30 @@
         self._silent.clear()
         return True
 
+    def _may_try_rejecting(self, accepted: Accepted, refused: Refused) -> bool:
+        """Return whether to try upstreams once more that rejected the request.
+
+        Only if it may have run elsewhere: otherwise the caller gets a refusal, by which
+        it knows that it may return.
+
+        :raises CallerGone: when the caller has disconnected.
+        """
+        is_refused = refused.reason is RefusalReason.NO_UPSTREAM
+        if not self._rejected_by or not is_refused:
+            return False
+        if not self._progress.state.may_have_run or self._progress.is_streaming:
+            return False
+        if self._progress.sends >= MAX_SENDS:
+            return False
+        if _clock.now() + REJECTION_WAIT_SECONDS >= accepted.deadline:
+            return False
+        time.sleep(REJECTION_WAIT_SECONDS)
+        if self._caller.is_disconnected:
+            raise CallerGone("the caller left", step="rejection")
+        self._excluded -= self._rejected_by
+        self._rejected_by.clear()
+        return True
+
     def _after_failure(
         self,
         accepted: Accepted,
@@ -295,6 +327,8 @@
         progress = self._progress
         progress.state = record_failure(progress.state, error)
         now = _clock.now()
+        if error.refused and not isinstance(error, UpstreamReplaced):
+            self._rejected_by.add(assigned.upstream)
         if isinstance(error, UpstreamUnreachable):
             self._silent.add(assigned.upstream)
             self._silent_since = self._silent_since or now
--- a/tests/exchange/test_serve.py
+++ b/tests/exchange/test_serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -301,6 +302,29 @@
     assert harness.upstreams[0].closed.wait(TIMEOUT)
 
 
+def test_a_rejection_after_an_abandoned_send_is_waited_out(
+    make_harness: MakeHarness,
+) -> None:
+    def reject_first(
+        upstream: FakeUpstream, connection: socket.socket, received: ReceivedRequest
+    ) -> None:
+        behaviour = refuse if len(upstream.received) == 1 else respond(b"served")
+        behaviour(upstream, connection, received)
+
+    harness = make_harness(make_route(target_latency=0.2), stay_silent, reject_first)
+    response = harness.ask()
+    assert (response.status, response.read()) == (200, b"served")
+    assert harness.request_counts == [1, 2]
+
+
+def test_a_rejection_of_a_request_that_has_not_run_is_passed_on_at_once(
+    make_harness: MakeHarness,
+) -> None:
+    harness = make_harness(make_route(target_latency=0.2), refuse, refuse)
+    assert harness.ask().status == 503
+    assert harness.request_counts == [1, 1]
+
+
 def test_a_non_repeatable_request_waits_for_its_response(
     make_harness: MakeHarness,
 ) -> None:
