Let a tunnel server be closed while its thread closes the port

Its thread sees that the server is closing and closes the port before close() asks the socket for its address. The address is now kept. The new test failed before (the same error).

--- a/src/rudderpass/tunnels/_server.py
+++ b/src/rudderpass/tunnels/_server.py
@@ -91,6 +91,7 @@
         self._listener.bind((host, int(port)))
         self._listener.listen(_BACKLOG)
         self._listener.setblocking(False)
+        self._address = "{}:{}".format(*self._listener.getsockname())
         self._selector = selectors.PollSelector()
         self._tunnels: set[_Tunnel] = set()
         self._closing = threading.Event()
@@ -100,7 +101,7 @@
     @property
     def address(self) -> str:
         """The address that the server listens on."""
-        return "{}:{}".format(*self._listener.getsockname())
+        return self._address
 
     @property
     def open_count(self) -> int:
--- a/tests/tunnels/test_tunnels.py
+++ b/tests/tunnels/test_tunnels.py
@@ -336,3 +336,14 @@
     server.close()
     assert seen[0].target == target
     assert 0.0 < seen[0].timeout < 0.4
+
+
+def test_a_server_can_be_closed_while_its_thread_closes_the_port() -> None:
+    server = TunnelServer(
+        "127.0.0.1:0",
+        lambda ip, request: TunnelStatus.STOPPING,
+        lambda address, error: None,
+    )
+    server.start()
+    server._listener.close()
+    server.close()
