--- a/src/rudderpass/cli/_logs.py
+++ b/src/rudderpass/cli/_logs.py
@@ -14,6 +14,7 @@
     InFlightState,
     LogRecord,
     count_crashes,
+    count_part_crashes,
     find_crashes,
     find_failures,
     find_occupancy,
@@ -112,6 +113,8 @@
             )
     for fingerprint, count in count_crashes(crashes):
         click.echo(f"{count:5} upstreams crashed under {fingerprint}")
+    for part, count in count_part_crashes(crashes):
+        click.echo(f"{count:5} upstreams crashed before they answered part {part}")
     click.echo(f"{len(crashes)} upstreams crashed")
 
 
--- a/src/rudderpass/exchange/_logging.py
+++ b/src/rudderpass/exchange/_logging.py
@@ -142,6 +142,7 @@
         had_answered=assigned.has_response_started,
         under_way_for=round(_clock.now() - assigned.sent, 4),
         fingerprint=None if fingerprint is None else fingerprint.hex(),
+        parts=[part.part for part in request.shared_parts] if fingerprint else [],
     )
 
 
--- a/src/rudderpass/exchange/_request.py
+++ b/src/rudderpass/exchange/_request.py
@@ -66,6 +66,11 @@
         """
         return self.parts[0].part if self.parts else self.request_id
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other prompts may name too: the last is the request's own."""
+        return self.parts[:-1]
+
     @property
     def prompt_tokens(self) -> int:
         """Tokens of the whole prompt."""
--- a/src/rudderpass/observe/__init__.py
+++ b/src/rudderpass/observe/__init__.py
@@ -5,6 +5,7 @@
     CrashedUpstream as CrashedUpstream,
     CutSend as CutSend,
     count_crashes as count_crashes,
+    count_part_crashes as count_part_crashes,
     find_crashes as find_crashes,
 )
 from rudderpass.observe._decisions import log_action as log_action
--- a/src/rudderpass/observe/_crashes.py
+++ b/src/rudderpass/observe/_crashes.py
@@ -22,6 +22,7 @@
     :param fingerprint: the same for all retries of one request; empty if not logged.
     :param elapsed: from the send until the connection broke.
     :param had_answered: whether the response had begun.
+    :param parts: of its prompt, without the last.
     """
 
     fingerprint: str
@@ -29,6 +30,7 @@
     host: str
     elapsed: float
     had_answered: bool
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -80,6 +82,21 @@
     return [(name, count) for name, count in counts.most_common() if count > 1]
 
 
+def count_part_crashes(crashes: Iterable[CrashedUpstream]) -> list[tuple[str, int]]:
+    """Return how many upstreams crashed before they answered each part, most first.
+
+    Omits parts with a single crash.
+    """
+    counts = Counter(
+        part
+        for crash in crashes
+        for part in {
+            part for send in crash.sends if not send.had_answered for part in send.parts
+        }
+    )
+    return [(part, count) for part, count in counts.most_common() if count > 1]
+
+
 def _read_send(record: LogRecord) -> CutSend:
     fields = record.fields
     return CutSend(
@@ -88,4 +105,5 @@
         record.source,
         float(fields.get("under_way_for") or 0.0),
         bool(fields.get("had_answered")),
+        tuple(map(str, fields.get("parts") or ())),
     )
--- a/tests/cli/test_logs.py
+++ b/tests/cli/test_logs.py
@@ -164,7 +164,7 @@
     assert "--at" in result.output or "exclude each other" in result.output
 
 
-def cut(at: float, request: str, upstream: str, fingerprint: str) -> str:
+def cut(at: float, request: str, upstream: str, fingerprint: str, *parts: str) -> str:
     return line(
         at,
         "attempt",
@@ -174,6 +174,7 @@
         fingerprint=fingerprint,
         under_way_for=0.08,
         had_answered=request != "r-bad",
+        parts=parts,
     )
 
 
@@ -201,6 +202,24 @@
     ]
 
 
+def test_parts_that_were_not_answered_at_several_crashes_are_counted() -> None:
+    text = (
+        cut(1.0, "r-bad", "u1", "aa", "0a1b", "dead")
+        + refusal(1.1, "u1")
+        + cut(2.0, "r-bad", "u2", "bb", "0a1b", "dead")
+        + refusal(2.5, "u2")
+        + cut(3.0, "r-2", "u3", "cc", "0a1b")
+        + cut(3.0, "r-bad", "u3", "dd", "dead")
+        + refusal(3.5, "u3")
+    )
+    printed = run("--crashes", text=text).output.splitlines()
+    assert printed[-3:] == [
+        "    3 upstreams crashed before they answered part dead",
+        "    2 upstreams crashed before they answered part 0a1b",
+        "3 upstreams crashed",
+    ]
+
+
 @pytest.mark.parametrize(
     "text",
     [
