Serve with more than 1,024 open descriptors

Callers got 500 from a host with more than about 1,000 open connections. Cause: select() raises ValueError for descriptors from 1024 on; three places waited for upstreams with it. Ruled out: the server itself, which polls. poll() has no such limit. Elsewhere: selectors (epoll) and poll only.

--- a/src/rudderpass/_sockets.py
+++ b/src/rudderpass/_sockets.py
@@ -1,7 +1,11 @@
-"""Options of TCP sockets to peers that may lose power without closing connections."""
+"""Options and state of TCP sockets.
+
+Peers may lose power without closing their connections.
+"""
 
 from __future__ import annotations
 
+import select
 import socket
 
 USER_TIMEOUT_MS = 3000
@@ -31,3 +35,14 @@
     )
     for level, option, value in options:
         sock.setsockopt(level, option, value)
+
+
+def is_readable(sock: socket.socket, seconds: float = 0.0) -> bool:
+    """Wait until data has arrived or the peer has closed; return whether either did.
+
+    :param seconds: how long to wait at most.
+    """
+    # select() fails for descriptors from 1024 on.
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(max(0.0, seconds) * 1000))
--- a/src/rudderpass/exchange/_connections.py
+++ b/src/rudderpass/exchange/_connections.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import http.client
-import select
 import socket
 import threading
 from collections import deque
@@ -12,6 +11,7 @@
 
 from rudderpass import _clock
 from rudderpass._ids import AvailabilityZone, NodeId
+from rudderpass._sockets import is_readable
 from rudderpass.errors import ConnectionRefused, UpstreamError, UpstreamUnreachable
 from rudderpass.exchange._request import ExchangeRequest, Headers
 from rudderpass.tunnels import AllowsZone, Dialer, DirectDialer
@@ -111,8 +111,7 @@
         sock = self._connection.sock
         if sock is None or sock.fileno() < 0:
             return True  # The following read reports the error.
-        readable, _, _ = select.select([sock], [], [], max(0.0, seconds))
-        return bool(readable)
+        return is_readable(sock, seconds)
 
     def read_head(self) -> http.client.HTTPResponse:
         """Wait for the head of the response."""
@@ -136,8 +135,7 @@
         """Send a long body in chunks; stop if the response starts before its end."""
         sock = self._connection.sock
         for start in range(0, len(body), _CHUNK_BYTES):
-            readable, _, _ = select.select([sock], [], [], 0)
-            if readable:
+            if is_readable(sock):
                 self._responded_early = True
                 return
             sock.sendall(body[start : start + _CHUNK_BYTES])
@@ -282,5 +280,4 @@
     """Return whether nothing has arrived: no close and no unexpected response."""
     if sock is None:
         return False
-    readable, _, _ = select.select([sock], [], [], 0)
-    return not readable
+    return not is_readable(sock)
