--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -75,6 +75,7 @@
   2: i32 sent_ms /* ago */
   3: i32 age_ms
   4: optional bool silent /* the request had not been answered a byte */
+  5: optional list<i64> requests /* for a prompt part: digests of requests with it */
 }
 
 /* A request under which upstreams crashed. */
@@ -84,6 +85,7 @@
   3: list<Crash> crashes
   4: optional i32 served_ms /* since it was last answered whole */
   5: optional i32 trial_ms /* since a copy was sent on trial */
+  6: optional string part /* of prompts; absent for a request */
 }
 
 /* A rate limit reported by an upstream. */
--- a/src/rudderpass/_ids.py
+++ b/src/rudderpass/_ids.py
@@ -17,7 +17,14 @@
 """A group of availability zones; the network between regions is slow and expensive."""
 
 Fingerprint = NewType("Fingerprint", bytes)
-"""Shared by all retries of one request, whose ids differ."""
+"""Shared by all retries of one request, whose ids differ, or by all prompts with one
+part at one service."""
+
+PartId = NewType("PartId", str)
+"""Identifies one part of a prompt; equal parts of different prompts share an id."""
+
+RequestDigest = NewType("RequestDigest", int)
+"""A signed 64-bit digest that tells requests with one part apart."""
 
 UpstreamId = NewType("UpstreamId", str)
 """One instance of an upstream: a restart discards its state and all records of it."""
--- a/src/rudderpass/cli/_quarantine.py
+++ b/src/rudderpass/cli/_quarantine.py
@@ -1,4 +1,4 @@
-"""Commands that list and lift the quarantine of requests at hosts."""
+"""Commands that list and lift quarantines at hosts."""
 
 from __future__ import annotations
 
@@ -14,31 +14,32 @@
 
 @click.group()
 def quarantine() -> None:
-    """List and lift the quarantine of requests that crashed upstreams."""
+    """List and lift quarantines of requests and prompt parts that crash upstreams."""
 
 
 @quarantine.command("list")
 @click.argument("host", metavar="IP:PORT")
 @json_option
 def list_quarantined(host: str, as_json: bool) -> None:
-    """List the requests quarantined by the host with this metrics address."""
+    """List what is quarantined by the host with this metrics address."""
     items = json.loads(request_host(host, "GET", QUARANTINE_PATH, _STEP))
     if as_json:
         print_json(items)
         return
     for item in items:
+        part = f" part {item['part']}" if item.get("part") else ""
         click.echo(
-            f"{item['fingerprint']} team {item['team'] or 'none'},"
+            f"{item['fingerprint']}{part} team {item['team'] or 'none'},"
             f" {item['seconds_left']:.0f} s left, crashed"
             f" {' '.join(item['upstreams'])}"
         )
-    click.echo(f"{len(items)} requests are quarantined")
+    click.echo(f"{len(items)} requests or prompt parts are quarantined")
 
 
 @quarantine.command()
 @click.argument("host", metavar="IP:PORT")
 @click.argument("fingerprint")
 def lift(host: str, fingerprint: str) -> None:
-    """Lift a request's quarantine; the given host notifies all others."""
+    """Lift a quarantine; the given host notifies all others."""
     query = f"{LIFT_PATH}?fingerprint={fingerprint}"
     click.echo(request_host(host, "POST", query, _STEP).strip())
--- a/src/rudderpass/exchange/__init__.py
+++ b/src/rudderpass/exchange/__init__.py
@@ -1,5 +1,6 @@
 """Exchanges: proxying callers' requests to upstreams of the routed service."""
 
+from rudderpass._ids import PartId as PartId
 from rudderpass.exchange._app import ExchangeApp as ExchangeApp
 from rudderpass.exchange._assignment import (
     Accepted as Accepted,
@@ -80,7 +81,6 @@
     ExchangeRequest as ExchangeRequest,
     HeadChange as HeadChange,
     Headers as Headers,
-    PartId as PartId,
     PromptPart as PromptPart,
     ResponseHead as ResponseHead,
     ResponseKind as ResponseKind,
--- a/src/rudderpass/exchange/_assignment.py
+++ b/src/rudderpass/exchange/_assignment.py
@@ -87,6 +87,7 @@
     :param throttled: number of upstreams ruled out by a rate limit or Retry-After.
     :param response_started_at: when the response started; None before.
     :param region: the upstream's region, if known.
+    :param output_started_at: when the first event of a stream came; None before.
     """
 
     service: PoolId
@@ -107,6 +108,7 @@
     response_started_at: float | None = None
     throttled: int = 0
     region: Region | None = None
+    output_started_at: float | None = None
 
     @property
     def involved(self) -> list[RegisteredUpstream]:
@@ -128,6 +130,13 @@
         """Whether the response has started."""
         return self.response_started_at is not None
 
+    def was_answered_by(self, moment: float) -> bool:
+        """Return whether the output had begun by a moment.
+
+        The head of a response that is not streamed is no output.
+        """
+        return self.output_started_at is not None and self.output_started_at <= moment
+
     @property
     def prefill_load(self) -> Load:
         """The prefill load of the request, which ends when the response starts."""
--- a/src/rudderpass/exchange/_prefixes.py
+++ b/src/rudderpass/exchange/_prefixes.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from rudderpass._ids import UpstreamId
-from rudderpass.exchange._request import PartId, PromptPart
+from rudderpass._ids import PartId, UpstreamId
+from rudderpass.exchange._request import PromptPart
 
 CACHE_SHARE = 0.8
 """Share of an upstream's cache memory that is assumed to hold prompt parts; running
--- a/src/rudderpass/exchange/_prompt_updates.py
+++ b/src/rudderpass/exchange/_prompt_updates.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from rudderpass._ids import UpstreamId
+from rudderpass._ids import PartId, UpstreamId
 from rudderpass.exchange._assignment import SentPrompt
-from rudderpass.exchange._request import PartId, PromptPart
+from rudderpass.exchange._request import PromptPart
 
 RESEND_SECONDS = 3.0
 """Time within which a part that is sent to the same upstream is not reported to peers
--- a/src/rudderpass/exchange/_quarantine_gate.py
+++ b/src/rudderpass/exchange/_quarantine_gate.py
@@ -1,12 +1,12 @@
-"""Holds back requests whose repetitions have crashed upstreams."""
+"""Holds back requests that crash upstreams, themselves or by a part of their prompt."""
 
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from rudderpass import _clock
-from rudderpass._ids import Fingerprint
+from rudderpass._ids import Fingerprint, UpstreamId
 from rudderpass.errors import (
     CallerGone,
     ConnectionCut,
@@ -16,11 +16,11 @@
 )
 from rudderpass.eventlog import log
 from rudderpass.exchange._assignment import Accepted, Assignment, RefusalReason, Refused
-from rudderpass.exchange._fingerprint import compute_fingerprint
+from rudderpass.exchange._fingerprint import compute_fingerprint, compute_part_key
 from rudderpass.exchange._progress import ExchangeContext
 from rudderpass.exchange._request import ExchangeRequest
 from rudderpass.exchange._responses import UpstreamFailureResponse
-from rudderpass.quarantine import Crash, CutSend, Verdict, VerdictKind
+from rudderpass.quarantine import Crash, CutSend, PartKey, Verdict, VerdictKind
 from rudderpass.webserver import CallerConnection
 
 MAX_TRIAL_WAIT_SECONDS = 1.0
@@ -41,6 +41,11 @@
 After more, the caller gets the error, and the next copy is run as a trial."""
 
 
+ANSWERED_SECONDS = 0.25
+"""An upstream that is still up this long after its first event does not crash on the
+prompt. One that does may send some events before its connections close."""
+
+
 @dataclass(frozen=True)
 class Permit:
     """Permission to send a request.
@@ -72,9 +77,22 @@
         self._accepted = accepted
         self._caller = caller
         self._cached_fingerprint: Fingerprint | None = None
+        self._cached_part_keys: tuple[PartKey, ...] | None = None
         self._is_on_trial = False
+        self._may_have_crashed = False
         self._delay = 0.0
 
+    @property
+    def part_keys(self) -> tuple[PartKey, ...]:
+        """The keys of the prompt's shared parts, computed on first use."""
+        if self._cached_part_keys is None:
+            keys = [
+                compute_part_key(self._accepted.service, part.part)
+                for part in self._request.shared_parts
+            ]
+            self._cached_part_keys = tuple(dict.fromkeys(keys))
+        return self._cached_part_keys
+
     @property
     def fingerprint(self) -> Fingerprint:
         """The request's fingerprint, computed on first use."""
@@ -94,6 +112,10 @@
         if self._delay > 0:
             time.sleep(self._delay)
             self._delay = 0.0
+        if self._may_have_crashed:
+            verdict = self._judge_parts()
+            if verdict.kind is not VerdictKind.FREE:
+                return self._refuse(RefusalReason.ON_TRIAL, verdict)
         target = self._accepted.route.target_latency
         max_wait = min(MAX_TRIAL_WAIT_SECONDS, TRIAL_WAIT_TARGET_SHARE * target)
         wait_until = _clock.now() + max_wait
@@ -101,10 +123,10 @@
             verdict = self._judge(_clock.now() >= wait_until)
             if verdict.kind is VerdictKind.FREE:
                 return Permit()
-            if verdict.kind is VerdictKind.TRIAL:
-                return self._begin_trial(verdict)
             if verdict.kind is VerdictKind.QUARANTINED:
                 return self._refuse(RefusalReason.QUARANTINED, verdict)
+            if verdict.kind is VerdictKind.TRIAL:
+                return self._begin_trial(verdict)
             if _clock.now() >= wait_until:
                 return self._refuse(RefusalReason.ON_TRIAL, verdict)
             if self._caller.is_disconnected:
@@ -125,16 +147,33 @@
             tracker = self._context.core.quarantine
             if not tracker.has_suspects:
                 return True
-            verdict = tracker.judge(self.fingerprint, _clock.now())
+            verdict = tracker.judge_all(self._fingerprints, _clock.now())
         if verdict.kind is not VerdictKind.FREE:
             self._delay = SUSPECT_RETRY_DELAY_SECONDS
         return (
             verdict.kind is VerdictKind.FREE or verdict.crashes <= MAX_CRASHES_FOR_RETRY
         )
 
+    def record_answered(self, upstream: UpstreamId) -> None:
+        """Record that an upstream answered the prompt's shared parts and survived."""
+        if not self.part_keys:
+            return
+        with self._context.lock:
+            cleared = self._context.core.quarantine.record_answered(
+                self.part_keys, self._accepted.team, _clock.now()
+            )
+        for part in cleared:
+            log(
+                "quarantine",
+                f"part {part} cleared by {self._request.request_id} at {upstream}.",
+                request=self._request.request_id,
+                part=part,
+                upstream=upstream,
+            )
+
     def record_complete_response(self) -> None:
         """Record a complete response: the upstream survived the request."""
-        self._is_on_trial = False
+        self.close()
         tracker = self._context.core.quarantine
         if not tracker.has_suspects:
             return
@@ -148,20 +187,33 @@
             return
         self._is_on_trial = False
         with self._context.lock:
-            self._context.core.quarantine.end_trial(self.fingerprint)
+            for fingerprint in self._fingerprints:
+                self._context.core.quarantine.end_trial(fingerprint)
+
+    @property
+    def _fingerprints(self) -> list[Fingerprint]:
+        """The fingerprints of the request and of its shared parts."""
+        return [self.fingerprint, *(key.fingerprint for key in self.part_keys)]
+
+    def _judge_parts(self) -> Verdict:
+        names = [key.fingerprint for key in self.part_keys]
+        with self._context.lock:
+            return self._context.core.quarantine.judge_all(names, _clock.now())
 
     def _judge(self, has_waited: bool) -> Verdict:
         """Return the verdict; a trial that it allows is started."""
-        fingerprint = self.fingerprint
+        fingerprints = self._fingerprints
         now = _clock.now()
         with self._context.lock:
             tracker = self._context.core.quarantine
-            verdict = tracker.judge(fingerprint, now)
+            verdict = tracker.judge_all(fingerprints, now)
             waits = verdict.kind is VerdictKind.WAIT
             if waits and has_waited and verdict.crashes <= MAX_CRASHES_FOR_RETRY:
-                verdict = Verdict(VerdictKind.TRIAL, verdict.crashes)
+                verdict = replace(verdict, kind=VerdictKind.TRIAL)
             if verdict.kind is VerdictKind.TRIAL:
-                tracker.begin_trial(fingerprint, now)
+                for fingerprint in fingerprints:
+                    if tracker.judge(fingerprint, now).kind is not VerdictKind.FREE:
+                        tracker.begin_trial(fingerprint, now)
         return verdict
 
     def _begin_trial(self, verdict: Verdict) -> Permit:
@@ -182,7 +234,11 @@
             now,
             silent=not assigned.has_response_started,
         )
-        cut = CutSend(self.fingerprint, self._accepted.team, crash)
+        parts = (
+            () if assigned.was_answered_by(now - ANSWERED_SECONDS) else self.part_keys
+        )
+        self._may_have_crashed = bool(parts)
+        cut = CutSend(self.fingerprint, self._accepted.team, crash, parts)
         with self._context.lock:
             if not self._context.core.crashes.record_cut(cut, now):
                 return
@@ -203,6 +259,7 @@
             upstream=assigned.upstream,
             fingerprints=[cut.fingerprint.hex() for cut in cuts],
             silent=[cut.fingerprint.hex() for cut in cuts if cut.crash.silent],
+            parts=sorted({key.part for cut in cuts for key in cut.parts}),
         )
         self._context.on_suspect_request()
 
@@ -214,6 +271,7 @@
             request=self._request.request_id,
             fingerprint=self.fingerprint.hex(),
             verdict=verdict.kind.name.lower(),
+            part=verdict.part,
             crashes=verdict.crashes,
             seconds=round(verdict.seconds, 3),
         )
--- a/src/rudderpass/exchange/_request.py
+++ b/src/rudderpass/exchange/_request.py
@@ -5,12 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
-from typing import NewType
 
-from rudderpass._ids import RequestId
-
-PartId = NewType("PartId", str)
-"""Identifies one part of a prompt; equal parts of different prompts share an id."""
+from rudderpass._ids import PartId, RequestId
 
 Headers = tuple[tuple[str, str], ...]
 
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -29,6 +29,7 @@
     log_relayed,
 )
 from rudderpass.exchange._progress import ExchangeOutcome, Progress
+from rudderpass.exchange._quarantine_gate import ANSWERED_SECONDS, QuarantineGate
 from rudderpass.exchange._refusal_status import may_forward_failure
 from rudderpass.exchange._request import HeadChange, ResponseHead, ResponseKind
 from rudderpass.exchange._responses import (
@@ -58,17 +59,28 @@
     """Sends one request to one upstream and forwards the response.
 
     :param progress: shared by all sends of the request.
+    :param quarantine_gate: learns what the upstream answered.
+    :param is_trial: whether the request may crash the upstream; then it is not sent to
+        another one while the upstream has not failed.
 
     .. versionadded:: 0.2
     """
 
     def __init__(
-        self, progress: Progress, accepted: Accepted, assigned: Assignment
+        self,
+        progress: Progress,
+        accepted: Accepted,
+        assigned: Assignment,
+        quarantine_gate: QuarantineGate,
+        is_trial: bool = False,
     ) -> None:
         self._progress = progress
         self._context = progress.context
         self._accepted = accepted
         self._assigned = assigned
+        self._quarantine_gate = quarantine_gate
+        self._is_trial = is_trial
+        self._has_recorded_answer = False
         self._connection: UpstreamConnection | None = None
 
     @property
@@ -229,7 +241,8 @@
         :raises UpstreamError: when it is lost and another send is possible.
         """
         state = self._progress.state
-        if not state.repeatable or state.attempts >= state.max_attempts:
+        may_retry = state.repeatable and state.attempts < state.max_attempts
+        if self._is_trial or not may_retry:
             return
         core, lock = self._context.core, self._context.lock
         with lock:
@@ -306,6 +319,8 @@
             head.status, self._progress.state.repeatable
         ):
             raise UpstreamFailureResponse(head, body, connection.address)
+        if outcome is ExchangeOutcome.SERVED:
+            self._record_answered()
         return forward_response(self._progress.begin_response, head, body, outcome)
 
     def _forward_stream(
@@ -331,6 +346,8 @@
         if not self._progress.splitter.is_between_events:
             raise self._cut_error("the stream ended inside an event")
         self._progress.begin_stream()
+        if not self._has_recorded_answer:
+            self._record_answered()
         self._record_stream()
         self._release_connection(connection, response, head)
         return Delivered(ExchangeOutcome.SERVED, head.status, [])
@@ -362,6 +379,20 @@
         self._progress.record_response_start(self._assigned)
         self._progress.record_started(self._accepted.team, _clock.now())
         self._record_late_pause()
+        self._record_output()
+
+    def _record_output(self) -> None:
+        """Record that the upstream survives the prompt once it has for long enough."""
+        if self._assigned.output_started_at is None:
+            self._assigned.output_started_at = _clock.now()
+        elif not self._has_recorded_answer and self._assigned.was_answered_by(
+            _clock.now() - ANSWERED_SECONDS
+        ):
+            self._record_answered()
+
+    def _record_answered(self) -> None:
+        self._has_recorded_answer = True
+        self._quarantine_gate.record_answered(self._assigned.upstream)
 
     def _bind_version(self) -> None:
         """Bind the stream to the version of its first event, on all hosts."""
--- a/src/rudderpass/exchange/_serve.py
+++ b/src/rudderpass/exchange/_serve.py
@@ -173,14 +173,25 @@
             return self._give_up(version)
         self._progress.version = version
         while True:
-            assigned = self._assign(accepted, quarantine_gate)
+            permit = self._await_permit(quarantine_gate)
+            assigned = (
+                permit
+                if isinstance(permit, Refused)
+                else self._assign(accepted, permit)
+            )
             if isinstance(assigned, Refused):
                 if self._may_try_silent(accepted, assigned):
                     continue
                 if self._may_try_rejecting(accepted, assigned):
                     continue
                 return self._give_up(assigned)
-            self._send = Send(self._progress, accepted, assigned)
+            self._send = Send(
+                self._progress,
+                accepted,
+                assigned,
+                quarantine_gate,
+                is_trial=isinstance(permit, Permit) and permit.isolate is not None,
+            )
             try:
                 delivered = self._send.run()
             except UpstreamError as error:
@@ -215,13 +226,11 @@
         log_origin(self._request, accepted, version)
         return version
 
-    def _assign(
-        self, accepted: Accepted, quarantine_gate: QuarantineGate
-    ) -> Assignment | Refused:
+    def _await_permit(self, quarantine_gate: QuarantineGate) -> Permit | Refused:
         self._await_initialization()
-        permit = quarantine_gate.admit()
-        if isinstance(permit, Refused):
-            return permit
+        return quarantine_gate.admit()
+
+    def _assign(self, accepted: Accepted, permit: Permit) -> Assignment | Refused:
         wait_until = self._find_wait_end(accepted)
         assigned = self._try_assign(accepted, permit)
         while isinstance(assigned, Refused):
--- a/src/rudderpass/gossip/_gen/wire/ttypes.py
+++ b/src/rudderpass/gossip/_gen/wire/ttypes.py
@@ -928,6 +928,7 @@
      - sent_ms
      - age_ms
      - silent
+     - requests
 
     """
 
@@ -936,14 +937,16 @@
         'sent_ms',
         'age_ms',
         'silent',
+        'requests',
     )
 
 
-    def __init__(self, upstream=None, sent_ms=None, age_ms=None, silent=None,):
+    def __init__(self, upstream=None, sent_ms=None, age_ms=None, silent=None, requests=None,):
         self.upstream = upstream
         self.sent_ms = sent_ms
         self.age_ms = age_ms
         self.silent = silent
+        self.requests = requests
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -974,6 +977,16 @@
                     self.silent = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readI64()
+                        self.requests.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1000,6 +1013,13 @@
             oprot.writeFieldBegin('silent', TType.BOOL, 4)
             oprot.writeBool(self.silent)
             oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 5)
+            oprot.writeListBegin(TType.I64, len(self.requests))
+            for iter55 in self.requests:
+                oprot.writeI64(iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1033,6 +1053,7 @@
      - crashes
      - served_ms
      - trial_ms
+     - part
 
     """
 
@@ -1042,15 +1063,17 @@
         'crashes',
         'served_ms',
         'trial_ms',
+        'part',
     )
 
 
-    def __init__(self, fingerprint=None, team=None, crashes=None, served_ms=None, trial_ms=None,):
+    def __init__(self, fingerprint=None, team=None, crashes=None, served_ms=None, trial_ms=None, part=None,):
         self.fingerprint = fingerprint
         self.team = team
         self.crashes = crashes
         self.served_ms = served_ms
         self.trial_ms = trial_ms
+        self.part = part
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1074,11 +1097,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Crash()
-                        _elem54.read(iprot)
-                        self.crashes.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Crash()
+                        _elem61.read(iprot)
+                        self.crashes.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1092,6 +1115,11 @@
                     self.trial_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1113,8 +1141,8 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter55 in self.crashes:
-                iter55.write(oprot)
+            for iter62 in self.crashes:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served_ms is not None:
@@ -1125,6 +1153,10 @@
             oprot.writeFieldBegin('trial_ms', TType.I32, 5)
             oprot.writeI32(self.trial_ms)
             oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 6)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1583,11 +1615,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.quarantined = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Suspect()
-                        _elem61.read(iprot)
-                        self.quarantined.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Suspect()
+                        _elem68.read(iprot)
+                        self.quarantined.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1599,11 +1631,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = ServiceVersion()
-                        _elem67.read(iprot)
-                        self.versions.append(_elem67)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = ServiceVersion()
+                        _elem74.read(iprot)
+                        self.versions.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1624,8 +1656,8 @@
         if self.quarantined is not None:
             oprot.writeFieldBegin('quarantined', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantined))
-            for iter68 in self.quarantined:
-                iter68.write(oprot)
+            for iter75 in self.quarantined:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.written_ms is not None:
@@ -1635,8 +1667,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter69 in self.versions:
-                iter69.write(oprot)
+            for iter76 in self.versions:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1699,11 +1731,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.counts = {}
-                    (_ktype71, _vtype72, _size70) = iprot.readMapBegin()
-                    for _i74 in range(_size70):
-                        _key75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val76 = iprot.readI32()
-                        self.counts[_key75] = _val76
+                    (_ktype78, _vtype79, _size77) = iprot.readMapBegin()
+                    for _i81 in range(_size77):
+                        _key82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val83 = iprot.readI32()
+                        self.counts[_key82] = _val83
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1724,9 +1756,9 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.counts))
-            for kiter77, viter78 in self.counts.items():
-                oprot.writeString(kiter77.encode('utf-8') if sys.version_info[0] == 2 else kiter77)
-                oprot.writeI32(viter78)
+            for kiter84, viter85 in self.counts.items():
+                oprot.writeString(kiter84.encode('utf-8') if sys.version_info[0] == 2 else kiter84)
+                oprot.writeI32(viter85)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1797,11 +1829,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.windows = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = WindowUsage()
-                        _elem84.read(iprot)
-                        self.windows.append(_elem84)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = WindowUsage()
+                        _elem91.read(iprot)
+                        self.windows.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1826,8 +1858,8 @@
         if self.windows is not None:
             oprot.writeFieldBegin('windows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.windows))
-            for iter85 in self.windows:
-                iter85.write(oprot)
+            for iter92 in self.windows:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1985,11 +2017,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.windows = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = WindowUsage()
-                        _elem91.read(iprot)
-                        self.windows.append(_elem91)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = WindowUsage()
+                        _elem98.read(iprot)
+                        self.windows.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2015,8 +2047,8 @@
         if self.windows is not None:
             oprot.writeFieldBegin('windows', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.windows))
-            for iter92 in self.windows:
-                iter92.write(oprot)
+            for iter99 in self.windows:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2173,31 +2205,31 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.told = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = StreamOrigin()
-                        _elem98.read(iprot)
-                        self.told.append(_elem98)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = StreamOrigin()
+                        _elem105.read(iprot)
+                        self.told.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.asked = []
-                    (_etype102, _size99) = iprot.readListBegin()
-                    for _i103 in range(_size99):
-                        _elem104 = iprot.readBinary()
-                        self.asked.append(_elem104)
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = iprot.readBinary()
+                        self.asked.append(_elem111)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.unknown = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readBinary()
-                        self.unknown.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readBinary()
+                        self.unknown.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2214,22 +2246,22 @@
         if self.told is not None:
             oprot.writeFieldBegin('told', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.told))
-            for iter111 in self.told:
-                iter111.write(oprot)
+            for iter118 in self.told:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.asked is not None:
             oprot.writeFieldBegin('asked', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.asked))
-            for iter112 in self.asked:
-                oprot.writeBinary(iter112)
+            for iter119 in self.asked:
+                oprot.writeBinary(iter119)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unknown is not None:
             oprot.writeFieldBegin('unknown', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.unknown))
-            for iter113 in self.unknown:
-                oprot.writeBinary(iter113)
+            for iter120 in self.unknown:
+                oprot.writeBinary(iter120)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2287,11 +2319,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.origins = []
-                    (_etype117, _size114) = iprot.readListBegin()
-                    for _i118 in range(_size114):
-                        _elem119 = StreamOrigin()
-                        _elem119.read(iprot)
-                        self.origins.append(_elem119)
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = StreamOrigin()
+                        _elem126.read(iprot)
+                        self.origins.append(_elem126)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2313,8 +2345,8 @@
         if self.origins is not None:
             oprot.writeFieldBegin('origins', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.origins))
-            for iter120 in self.origins:
-                iter120.write(oprot)
+            for iter127 in self.origins:
+                iter127.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.written_ms is not None:
@@ -2466,32 +2498,32 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype124, _size121) = iprot.readListBegin()
-                    for _i125 in range(_size121):
-                        _elem126 = UpstreamLoad()
-                        _elem126.read(iprot)
-                        self.loads.append(_elem126)
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = UpstreamLoad()
+                        _elem133.read(iprot)
+                        self.loads.append(_elem133)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype130, _size127) = iprot.readListBegin()
-                    for _i131 in range(_size127):
-                        _elem132 = SentPrompt()
-                        _elem132.read(iprot)
-                        self.prompts.append(_elem132)
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = SentPrompt()
+                        _elem139.read(iprot)
+                        self.prompts.append(_elem139)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.peers.append(_elem138)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.peers.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2508,22 +2540,22 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.streams = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = StreamSample()
-                        _elem144.read(iprot)
-                        self.streams.append(_elem144)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = StreamSample()
+                        _elem151.read(iprot)
+                        self.streams.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.reading = []
-                    (_etype148, _size145) = iprot.readListBegin()
-                    for _i149 in range(_size145):
-                        _elem150 = ServiceReading()
-                        _elem150.read(iprot)
-                        self.reading.append(_elem150)
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = ServiceReading()
+                        _elem157.read(iprot)
+                        self.reading.append(_elem157)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2551,11 +2583,11 @@
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype154, _size151) = iprot.readListBegin()
-                    for _i155 in range(_size151):
-                        _elem156 = Suspect()
-                        _elem156.read(iprot)
-                        self.suspects.append(_elem156)
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = Suspect()
+                        _elem163.read(iprot)
+                        self.suspects.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2583,21 +2615,21 @@
             elif fid == 21:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype160, _size157) = iprot.readListBegin()
-                    for _i161 in range(_size157):
-                        _elem162 = RateLimit()
-                        _elem162.read(iprot)
-                        self.rate_limits.append(_elem162)
+                    (_etype167, _size164) = iprot.readListBegin()
+                    for _i168 in range(_size164):
+                        _elem169 = RateLimit()
+                        _elem169.read(iprot)
+                        self.rate_limits.append(_elem169)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 22:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving.append(_elem168)
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem175)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2614,44 +2646,44 @@
             elif fid == 25:
                 if ftype == TType.LIST:
                     self.evacuations = []
-                    (_etype172, _size169) = iprot.readListBegin()
-                    for _i173 in range(_size169):
-                        _elem174 = Evacuation()
-                        _elem174.read(iprot)
-                        self.evacuations.append(_elem174)
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = Evacuation()
+                        _elem181.read(iprot)
+                        self.evacuations.append(_elem181)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 26:
                 if ftype == TType.MAP:
                     self.cold_ms = {}
-                    (_ktype176, _vtype177, _size175) = iprot.readMapBegin()
-                    for _i179 in range(_size175):
-                        _key180 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val181 = iprot.readI32()
-                        self.cold_ms[_key180] = _val181
+                    (_ktype183, _vtype184, _size182) = iprot.readMapBegin()
+                    for _i186 in range(_size182):
+                        _key187 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val188 = iprot.readI32()
+                        self.cold_ms[_key187] = _val188
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 27:
                 if ftype == TType.LIST:
                     self.brittle = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = Brittle()
-                        _elem187.read(iprot)
-                        self.brittle.append(_elem187)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = Brittle()
+                        _elem194.read(iprot)
+                        self.brittle.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 28:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = ServiceVersion()
-                        _elem193.read(iprot)
-                        self.versions.append(_elem193)
+                    (_etype198, _size195) = iprot.readListBegin()
+                    for _i199 in range(_size195):
+                        _elem200 = ServiceVersion()
+                        _elem200.read(iprot)
+                        self.versions.append(_elem200)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2680,22 +2712,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter194 in self.loads:
-                iter194.write(oprot)
+            for iter201 in self.loads:
+                iter201.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter195 in self.prompts:
-                iter195.write(oprot)
+            for iter202 in self.prompts:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.peers))
-            for iter196 in self.peers:
-                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
+            for iter203 in self.peers:
+                oprot.writeString(iter203.encode('utf-8') if sys.version_info[0] == 2 else iter203)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.warm is not None:
@@ -2709,15 +2741,15 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter197 in self.streams:
-                iter197.write(oprot)
+            for iter204 in self.streams:
+                iter204.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reading is not None:
             oprot.writeFieldBegin('reading', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.reading))
-            for iter198 in self.reading:
-                iter198.write(oprot)
+            for iter205 in self.reading:
+                iter205.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.zone is not None:
@@ -2739,8 +2771,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter199 in self.suspects:
-                iter199.write(oprot)
+            for iter206 in self.suspects:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.duty_token is not None:
@@ -2762,15 +2794,15 @@
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter200 in self.rate_limits:
-                iter200.write(oprot)
+            for iter207 in self.rate_limits:
+                iter207.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 22)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter201 in self.leaving:
-                oprot.writeString(iter201.encode('utf-8') if sys.version_info[0] == 2 else iter201)
+            for iter208 in self.leaving:
+                oprot.writeString(iter208.encode('utf-8') if sys.version_info[0] == 2 else iter208)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2784,30 +2816,30 @@
         if self.evacuations is not None:
             oprot.writeFieldBegin('evacuations', TType.LIST, 25)
             oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
-            for iter202 in self.evacuations:
-                iter202.write(oprot)
+            for iter209 in self.evacuations:
+                iter209.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cold_ms is not None:
             oprot.writeFieldBegin('cold_ms', TType.MAP, 26)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.cold_ms))
-            for kiter203, viter204 in self.cold_ms.items():
-                oprot.writeString(kiter203.encode('utf-8') if sys.version_info[0] == 2 else kiter203)
-                oprot.writeI32(viter204)
+            for kiter210, viter211 in self.cold_ms.items():
+                oprot.writeString(kiter210.encode('utf-8') if sys.version_info[0] == 2 else kiter210)
+                oprot.writeI32(viter211)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.brittle is not None:
             oprot.writeFieldBegin('brittle', TType.LIST, 27)
             oprot.writeListBegin(TType.STRUCT, len(self.brittle))
-            for iter205 in self.brittle:
-                iter205.write(oprot)
+            for iter212 in self.brittle:
+                iter212.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 28)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter206 in self.versions:
-                iter206.write(oprot)
+            for iter213 in self.versions:
+                iter213.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2862,11 +2894,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype210, _size207) = iprot.readListBegin()
-                    for _i211 in range(_size207):
-                        _elem212 = SentPrompt()
-                        _elem212.read(iprot)
-                        self.prompts.append(_elem212)
+                    (_etype217, _size214) = iprot.readListBegin()
+                    for _i218 in range(_size214):
+                        _elem219 = SentPrompt()
+                        _elem219.read(iprot)
+                        self.prompts.append(_elem219)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2883,8 +2915,8 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter213 in self.prompts:
-                iter213.write(oprot)
+            for iter220 in self.prompts:
+                iter220.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3055,11 +3087,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype217, _size214) = iprot.readListBegin()
-                    for _i218 in range(_size214):
-                        _elem219 = KeyedRecord()
-                        _elem219.read(iprot)
-                        self.upstreams.append(_elem219)
+                    (_etype224, _size221) = iprot.readListBegin()
+                    for _i225 in range(_size221):
+                        _elem226 = KeyedRecord()
+                        _elem226.read(iprot)
+                        self.upstreams.append(_elem226)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3071,11 +3103,11 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.ending_ms = {}
-                    (_ktype221, _vtype222, _size220) = iprot.readMapBegin()
-                    for _i224 in range(_size220):
-                        _key225 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val226 = iprot.readI32()
-                        self.ending_ms[_key225] = _val226
+                    (_ktype228, _vtype229, _size227) = iprot.readMapBegin()
+                    for _i231 in range(_size227):
+                        _key232 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val233 = iprot.readI32()
+                        self.ending_ms[_key232] = _val233
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3092,11 +3124,11 @@
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.held_ms = {}
-                    (_ktype228, _vtype229, _size227) = iprot.readMapBegin()
-                    for _i231 in range(_size227):
-                        _key232 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val233 = iprot.readI32()
-                        self.held_ms[_key232] = _val233
+                    (_ktype235, _vtype236, _size234) = iprot.readMapBegin()
+                    for _i238 in range(_size234):
+                        _key239 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val240 = iprot.readI32()
+                        self.held_ms[_key239] = _val240
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3117,8 +3149,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter234 in self.upstreams:
-                iter234.write(oprot)
+            for iter241 in self.upstreams:
+                iter241.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_end is not None:
@@ -3128,9 +3160,9 @@
         if self.ending_ms is not None:
             oprot.writeFieldBegin('ending_ms', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.ending_ms))
-            for kiter235, viter236 in self.ending_ms.items():
-                oprot.writeString(kiter235.encode('utf-8') if sys.version_info[0] == 2 else kiter235)
-                oprot.writeI32(viter236)
+            for kiter242, viter243 in self.ending_ms.items():
+                oprot.writeString(kiter242.encode('utf-8') if sys.version_info[0] == 2 else kiter242)
+                oprot.writeI32(viter243)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.changes_from is not None:
@@ -3144,9 +3176,9 @@
         if self.held_ms is not None:
             oprot.writeFieldBegin('held_ms', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.held_ms))
-            for kiter237, viter238 in self.held_ms.items():
-                oprot.writeString(kiter237.encode('utf-8') if sys.version_info[0] == 2 else kiter237)
-                oprot.writeI32(viter238)
+            for kiter244, viter245 in self.held_ms.items():
+                oprot.writeString(kiter244.encode('utf-8') if sys.version_info[0] == 2 else kiter244)
+                oprot.writeI32(viter245)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3244,6 +3276,7 @@
     (2, TType.I32, 'sent_ms', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
     (4, TType.BOOL, 'silent', None, None, ),  # 4
+    (5, TType.LIST, 'requests', (TType.I64, None, False), None, ),  # 5
 )
 all_structs.append(Suspect)
 Suspect.thrift_spec = (
@@ -3253,6 +3286,7 @@
     (3, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 3
     (4, TType.I32, 'served_ms', None, None, ),  # 4
     (5, TType.I32, 'trial_ms', None, None, ),  # 5
+    (6, TType.STRING, 'part', 'UTF8', None, ),  # 6
 )
 all_structs.append(RateLimit)
 RateLimit.thrift_spec = (
--- a/src/rudderpass/gossip/_suspects.py
+++ b/src/rudderpass/gossip/_suspects.py
@@ -5,13 +5,25 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from rudderpass._ids import AvailabilityZone, Fingerprint, TeamId, UpstreamId
+from rudderpass._ids import (
+    AvailabilityZone,
+    Fingerprint,
+    PartId,
+    RequestDigest,
+    TeamId,
+    UpstreamId,
+)
 from rudderpass._thrift import decode_struct, encode_struct
 from rudderpass.errors import PeerError
 from rudderpass.gossip._gen.wire import ttypes as wire
 from rudderpass.gossip._origins import Versions, versions_from_wire, versions_to_wire
 from rudderpass.gossip._wire import MAX_I32, required
-from rudderpass.quarantine import MAX_CRASHES, Crash, SuspectUpdate
+from rudderpass.quarantine import (
+    MAX_CRASHES,
+    MAX_REQUESTS_PER_CRASH,
+    Crash,
+    SuspectUpdate,
+)
 
 MAX_RECORD_AGE_SECONDS = 15.0
 """Age from which the versions in a host's record do not count. While a service has
@@ -21,23 +33,28 @@
 
 
 def suspect_to_wire(report: SuspectUpdate) -> wire.Suspect:
-    """Return the struct for one suspect request."""
+    """Return the struct for one suspect request or prompt part."""
     return wire.Suspect(
         report.fingerprint,
         report.team,
         [
             wire.Crash(
-                crash.upstream, _ms(crash.sent), _ms(crash.at), crash.silent or None
+                crash.upstream,
+                _ms(crash.sent),
+                _ms(crash.at),
+                crash.silent or None,
+                sorted(crash.requests) or None,
             )
             for crash in report.crashes
         ],
         None if report.served is None else _ms(report.served),
         None if report.trial is None else _ms(report.trial),
+        report.part,
     )
 
 
 def suspect_from_wire(raw: wire.Suspect) -> SuspectUpdate:
-    """Return the suspect request in a struct.
+    """Return the suspect request or prompt part in a struct.
 
     :raises TypeError: when a field is missing.
     """
@@ -47,6 +64,7 @@
         tuple(_crash_from_wire(crash) for crash in (raw.crashes or ())[:MAX_CRASHES]),
         None if raw.served_ms is None else _seconds(raw.served_ms),
         None if raw.trial_ms is None else _seconds(raw.trial_ms),
+        None if raw.part is None else PartId(raw.part),
     )
 
 
@@ -118,6 +136,7 @@
         _seconds(required(raw.sent_ms)),
         _seconds(required(raw.age_ms)),
         bool(raw.silent),
+        frozenset(map(RequestDigest, (raw.requests or ())[:MAX_REQUESTS_PER_CRASH])),
     )
 
 
--- a/src/rudderpass/host/_admin.py
+++ b/src/rudderpass/host/_admin.py
@@ -23,14 +23,16 @@
 
 @dataclass(frozen=True)
 class QuarantinedRequest:
-    """A quarantined request, as listed for operators.
+    """A quarantined request or prompt part, as listed for operators.
 
     :param fingerprint: hexadecimal, as in the logs.
+    :param part: the prompt part; None for a request.
     :param upstreams: those that crashed while serving it.
     :param seconds_left: until one copy may be sent on trial.
     """
 
     fingerprint: str
+    part: str | None
     team: str | None
     upstreams: tuple[str, ...]
     seconds_left: float
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -40,6 +40,7 @@
     streams_passed_over: int
     suspect_requests: int
     quarantined_requests: int
+    quarantined_parts: int
     upstreams_rate_limited: int
     zones_evacuated: int
     requests_in_evacuated_zones: int
--- a/src/rudderpass/host/_quarantine.py
+++ b/src/rudderpass/host/_quarantine.py
@@ -59,6 +59,7 @@
             return [
                 QuarantinedRequest(
                     suspect.fingerprint.hex(),
+                    suspect.part,
                     suspect.team,
                     tuple(sorted(crash.upstream for crash in suspect.crashes)),
                     round(self._tracker.judge(suspect.fingerprint, now).seconds, 1),
@@ -86,10 +87,14 @@
         if change.is_local:
             self._archive.schedule_write()
         word = "quarantined" if change.is_quarantined else "released"
+        name = change.fingerprint.hex()
+        if change.part is not None:
+            name = f"part {change.part} ({name})"
         log(
             "quarantine",
-            f"{change.fingerprint.hex()} {word}, {len(change.upstreams)} crashes.",
+            f"{name} {word}, {len(change.upstreams)} crashes.",
             fingerprint=change.fingerprint.hex(),
+            part=change.part,
             team=change.team,
             quarantined=change.is_quarantined,
             upstreams=list(change.upstreams),
--- a/src/rudderpass/host/_status.py
+++ b/src/rudderpass/host/_status.py
@@ -74,7 +74,9 @@
                 gossip_bytes=self._peers.transport.sent_bytes,
                 streams_passed_over=core.rejected_stream_samples,
                 suspect_requests=core.quarantine.suspect_count,
-                quarantined_requests=len(core.quarantine.quarantined),
+                quarantined_requests=len(core.quarantine.quarantined)
+                - core.quarantine.quarantined_part_count,
+                quarantined_parts=core.quarantine.quarantined_part_count,
                 upstreams_rate_limited=len(core.rate_limits.rates),
                 zones_evacuated=len(directory.evacuations.zones),
                 requests_in_evacuated_zones=sum(
--- a/src/rudderpass/quarantine/_attribution.py
+++ b/src/rudderpass/quarantine/_attribution.py
@@ -1,10 +1,10 @@
-"""Attribution of upstream crashes to the requests that caused them."""
+"""Attribution of upstream crashes to the requests or prompt parts that caused them."""
 
 from __future__ import annotations
 
 from collections.abc import Collection, Mapping, Sequence
 
-from rudderpass._ids import Fingerprint, UpstreamId
+from rudderpass._ids import Fingerprint, RequestDigest, UpstreamId
 from rudderpass.quarantine._records import Crash
 
 MIN_CRASHES = 3
@@ -14,6 +14,10 @@
 number applies if a response had begun at some of the crashes: requests that crash
 upstreams do so when they start."""
 
+MIN_CRASHES_AMBIGUOUS = 5
+"""The same for a prompt part if other parts were in flight in the same requests at the
+same crashes. Until then one request at a time is tried, which tells them apart."""
+
 COMPLETED_FACTOR = 2
 """Multiplies the crashes required for a request that completed recently: a popular body
 is in flight beside every request that crashes upstreams."""
@@ -53,17 +57,85 @@
 
 
 def count_independent_crashes(crashes: Collection[Crash]) -> int:
-    """Return how many crashes are independent of one another."""
+    """Return how many crashes are independent of one another.
+
+    Crashes of a prompt part under the same request count once: they may be due to the
+    request rather than to the part.
+    """
     count = 0
     last: Crash | None = None
+    seen: set[RequestDigest] = set()
     for crash in sorted(crashes, key=lambda crash: (crash.at, crash.upstream)):
         if last is not None and _may_share_cause(last, crash):
             continue
+        if crash.requests and crash.requests <= seen:
+            continue
+        seen |= crash.requests
         count += 1
         last = crash
     return count
 
 
+def find_culprit_parts(
+    parts: Mapping[Fingerprint, Sequence[Crash]],
+    recently_answered: Collection[Fingerprint] = (),
+) -> dict[Fingerprint, int]:
+    """Return the prompt parts that caused crashes, with the number of their crashes.
+
+    A popular part is in flight at every crash, also at those of several culprits, but
+    it is answered elsewhere, which clears it or doubles the crashes required. So the
+    part with the most crashes for those required is found first, and its crashes do not
+    count against any other part.
+
+    :param recently_answered: parts that were answered shortly before their first crash.
+    """
+    culprits: dict[Fingerprint, int] = {}
+    remaining = {part: list(crashes) for part, crashes in parts.items()}
+    while (likeliest := _find_likeliest_part(remaining, recently_answered)) is not None:
+        culprits[likeliest] = count_independent_crashes(parts[likeliest])
+        explained = {crash.upstream for crash in remaining.pop(likeliest)}
+        remaining = {
+            part: exclude(crashes, explained) for part, crashes in remaining.items()
+        }
+    return culprits
+
+
+def _find_likeliest_part(
+    remaining: Mapping[Fingerprint, Sequence[Crash]],
+    recently_answered: Collection[Fingerprint],
+) -> Fingerprint | None:
+    """Return the likeliest of the parts that have enough crashes.
+
+    Of parts with equally many, the one in the fewest requests is the likeliest: the
+    others were also in flight in requests beside the culprit.
+    """
+    ranks: dict[Fingerprint, tuple[float, int]] = {}
+    for part, crashes in remaining.items():
+        needed = MIN_CRASHES * (COMPLETED_FACTOR if part in recently_answered else 1)
+        count = count_independent_crashes(crashes)
+        if count >= needed:
+            ranks[part] = count / needed, -len(_requests_of(crashes))
+    if not ranks:
+        return None
+    likeliest = max(ranks, key=lambda part: (ranks[part], part))
+    requests = _requests_of(remaining[likeliest])
+    is_ambiguous = any(
+        part != likeliest
+        and rank == ranks[likeliest]
+        and _requests_of(remaining[part]) == requests
+        for part, rank in ranks.items()
+    )
+    count = count_independent_crashes(remaining[likeliest])
+    if is_ambiguous and count < MIN_CRASHES_AMBIGUOUS:
+        return None
+    return likeliest
+
+
+def _requests_of(crashes: Collection[Crash]) -> set[RequestDigest]:
+    """Return the known requests under which a part's upstreams crashed."""
+    return {request for crash in crashes for request in crash.requests}
+
+
 def find_culprits(
     suspects: Mapping[Fingerprint, Sequence[Crash]],
     recently_completed: Collection[Fingerprint] = (),
--- a/src/rudderpass/quarantine/_cuts.py
+++ b/src/rudderpass/quarantine/_cuts.py
@@ -4,9 +4,9 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from rudderpass._ids import Fingerprint, TeamId, UpstreamId
+from rudderpass._ids import Fingerprint, PartId, RequestDigest, TeamId, UpstreamId
 from rudderpass.quarantine._records import Crash
 
 CONFIRM_SECONDS = 5.0
@@ -18,13 +18,34 @@
 """Cut sends kept; the oldest are dropped first, as they are the least useful."""
 
 
+@dataclass(frozen=True)
+class PartKey:
+    """A prompt part of a request, with its fingerprint."""
+
+    fingerprint: Fingerprint
+    part: PartId
+
+
 @dataclass(frozen=True)
 class CutSend:
-    """A send whose connection was cut."""
+    """A send whose connection was cut.
+
+    :param parts: the shared parts of its prompt if it may have crashed its upstream;
+        empty if it had been answered for long enough.
+    """
 
     fingerprint: Fingerprint
     team: TeamId | None
     crash: Crash
+    parts: tuple[PartKey, ...] = ()
+
+    @property
+    def part_crash(self) -> Crash:
+        """The crash as recorded for its prompt's parts."""
+        digest = int.from_bytes(self.fingerprint[:8], "big", signed=True)
+        return replace(
+            self.crash, silent=True, requests=frozenset({RequestDigest(digest)})
+        )
 
 
 class CutSends:
--- a/src/rudderpass/quarantine/_suspect.py
+++ b/src/rudderpass/quarantine/_suspect.py
@@ -1,11 +1,11 @@
-"""State of one request under which upstreams crashed."""
+"""State of one request or prompt part under which upstreams crashed."""
 
 from __future__ import annotations
 
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from rudderpass._ids import TeamId, UpstreamId
+from rudderpass._ids import PartId, TeamId, UpstreamId
 from rudderpass.quarantine._attribution import (
     MIN_CRASHES,
     count_independent_crashes,
@@ -36,13 +36,15 @@
 
 @dataclass
 class Suspect:
-    """One suspect request. Times are on the local clock.
+    """One suspect request or prompt part. Times are on the local clock.
 
-    :ivar served: when a copy last completed; earlier crashes do not count.
+    :ivar served: when a copy last completed, or a prompt with the part was answered;
+        earlier crashes do not count.
     :ivar trial: when the newest copy was sent on trial.
     :ivar sends_left: how many more heartbeats carry an update about it.
     :ivar last_sent: when an update about it was last sent.
     :ivar is_local: whether this host observed one of the crashes.
+    :ivar part: the prompt part; None for a request.
     """
 
     team: TeamId | None
@@ -52,6 +54,14 @@
     sends_left: int = 0
     last_sent: float = NEVER
     is_local: bool = False
+    part: PartId | None = None
+
+    @property
+    def is_of_interest(self) -> bool:
+        """Whether peers must know of it: not of a part that is in all prompts."""
+        if self.part is None or not self.was_recently_completed:
+            return True
+        return count_independent_crashes(self.crashes.values()) >= MIN_CRASHES
 
     @property
     def was_recently_completed(self) -> bool:
@@ -80,7 +90,10 @@
         if len(self.crashes) > MAX_CRASHES:
             oldest = min(self.crashes.values(), key=lambda crash: crash.at)
             del self.crashes[oldest.upstream]
-        return known is None or known.silent is not merged.silent
+        return known is None or (known.silent, known.requests) != (
+            merged.silent,
+            merged.requests,
+        )
 
     def clear(self, served: float) -> None:
         """Record a complete response: this request did not cause earlier crashes."""
@@ -111,6 +124,7 @@
         return self.last_crash + min(doubled, MAX_QUARANTINE_SECONDS)
 
     @property
-    def retention_key(self) -> tuple[int, float]:
+    def retention_key(self) -> tuple[bool, int, float]:
         """Sort key for eviction; the lowest is evicted first."""
-        return count_independent_crashes(self.crashes.values()), self.last_crash
+        count = count_independent_crashes(self.crashes.values())
+        return self.is_of_interest, count, self.last_crash
--- a/src/rudderpass/quarantine/_tracker.py
+++ b/src/rudderpass/quarantine/_tracker.py
@@ -1,20 +1,22 @@
-"""Tracks requests that may crash upstreams, and decides which may be sent."""
+"""Tracks requests and prompt parts that may crash upstreams; decides what to send."""
 
 from __future__ import annotations
 
 import heapq
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from rudderpass._ids import Fingerprint, TeamId, UpstreamId
+from rudderpass._ids import Fingerprint, PartId, TeamId, UpstreamId
+from rudderpass.quarantine._answered_parts import AnsweredParts
 from rudderpass.quarantine._attribution import (
     count_independent_crashes,
     drop_later_sends,
     exclude,
+    find_culprit_parts,
     find_culprits,
 )
 from rudderpass.quarantine._completed import CompletedRequests
-from rudderpass.quarantine._cuts import CutSend, CutSends
+from rudderpass.quarantine._cuts import CutSend, CutSends, PartKey
 from rudderpass.quarantine._records import (
     FREE,
     Crash,
@@ -32,6 +34,9 @@
 """Requests kept per team, so that no team can evict another team's. Those with the
 fewest crashes are evicted first, then the oldest."""
 
+MAX_SUSPECT_PARTS_PER_TEAM = 64
+"""Likewise for prompt parts."""
+
 SENDS_PER_UPDATE = 3
 """Heartbeats that carry each change, since datagrams get lost."""
 
@@ -47,26 +52,42 @@
 each host would take the other's update for a later event, and forward it."""
 
 
+_SEVERITY = {
+    VerdictKind.FREE: 0,
+    VerdictKind.TRIAL: 1,
+    VerdictKind.WAIT: 2,
+    VerdictKind.QUARANTINED: 3,
+}
+
+
 @dataclass(frozen=True)
 class _Attribution:
     """The attribution of all known crashes.
 
-    :param crashes: those that each request may have caused.
-    :param culprits: the requests that caused crashes, with the number of crashes.
+    :param crashes: those that each request or part may have caused.
+    :param culprits: the requests and parts that caused crashes, with the number of
+        crashes.
     :param explained: the upstreams that the culprits crashed.
+    :param explained_by_parts: of these, the ones that prompt parts crashed.
     """
 
     crashes: Mapping[Fingerprint, Collection[Crash]]
     culprits: Mapping[Fingerprint, int]
     explained: Collection[UpstreamId]
+    explained_by_parts: Collection[UpstreamId]
 
-    def unexplained(self, fingerprint: Fingerprint) -> list[Crash]:
-        """Return the crashes of a request that no culprit explains."""
-        return exclude(self.crashes.get(fingerprint, ()), self.explained)
+    def unexplained(self, fingerprint: Fingerprint, is_part: bool) -> list[Crash]:
+        """Return the crashes that no culprit explains.
+
+        A request that crashes upstreams does not clear its parts: one of them may be
+        the cause of that.
+        """
+        explained = self.explained_by_parts if is_part else self.explained
+        return exclude(self.crashes.get(fingerprint, ()), explained)
 
 
 class QuarantineTracker:
-    """Tracks the requests under which upstreams crashed.
+    """Tracks the requests and prompt parts under which upstreams crashed.
 
     Not thread-safe: the host's lock guards it.
 
@@ -80,6 +101,7 @@
         self._retracted: dict[UpstreamId, float] = {}
         self._attribution: _Attribution | None = None
         self._completed = CompletedRequests()
+        self._answered = AnsweredParts()
         self._announced: set[Fingerprint] = set()
 
     @property
@@ -89,16 +111,30 @@
 
     @property
     def suspect_count(self) -> int:
-        """How many requests are tracked."""
+        """How many requests and prompt parts are tracked."""
         return len(self._suspects)
 
     @property
     def quarantined(self) -> Collection[Fingerprint]:
-        """The requests found to crash upstreams."""
+        """The requests and prompt parts found to crash upstreams."""
         return self._attribute_crashes().culprits.keys()
 
+    @property
+    def quarantined_part_count(self) -> int:
+        """How many prompt parts are found to crash upstreams."""
+        return sum(self._suspects[name].part is not None for name in self.quarantined)
+
+    def judge_all(self, fingerprints: Iterable[Fingerprint], now: float) -> Verdict:
+        """Return what may be done with a request, given its and its parts' crashes."""
+        verdicts = [self.judge(fingerprint, now) for fingerprint in fingerprints]
+        return max(
+            verdicts,
+            key=lambda v: (_SEVERITY[v.kind], v.crashes, v.seconds),
+            default=FREE,
+        )
+
     def judge(self, fingerprint: Fingerprint, now: float) -> Verdict:
-        """Return what may be done with a request now."""
+        """Return what may be done with a request or prompt part now."""
         suspect = self._suspects.get(fingerprint)
         if suspect is None or not suspect.crashes:
             return FREE
@@ -107,16 +143,18 @@
         if count:
             remaining = suspect.release_time(count) - now
             if remaining > 0:
-                return Verdict(VerdictKind.QUARANTINED, count, remaining)
+                kind = VerdictKind.QUARANTINED
+                return Verdict(kind, count, remaining, suspect.part)
         else:
-            unexplained = attribution.unexplained(fingerprint)
+            is_part = suspect.part is not None
+            unexplained = attribution.unexplained(fingerprint, is_part)
             count = count_independent_crashes(unexplained)
             if not suspect.needs_trial(unexplained, count):
                 return Verdict(VerdictKind.FREE, count)
         remaining = suspect.trial_remaining(now)
         if remaining > 0:
-            return Verdict(VerdictKind.WAIT, count, remaining)
-        return Verdict(VerdictKind.TRIAL, count)
+            return Verdict(VerdictKind.WAIT, count, remaining, suspect.part)
+        return Verdict(VerdictKind.TRIAL, count, part=suspect.part)
 
     def record_cut(self, cut: CutSend, now: float) -> None:
         """Record a send whose connection was cut."""
@@ -133,6 +171,8 @@
             suspect.is_local = True
             if suspect.add(cut.crash):
                 self._record_change(suspect)
+            for key in cut.parts:
+                self._record_part_crash(key, cut)
         return cuts
 
     def record_completed(
@@ -145,6 +185,28 @@
             suspect.clear(now)
             self._record_change(suspect)
 
+    def record_answered(
+        self, parts: Iterable[PartKey], team: TeamId | None, now: float
+    ) -> list[PartId]:
+        """Record that an upstream answered a prompt with these parts and survived.
+
+        :returns: the parts that this clears of crashes.
+        """
+        keys = list(parts)
+        self._answered.record(keys, team, now)
+        cleared = []
+        for key in keys:
+            suspect = self._suspects.get(key.fingerprint)
+            if suspect is None or not suspect.crashes:
+                continue
+            is_of_interest = suspect.is_of_interest
+            suspect.clear(now)
+            self._attribution = None
+            if is_of_interest:
+                self._record_change(suspect)
+                cleared.append(key.part)
+        return cleared
+
     def begin_trial(self, fingerprint: Fingerprint, now: float) -> None:
         """Record that a copy is sent on trial; other copies must wait."""
         suspect = self._suspects.get(fingerprint)
@@ -166,7 +228,12 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None or not suspect.crashes:
             return False
-        self.record_completed(fingerprint, suspect.team, now)
+        if suspect.part is None:
+            self.record_completed(fingerprint, suspect.team, now)
+        else:
+            key = PartKey(fingerprint, suspect.part)
+            self.record_answered([key], suspect.team, now)
+            self._record_change(suspect)
         return True
 
     def retract_crash(self, upstream: UpstreamId, now: float) -> None:
@@ -195,7 +262,9 @@
         :param forwards: whether this host forwards what it receives.
         """
         for update in updates:
-            suspect = self._get_or_add_suspect(update.fingerprint, update.team)
+            suspect = self._get_or_add_suspect(
+                update.fingerprint, update.team, update.part
+            )
             if self._merge(suspect, update, now):
                 self._attribution = None
                 suspect.sends_left = (
@@ -206,7 +275,7 @@
         """Return the updates for the next heartbeat, and count them as sent."""
         culprits = self._attribute_crashes().culprits
         due = [
-            (suspect.last_sent, fingerprint, suspect)
+            (_send_priority(suspect), fingerprint, suspect)
             for fingerprint, suspect in self._suspects.items()
             if suspect.sends_left
             or (fingerprint in culprits and now - suspect.last_sent >= RESEND_SECONDS)
@@ -273,9 +342,7 @@
         for crash in update.crashes:
             if crash.upstream in self._retracted:
                 continue
-            received = Crash(
-                crash.upstream, now - crash.sent, now - crash.at, crash.silent
-            )
+            received = replace(crash, sent=now - crash.sent, at=now - crash.at)
             if received.at + SAME_EVENT_SECONDS <= suspect.served:
                 suspect.sends_left = max(1, suspect.sends_left)  # The peer missed it.
             elif suspect.add(received):
@@ -287,25 +354,42 @@
                 is_changed = True
         return is_changed
 
+    def _record_part_crash(self, key: PartKey, cut: CutSend) -> None:
+        suspect = self._get_or_add_suspect(key.fingerprint, cut.team, key.part)
+        suspect.is_local = True
+        is_new = suspect.add(cut.part_crash)
+        if not suspect.is_of_interest:
+            suspect.sends_left = 0
+            self._attribution = None
+        elif is_new:
+            self._record_change(suspect)
+
     def _get_or_add_suspect(
-        self, fingerprint: Fingerprint, team: TeamId | None
+        self, fingerprint: Fingerprint, team: TeamId | None, part: PartId | None = None
     ) -> Suspect:
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
-            self._evict_least_important(team)
-            suspect = self._suspects[fingerprint] = Suspect(team)
-            completed = self._completed.find(fingerprint, team)
+            self._evict_least_important(team, part is not None)
+            suspect = self._suspects[fingerprint] = Suspect(team, part=part)
+            completed = (
+                self._completed.find(fingerprint, team)
+                if part is None
+                else self._answered.find(fingerprint)
+            )
             if completed is not None:
                 suspect.served = completed
                 self._record_change(suspect)
         return suspect
 
-    def _evict_least_important(self, team: TeamId | None) -> None:
-        """Evict one of a team's requests if the limit is reached."""
+    def _evict_least_important(self, team: TeamId | None, is_part: bool) -> None:
+        """Evict one of a team's requests or prompt parts if the limit is reached."""
         same_team = [
-            fingerprint for fingerprint, s in self._suspects.items() if s.team == team
+            fingerprint
+            for fingerprint, s in self._suspects.items()
+            if s.team == team and (s.part is not None) is is_part
         ]
-        if len(same_team) < MAX_SUSPECTS_PER_TEAM:
+        limit = MAX_SUSPECT_PARTS_PER_TEAM if is_part else MAX_SUSPECTS_PER_TEAM
+        if len(same_team) < limit:
             return
         least = min(
             same_team, key=lambda fingerprint: self._suspects[fingerprint].retention_key
@@ -328,11 +412,17 @@
             recently_completed = {
                 n for n, s in self._suspects.items() if s.was_recently_completed
             }
-            culprits = find_culprits(crashes, recently_completed)
-            explained = {
-                c.upstream for fingerprint in culprits for c in crashes[fingerprint]
+            parts = {n: list(cs) for n, cs in crashes.items() if self._suspects[n].part}
+            culprit_parts = find_culprit_parts(parts, recently_completed)
+            by_parts = {c.upstream for n in culprit_parts for c in parts[n]}
+            requests = {
+                n: exclude(cs, by_parts) for n, cs in crashes.items() if n not in parts
             }
-            self._attribution = _Attribution(crashes, culprits, explained)
+            culprits = find_culprits(requests, recently_completed)
+            explained = by_parts | {c.upstream for n in culprits for c in requests[n]}
+            self._attribution = _Attribution(
+                crashes, {**culprit_parts, **culprits}, explained, by_parts
+            )
         return self._attribution
 
     def _is_expired(
@@ -354,16 +444,17 @@
         attribution = self._attribute_crashes()
         crashes: Collection[Crash] = suspect.crashes.values()
         if fingerprint not in attribution.culprits:
-            crashes = attribution.unexplained(fingerprint)
+            crashes = attribution.unexplained(fingerprint, suspect.part is not None)
         return SuspectUpdate(
             fingerprint,
             suspect.team,
             tuple(
-                Crash(crash.upstream, now - crash.sent, now - crash.at, crash.silent)
+                replace(crash, sent=now - crash.sent, at=now - crash.at)
                 for crash in crashes
             ),
             None if suspect.served == NEVER else now - suspect.served,
             now - suspect.trial if suspect.trial_remaining(now) > 0 else None,
+            suspect.part,
         )
 
     def _make_change(
@@ -376,4 +467,12 @@
             is_quarantined,
             tuple(sorted(suspect.crashes)),
             suspect.is_local,
+            suspect.part,
         )
+
+
+def _send_priority(suspect: Suspect) -> tuple[bool, int, float]:
+    """Return the sort key for updates: the likeliest causes are sent first."""
+    is_request = suspect.part is None
+    crashes = 0 if is_request else count_independent_crashes(suspect.crashes.values())
+    return is_request, -crashes, suspect.last_sent
--- a/tests/gossip/test_suspects.py
+++ b/tests/gossip/test_suspects.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
-from rudderpass._ids import AvailabilityZone, NodeId
+from rudderpass._ids import AvailabilityZone, NodeId, PartId, RequestDigest
 from rudderpass.errors import PeerError
 from rudderpass.gossip import (
     Heartbeat,
@@ -27,6 +29,13 @@
     ),
     SuspectUpdate(GOOD, None, (crash("u1", 1.25, sent=2.0),)),
 )
+DIGESTS = frozenset(map(RequestDigest, (-5, 2**62)))
+PART = SuspectUpdate(
+    GOOD,
+    TEAM,
+    (replace(crash("u1", 1.25, sent=2.0), requests=DIGESTS),),
+    part=PartId("0a1b"),
+)
 
 
 def test_a_heartbeat_carries_suspects() -> None:
@@ -49,6 +58,16 @@
     ) < 60 * len(SUSPECTS)
 
 
+def test_a_heartbeat_and_a_host_record_carry_suspect_parts() -> None:
+    heartbeat = Heartbeat(
+        NodeId("10.0.0.1:7"), 1, 2, False, None, (), (), suspects=(PART,)
+    )
+    encoded = encode_heartbeat(heartbeat)
+    assert decode_heartbeat(encoded, heartbeat.sender).suspects == (PART,)
+    data = encode_host_record(ZONE, (PART,), written=1000.0)
+    assert decode_quarantined(data, now=1000.0) == (PART,)
+
+
 def test_ages_in_a_host_record_count_up() -> None:
     data = encode_host_record(ZONE, SUSPECTS, written=1000.0)
     first, second = decode_quarantined(data, now=1010.0)
--- a/tests/host/test_quarantine.py
+++ b/tests/host/test_quarantine.py
@@ -101,7 +101,7 @@
     shown = run("list", second.metrics_address).output.splitlines()
     assert shown[0].startswith(f"{BAD.hex()} team {TEAM}, 1")
     assert shown[0].endswith("s left, crashed u0 u1 u2")
-    assert shown[1] == "1 requests are quarantined"
+    assert shown[1] == "1 requests or prompt parts are quarantined"
     (listed,) = json.loads(run("list", second.metrics_address, "--json").output)
     assert 100 < listed["seconds_left"] <= 120
     assert run("lift", second.metrics_address, BAD.hex()).output == "lifted\n"
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,7 @@
 
 import click
 
+from tests.soak.part_soak import run_part_seed
 from tests.soak.placement_soak import run_placement_seed
 from tests.soak.soak import SoakResult, run_seed
 from tests.soak.version_soak import run_version_seed
@@ -20,8 +21,11 @@
     has_fatal_bodies: bool,
     has_placement: bool,
     has_versions: bool,
+    has_fatal_parts: bool,
     seed: int,
 ) -> SoakResult:
+    if has_fatal_parts:
+        return run_part_seed(seed, folder / str(seed))
     if has_versions:
         return run_version_seed(seed, folder / str(seed))
     if has_placement:
@@ -53,6 +57,11 @@
     is_flag=True,
     help="Run engines of several software versions, and callers that resume streams.",
 )
+@click.option(
+    "--parts",
+    is_flag=True,
+    help="Send requests that share a prompt part, which crashes engines.",
+)
 def main(
     first: int,
     seeds: int,
@@ -61,23 +70,26 @@
     fatal: bool,
     placement: bool,
     versions: bool,
+    parts: bool,
 ) -> None:
     """Run seeds and print the violations."""
-    if fatal + placement + versions > 1:
+    if fatal + placement + versions + parts > 1:
         raise click.UsageError(
-            "--fatal, --placement and --versions are modes of their own"
+            "--fatal, --placement, --versions and --parts are modes of their own"
         )
     folder = folder or Path(tempfile.mkdtemp(prefix="rudderpass-soak-"))
     failed_seeds = 0
     with ProcessPoolExecutor(jobs) as executor:
         seed_range = range(first, first + seeds)
-        run = partial(_run_seed_in, folder, fatal, placement, versions)
+        run = partial(_run_seed_in, folder, fatal, placement, versions, parts)
         for result in executor.map(run, seed_range):
             failed_seeds += bool(result.violations)
             counts = ", ".join(f"{s}: {n}" for s, n in sorted(result.statuses.items()))
             click.echo(
                 f"seed {result.seed}: {len(result.violations)} violations; {counts}"
             )
+            if parts:
+                click.echo("  " + "\n  ".join(result.history))
             for violation in result.violations[:10]:
                 click.echo(f"  {violation}")
     click.echo(f"{failed_seeds} of {seeds} seeds with a violation; logs in {folder}")
--- a/tests/soak/fatal_parts.py
+++ b/tests/soak/fatal_parts.py
@@ -10,12 +10,14 @@
 import signal
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
+from rudderpass.observe import read_records
 from tests.soak.callers import Attempt, Callers
 from tests.soak.deployment import (
     HOST_COUNT,
@@ -40,7 +42,7 @@
 """Normal load before the first request with a fatal part."""
 
 SOUND_PROMPT = "0a1b:300,0c2d:200,{own}:900"
-FIRST_PART = "0a1b"
+SOUND_PARTS = frozenset({"0a1b", "0c2d"})
 OTHER_TEAM = next(team for team in TEAM_KEYS if team != TEAM)
 
 
@@ -55,6 +57,7 @@
     :param part_count: how many fatal parts there are, each of a team of its own.
     :param hosts: the hosts to which fatal requests are sent.
     :param kill_after: seconds from the first crash until all hosts are killed.
+    :param is_store_away: whether the store refuses all calls meanwhile.
     :param chance_interval: seconds between two crashes that nothing causes.
     """
 
@@ -69,6 +72,7 @@
     sends_head_first: bool = False
     kill_after: float | None = None
     chance_interval: float | None = None
+    is_store_away: bool = False
     seconds: float = 14.0
 
 
@@ -80,6 +84,8 @@
     :ivar late_sends: by part, runs later than CONTACT_SECONDS after the fifth crash.
     :ivar sound: requests of the sound callers to engines.
     :ivar before: of these, the ones before the first crash.
+    :ivar quarantined_sound: parts of sound requests that any host quarantined.
+    :ivar statuses: number of the sound requests by status.
     :ivar settled: of these, the ones from SETTLED_SECONDS after the fifth crash, or the
         last if there are fewer.
     """
@@ -89,7 +95,8 @@
     sound: list[Attempt]
     before: list[Attempt]
     settled: list[Attempt]
-    refused_as_fatal: list[Attempt]
+    quarantined_sound: frozenset[str]
+    statuses: dict[int, int]
     violations: tuple[str, ...]
 
     def describe(self) -> str:
@@ -102,7 +109,8 @@
             if group
         ]
         return (
-            f"crashes {crashes}, late {late}, served before/all/settled "
+            f"crashes {crashes}, late {late}, held back {set(self.quarantined_sound)}, "
+            f"served before/all/settled "
             f"{' / '.join(shares)}, {len(self.violations)} violations"
         )
 
@@ -169,7 +177,7 @@
         deployment,
         seed,
         routes=scenario.sound_routes,
-        teams=(TEAM, OTHER_TEAM)[: scenario.part_count],
+        teams=(TEAM, OTHER_TEAM)[: max(1, scenario.part_count)],
         prompt=SOUND_PROMPT,
     )
     stopping = threading.Event()
@@ -184,6 +192,7 @@
         deployment.start()
         callers.start()
         time.sleep(UNDISTURBED_SECONDS)
+        deployment.store.status = 503 if scenario.is_store_away else 0
         with ThreadPoolExecutor(len(tasks)) as executor:
             futures = [executor.submit(task) for task in tasks]
             stopping.wait(scenario.seconds)
@@ -195,8 +204,7 @@
     finally:
         stopping.set()
         deployment.close()
-    refused = [a for sender in senders for a in sender.attempts if a.status == 503]
-    return _collect(deployment, callers, refused)
+    return _collect(deployment, callers)
 
 
 def _kill_all(
@@ -231,9 +239,7 @@
             deployment.crash_engine(rng.choice(live))
 
 
-def _collect(
-    deployment: PartDeployment, callers: Callers, refused: list[Attempt]
-) -> PartResult:
+def _collect(deployment: PartDeployment, callers: Callers) -> PartResult:
     runs = [run for rs in deployment.run_tracker.runs.values() for run in rs]
     crash_at = {crash.upstream: crash.at for crash in deployment.crashes}
     crashes: dict[str, list[float]] = {}
@@ -263,5 +269,26 @@
     before = [a for a in sound if a.ended < all_times[0]]
     settled = [a for a in sound if a.started > settled_at]
     return PartResult(
-        crashes, late, sound, before, settled, refused, tuple(callers.violations)
+        crashes,
+        late,
+        sound,
+        before,
+        settled,
+        _read_quarantined_parts(deployment) & SOUND_PARTS,
+        dict(Counter(attempt.status for attempt in sound)),
+        tuple(callers.violations),
     )
+
+
+def _read_quarantined_parts(deployment: PartDeployment) -> frozenset[str]:
+    """Return the prompt parts that any host quarantined, according to its log."""
+    parts = set()
+    for host in deployment.hosts:
+        with (host.folder / "log.jsonl").open(encoding="utf-8") as lines:
+            parts |= {
+                str(record.fields["part"])
+                for record in read_records(lines)
+                if record.fields.get("quarantined") is True
+                and record.fields.get("part") is not None
+            }
+    return frozenset(parts)
