Keep descriptors for upstreams, and make room for new callers

Where most connections go to one host, or where its process may open 1,024 descriptors, callers waited until they gave up (36 of 450 served with 1,500 connections kept open): the host accepted up to 3,000 connections whatever its limit, had no descriptor left to connect upstreams, and at its limit left new callers in the listen queue.

A host now raises its soft limit to the hard one at start, takes the lower of that and the settings' limit, and divides it; from 95 % of its connections on it closes the ones idle longest, beyond 100 % it closes new ones unread, so that callers may try another host; an upstream connection that finds no descriptor closes idle ones and tries again. With 4,100 descriptors the numbers are what they were (3,000 and 256).

Before: the two new tests of the server fail (callers time out).

--- a/src/rudderpass/exchange/_connections.py
+++ b/src/rudderpass/exchange/_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import http.client
 import socket
 import threading
@@ -14,7 +15,7 @@
 from rudderpass._sockets import is_readable
 from rudderpass.errors import ConnectionRefused, UpstreamError, UpstreamUnreachable
 from rudderpass.exchange._request import ExchangeRequest, Headers
-from rudderpass.tunnels import AllowsZone, Dialer, DirectDialer
+from rudderpass.tunnels import AllowsZone, Dialed, Dialer, DirectDialer
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 """Connecting takes 2 to 3 ms within a region. A lost SYN is only retransmitted after a
@@ -36,6 +37,7 @@
 """Idle time of a connection that such a check has established."""
 
 _CHUNK_BYTES = 16384
+_NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
 
 
 @dataclass
@@ -182,7 +184,7 @@
         connection = http.client.HTTPConnection(address, timeout=limit)
         began = _clock.now()
         try:
-            dialed = self._dialer.dial(address, limit, allows_zone)
+            dialed = self._dial(address, limit, allows_zone)
         except OSError as error:
             is_refused = isinstance(error, ConnectionRefusedError)
             error_type = ConnectionRefused if is_refused else UpstreamUnreachable
@@ -194,6 +196,16 @@
         connection.sock = dialed.sock
         return UpstreamConnection(connection, address, False, seconds, dialed.relay)
 
+    def _dial(self, address: str, limit: float, allows_zone: AllowsZone) -> Dialed:
+        """Connect; close the idle connections if the process has no descriptor left."""
+        try:
+            return self._dialer.dial(address, limit, allows_zone)
+        except OSError as error:
+            if error.errno not in _NO_DESCRIPTOR:
+                raise
+        self.close()
+        return self._dialer.dial(address, limit, allows_zone)
+
     def has_crashed(self, address: str) -> bool:
         """Return whether the port refuses connections, after a connection was cut.
 
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -26,6 +26,7 @@
     log_cold,
 )
 from rudderpass.host._admin import make_metrics_server, make_ready_server
+from rudderpass.host._descriptors import claim_descriptors
 from rudderpass.host._duties import HostDuties
 from rudderpass.host._logging import log_history, log_learned, log_reachability
 from rudderpass.host._metrics import HostMetrics
@@ -43,9 +44,9 @@
 from rudderpass.webserver import HttpServer, ServerLimits
 
 TICK_SECONDS = 0.25
-CALLER_SERVER_LIMITS = ServerLimits(threads=256, connections=3000)
-"""A host has 3,900 file descriptors for sockets. In a small deployment a burst keeps
-40 requests in flight on one host. Threads are started only when needed."""
+CALLER_THREADS = 256
+"""In a small deployment a burst keeps 40 requests in flight on one host. Threads are
+started only when needed."""
 
 IDLE_MARGIN_SECONDS = 2
 """Added to the configured idle timeout, since a caller may reuse a connection just
@@ -118,6 +119,7 @@
             self._stopping,
         )
         self._duties = self._make_duties()
+        self._descriptors = claim_descriptors(settings.max_descriptors)
         self._tunnels = HostTunnels(
             settings.tunnel,
             settings.zone,
@@ -125,6 +127,7 @@
             self._lock,
             self._peers.peer_table,
             self._stopping,
+            self._descriptors.relayed,
         )
         self._connections = UpstreamConnectionPool(self._tunnels.dialer)
         self._metrics = HostMetrics(
@@ -148,7 +151,10 @@
         )
         self._app = ExchangeApp(context)
         self._caller_server = HttpServer(
-            self._app, settings.listen, CALLER_SERVER_LIMITS, listener=listener
+            self._app,
+            settings.listen,
+            ServerLimits(threads=CALLER_THREADS, connections=self._descriptors.callers),
+            listener=listener,
         )
         self._ready_server = make_ready_server(settings.ready, self._is_ready)
         registry = HostRegistry(
@@ -190,6 +196,7 @@
             self._duties,
             self._tunnels,
             self._origins,
+            self._caller_server,
             lambda: self._app.active,
             dropped_lines,
         )
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -25,6 +25,9 @@
     """Current values, each exposed as a gauge named after its field."""
 
     active: int
+    caller_connections: int
+    caller_connection_limit: int
+    idle_connections_closed: int
     config_version: int
     config_offset: int
     upstreams: int
--- a/src/rudderpass/host/_settings.py
+++ b/src/rudderpass/host/_settings.py
@@ -54,6 +54,8 @@
     :param ready: ``ip:port`` of the load balancer's readiness check.
     :param peer: ``ip:port`` for other hosts; also this host's id among them.
     :param metrics: ``ip:port`` of the metrics.
+    :param max_descriptors: file descriptors that the process may open; None if only the
+        operating system limits them.
     :param tunnel: ``ip:port`` at which other hosts ask for connections to upstreams;
         all hosts use the same port. None to relay none and use no relays.
     :param store: ``ip:port`` of the platform's store.
@@ -93,6 +95,7 @@
     zones: Mapping[AvailabilityZone, Region] = field(default_factory=dict)
     cold_limit: ColdLimit = field(default_factory=ColdLimit)
     tunnel: str | None = None
+    max_descriptors: int | None = None
 
     @property
     def own_region(self) -> Region | None:
--- a/src/rudderpass/host/_status.py
+++ b/src/rudderpass/host/_status.py
@@ -15,6 +15,7 @@
 from rudderpass.host._peers import PeerGossip
 from rudderpass.host._registry import HostStore
 from rudderpass.host._tunnels import HostTunnels
+from rudderpass.webserver import HttpServer
 
 
 class HostStatus:
@@ -24,6 +25,7 @@
     :param duties: the host's duties, if it has any.
     :param tunnels: its connections through other hosts, and theirs through it.
     :param origins: the origins of streams that other hosts keep.
+    :param caller_server: the server that callers connect to.
     :param count_active: returns the number of requests in progress.
     :param dropped_lines: returns the number of dropped log lines.
     """
@@ -38,6 +40,7 @@
         duties: HostDuties | None,
         tunnels: HostTunnels,
         origins: PeerOrigins,
+        caller_server: HttpServer,
         count_active: Callable[[], int],
         dropped_lines: Callable[[], int],
     ) -> None:
@@ -49,6 +52,7 @@
         self._duties = duties
         self._tunnels = tunnels
         self._origins = origins
+        self._caller_server = caller_server
         self._count_active = count_active
         self._dropped_lines = dropped_lines
 
@@ -60,6 +64,9 @@
             config = directory.config
             return HostGauges(
                 active=self._count_active(),
+                caller_connections=self._caller_server.connection_count,
+                caller_connection_limit=self._caller_server.connection_limit,
+                idle_connections_closed=self._caller_server.closed_for_room,
                 config_version=0 if config is None else config.version,
                 config_offset=directory.config_offset,
                 upstreams=len(directory.listed),
--- a/src/rudderpass/host/_tunnels.py
+++ b/src/rudderpass/host/_tunnels.py
@@ -12,6 +12,7 @@
 from rudderpass.exchange import ExchangeCore
 from rudderpass.gossip import PeerTable
 from rudderpass.tunnels import (
+    MAX_TUNNELS,
     Dialer,
     DirectDialer,
     DirectFailure,
@@ -48,6 +49,7 @@
         lock: threading.RLock,
         peers: PeerTable,
         stopping: threading.Event,
+        max_tunnels: int = MAX_TUNNELS,
     ) -> None:
         self._core = core
         self._lock = lock
@@ -57,7 +59,9 @@
         self._prober: PathProber | None = None
         if address is None:
             return
-        self._server = TunnelServer(address, self._find_status, self._record_result)
+        self._server = TunnelServer(
+            address, self._find_status, self._record_result, max_tunnels
+        )
         ip, _, port = self._server.address.rpartition(":")
         paths = PathTable(zone, random.Random(address))
         self._dialer = PeerDialer(ip, int(port), paths, self._list_relays)
--- a/src/rudderpass/platform/_settings_file.py
+++ b/src/rudderpass/platform/_settings_file.py
@@ -119,6 +119,15 @@
     return int(limits.number("linkMbps")) if limits.has("linkMbps") else 0
 
 
+def _read_max_descriptors(table: _Table) -> int | None:
+    """Return the limit of the process's descriptors; None if it is not set."""
+    if not table.has("limits"):
+        return None
+    limits = table.table("limits")
+    value = int(limits.number("maxFds")) if limits.has("maxFds") else 0
+    return value if value > 0 else None
+
+
 def _read_duties(table: _Table, bounds: _Table) -> DutySettings | None:
     """Return the settings of the duties that the file lists; None if it lists none."""
     if not table.has("cloud"):
@@ -206,4 +215,5 @@
         },
         cold_limit=_read_cold_limit(bounds),
         tunnel=_read_tunnel_address(ip, ports),
+        max_descriptors=_read_max_descriptors(table),
     )
--- a/src/rudderpass/webserver/_server.py
+++ b/src/rudderpass/webserver/_server.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -14,6 +15,7 @@
 from waitress.task import ErrorTask, WSGITask
 
 from rudderpass.errors import CallerGone
+from rudderpass.eventlog import log
 from rudderpass.webserver._dispatcher import ExecutorDispatcher
 
 PENDING_KEY = "rudderpass.pending"
@@ -25,6 +27,16 @@
 CONNECTION_KEY = "rudderpass.connection"
 """WSGI environment key of the request's :class:`CallerConnection`."""
 
+FULL_SHARE = 0.95
+ROOM_SHARE = 0.9
+"""From the first share of its connections on, a server closes idle ones down to the
+second. Beyond its limit it closes new ones unread."""
+
+_SPARE_CONNECTIONS = 64
+"""For connections that are being closed. Waitress accepts none at its own limit."""
+
+_LOG_INTERVAL_SECONDS = 1.0
+
 WsgiApp = Callable[..., Iterable[bytes]]
 
 
@@ -137,6 +149,11 @@
     error_task_class = _ErrorTask
     on_disconnect: Callable[[], None] | None = None
 
+    def __init__(self, server: Any, *args: Any, **options: Any) -> None:
+        super().__init__(server, *args, **options)
+        if not server.make_room(self):
+            self.will_close = True  # Unread, so that the caller may try another host.
+
     def handle_close(self) -> None:
         super().handle_close()
         on_disconnect = self.on_disconnect
@@ -183,7 +200,7 @@
             _dispatcher=ExecutorDispatcher(limits.threads),
             **_listen_settings(address, listener),
             threads=limits.threads,
-            connection_limit=limits.connections,
+            connection_limit=limits.connections + _SPARE_CONNECTIONS,
             max_request_header_size=limits.header_bytes,
             max_request_body_size=limits.body_bytes,
             channel_timeout=limits.idle_seconds,
@@ -196,6 +213,10 @@
         )
         self._server.channel_class = _Channel
         self._server.error_responder = error_responder
+        self._server.make_room = self._make_room
+        self._connection_limit = limits.connections
+        self._closed_for_room = 0
+        self._room_logged_at = 0.0
         self._thread = threading.Thread(
             target=self._server.run, name="http-server", daemon=True
         )
@@ -206,6 +227,21 @@
         """The address that the server listens on."""
         return f"{self._server.effective_host}:{self._server.effective_port}"
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._server.active_channels)
+
+    @property
+    def connection_limit(self) -> int:
+        """Number of connections beyond which new ones are closed unread."""
+        return self._connection_limit
+
+    @property
+    def closed_for_room(self) -> int:
+        """Number of idle connections closed so that new ones could be accepted."""
+        return self._closed_for_room
+
     def start(self) -> None:
         """Start to accept connections."""
         self._thread.start()
@@ -250,9 +286,49 @@
         self._server.socket.close()
 
     def _close_idle(self) -> None:
-        for channel in list(self._server.active_channels.values()):
-            if channel.is_idle and not channel.total_outbufs_len:
-                channel.will_close = True
+        for channel in self._find_idle():
+            channel.will_close = True
+
+    def _find_idle(self) -> list[_Channel]:
+        return [
+            channel
+            for channel in list(self._server.active_channels.values())
+            if channel.is_idle
+            and not channel.total_outbufs_len
+            and not channel.will_close
+        ]
+
+    def _make_room(self, newest: _Channel) -> bool:
+        """Close the connections that have been idle longest if few more are allowed.
+
+        :param newest: the connection that has just been accepted.
+        :returns: whether it may stay open.
+        """
+        count = self.connection_count
+        if count < FULL_SHARE * self._connection_limit:
+            return True
+        excess = max(1, count - int(ROOM_SHARE * self._connection_limit))
+        others = (channel for channel in self._find_idle() if channel is not newest)
+        idle = sorted(others, key=lambda channel: channel.last_activity)
+        for channel in idle[:excess]:
+            channel.will_close = True
+        self._closed_for_room += min(excess, len(idle))
+        self._log_full(count, min(excess, len(idle)))
+        return count <= self._connection_limit
+
+    def _log_full(self, count: int, closed: int) -> None:
+        now = time.monotonic()
+        if now - self._room_logged_at < _LOG_INTERVAL_SECONDS:
+            return
+        self._room_logged_at = now
+        log(
+            "connections",
+            f"{count} of {self._connection_limit} are open, closed {closed} idle ones.",
+            open=count,
+            limit=self._connection_limit,
+            closed=closed,
+            closed_in_total=self._closed_for_room,
+        )
 
     def _close_all(self) -> None:
         self._closed = True
--- a/tests/soak/host_process.py
+++ b/tests/soak/host_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -58,6 +59,7 @@
 class HostProcess:
     """One host: its process, settings, and links to the store and the cloud API.
 
+    :ivar max_descriptors: limit of its file descriptors; None for this process's own.
     :ivar started: when the process of each incarnation started.
     :cvar module: the program that the process runs.
     """
@@ -73,6 +75,7 @@
     process: subprocess.Popen[bytes] | None = None
     incarnation: int = 0
     started: list[float] = field(default_factory=list)
+    max_descriptors: int | None = None
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     @property
@@ -123,10 +126,16 @@
                     [sys.executable, "-m", self.module]
                     + ["--listen", f"{self.ip}:{_FRONT_PORT}"],
                     env=environment,
+                    preexec_fn=self._limit_descriptors,
                     stdout=output,
                     stderr=output,
                 )
 
+    def _limit_descriptors(self) -> None:
+        if self.max_descriptors is not None:
+            limit = self.max_descriptors
+            resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to this host's process if it is running."""
         with self.lock:
--- a/tests/webserver/test_server.py
+++ b/tests/webserver/test_server.py
@@ -158,3 +158,50 @@
     connection.close()
     assert get(server) == b"hello"
     server.close()
+
+
+LIMIT = 40
+
+
+@pytest.fixture
+def small_server() -> Iterator[HttpServer]:
+    limits = ServerLimits(threads=4, connections=LIMIT)
+    server = HttpServer(say_hello, "127.0.0.1:0", limits)
+    server.start()
+    yield server
+    server.close()
+
+
+def test_new_callers_are_served_while_others_keep_idle_connections(
+    small_server: HttpServer,
+) -> None:
+    kept = []
+    for _ in range(3 * LIMIT):
+        connection = http.client.HTTPConnection(small_server.address, timeout=TIMEOUT)
+        connection.request("GET", "/")
+        assert connection.getresponse().read() == b"hello"
+        kept.append(connection)
+    assert small_server.connection_count <= LIMIT + 1
+    assert small_server.closed_for_room >= 2 * LIMIT
+    kept[-1].request("GET", "/")
+    assert kept[-1].getresponse().read() == b"hello", "the newest are kept"
+    for connection in kept:
+        connection.close()
+
+
+def test_connections_beyond_the_limit_are_closed_unread(
+    small_server: HttpServer,
+) -> None:
+    host, _, port = small_server.address.rpartition(":")
+    busy = []
+    for _ in range(LIMIT):
+        sock = socket.create_connection((host, int(port)), TIMEOUT)
+        sock.sendall(b"GET / HT")  # A request that is being received is not idle.
+        busy.append(sock)
+        time.sleep(0.01)
+    with socket.create_connection((host, int(port)), TIMEOUT) as late:
+        assert late.recv(1) == b"", "closed, rather than left in the listen queue"
+    for sock in busy:
+        sock.sendall(b"TP/1.1\r\nHost: a\r\n\r\n")
+        assert sock.recv(12) == b"HTTP/1.1 200"
+        sock.close()
