Refuse unknown streams until a started host has read the hosts' records

The hosts' first read of the records failed with 503, and that counted as read; the next came a second later, and until then the hosts took the one version that they listed for all there had been.

A host now knows that it lacks the versions until it has read the records or heard a peer that has (a flag in the heartbeats of hosts that have not), and refuses the streams that it does not know. At the first start of a deployment nothing can have ended, so nothing changes there, nor where the store answers.

The new test of the origins fails before, where a failed read was recorded like an empty one.

--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -203,6 +203,7 @@
   26: optional map<string, i32> cold_ms /* for which upstreams stay cold, as their responses report */
   27: optional list<Brittle> brittle /* services with brittle upstreams, as their responses report */
   28: optional list<ServiceVersion> versions /* of services that have several */
+  29: optional bool lacks_versions /* has not learned since its start which have ended */
 }
 
 /* All that the sender believes to be kept in caches. */
--- a/src/rudderpass/gossip/_codec.py
+++ b/src/rudderpass/gossip/_codec.py
@@ -93,6 +93,7 @@
             cold_ms=cold_to_wire(heartbeat.cold) or None,
             brittle=[brittle_to_wire(report) for report in heartbeat.brittle] or None,
             versions=versions_to_wire(heartbeat.versions),
+            lacks_versions=heartbeat.lacks_versions or None,
         )
     )
     return data if len(data) < MIN_DEFLATED_BYTES else _deflate(data)
@@ -135,6 +136,7 @@
             cold=cold_from_wire(raw.cold_ms),
             brittle=tuple(brittle_from_wire(item) for item in raw.brittle or ()),
             versions=versions_from_wire(raw.versions),
+            lacks_versions=bool(raw.lacks_versions),
         )
     except TypeError as error:
         raise PeerError(f"invalid heartbeat: {error}", step="decode") from error
--- a/src/rudderpass/gossip/_gen/wire/ttypes.py
+++ b/src/rudderpass/gossip/_gen/wire/ttypes.py
@@ -2408,6 +2408,7 @@
      - cold_ms
      - brittle
      - versions
+     - lacks_versions
 
     """
 
@@ -2439,10 +2440,11 @@
         'cold_ms',
         'brittle',
         'versions',
+        'lacks_versions',
     )
 
 
-    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None, era=None, config_version=None, evacuations=None, cold_ms=None, brittle=None, versions=None,):
+    def __init__(self, config_offset=None, upstreams_end=None, stopping=None, loads=None, prompts=None, peers=None, warm=None, following=None, streams=None, reading=None, zone=None, number=None, digest=None, link_mbps=None, suspects=None, duty_token=None, holds_duties=None, usage_settled=None, usage=None, rate_limits=None, leaving=None, era=None, config_version=None, evacuations=None, cold_ms=None, brittle=None, versions=None, lacks_versions=None,):
         self.config_offset = config_offset
         self.upstreams_end = upstreams_end
         self.stopping = stopping
@@ -2470,6 +2472,7 @@
         self.cold_ms = cold_ms
         self.brittle = brittle
         self.versions = versions
+        self.lacks_versions = lacks_versions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2687,6 +2690,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 29:
+                if ftype == TType.BOOL:
+                    self.lacks_versions = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2842,6 +2850,10 @@
                 iter213.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.lacks_versions is not None:
+            oprot.writeFieldBegin('lacks_versions', TType.BOOL, 29)
+            oprot.writeBool(self.lacks_versions)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3404,6 +3416,7 @@
     (26, TType.MAP, 'cold_ms', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 26
     (27, TType.LIST, 'brittle', (TType.STRUCT, [Brittle, None], False), None, ),  # 27
     (28, TType.LIST, 'versions', (TType.STRUCT, [ServiceVersion, None], False), None, ),  # 28
+    (29, TType.BOOL, 'lacks_versions', None, None, ),  # 29
 )
 all_structs.append(Prompts)
 Prompts.thrift_spec = (
--- a/src/rudderpass/gossip/_heartbeat.py
+++ b/src/rudderpass/gossip/_heartbeat.py
@@ -58,6 +58,8 @@
     :param brittle: services with brittle upstreams.
     :param versions: for services with several software versions, the seconds since an
         upstream of each was listed.
+    :param lacks_versions: whether the sender has not learned since its start which
+        versions have ended.
     """
 
     sender: NodeId
@@ -88,6 +90,7 @@
     versions: Mapping[PoolId, Mapping[SoftwareVersion, float]] = field(
         default_factory=dict
     )
+    lacks_versions: bool = False
 
     @property
     def position(self) -> ViewPosition:
--- a/src/rudderpass/host/_gossip_protocol.py
+++ b/src/rudderpass/host/_gossip_protocol.py
@@ -191,6 +191,8 @@
             log_rate_limit(upstream, rate, heartbeat.sender)
         self._core.cold_starts.merge(heartbeat.cold, now)
         self._core.origins.merge_versions(heartbeat.versions, now)
+        if not heartbeat.lacks_versions:
+            self._core.origins.is_informed = True
         for service in self._core.brittle.merge(heartbeat.brittle, now):
             log_brittle(service, heartbeat.sender)
         for upstream in heartbeat.leaving:
@@ -456,4 +458,5 @@
             cold=self._core.cold_starts.describe_reported(now),
             brittle=self._core.brittle.reports(now),
             versions=self._core.origins.describe_versions(now),
+            lacks_versions=not self._core.origins.is_informed,
         )
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -117,6 +117,7 @@
             platform.origins_topic,
             lambda: self._quarantine.schedule_record_write(),
             self._stopping,
+            settings.is_first_start,
         )
         self._duties = self._make_duties()
         self._descriptors = claim_descriptors(settings.max_descriptors)
@@ -377,7 +378,7 @@
     def _apply_registered(self, registered: RegistryContents | None) -> None:
         """Apply the hosts' records; None if the store does not answer."""
         self._origins.record_registered(
-            () if registered is None else registered.versions
+            None if registered is None else registered.versions
         )
         if registered is None:
             self._peers.add_peers(None)
--- a/src/rudderpass/host/_origins.py
+++ b/src/rudderpass/host/_origins.py
@@ -62,6 +62,8 @@
     :param topic: this router's topic for origins.
     :param schedule_record: writes this host's record, with the versions, soon.
     :param stopping: set when the host stops.
+    :param is_first_start: whether the whole deployment starts for the first time, so
+        that no version can have ended.
     :ivar told_count: number of own streams told to peers.
     :ivar asked_count: number of resumed streams whose origin peers were asked for.
     :ivar unknown_count: number of those that nobody knew.
@@ -80,8 +82,10 @@
         topic: str,
         schedule_record: Callable[[], None],
         stopping: threading.Event,
+        is_first_start: bool = False,
     ) -> None:
         self._core = core
+        core.origins.is_informed = is_first_start
         self._changed = threading.Condition(lock)
         self._peers = peers
         self._own = own
@@ -100,7 +104,7 @@
             stopping,
         )
         self._recorded_at = -RECORD_SECONDS
-        self._is_registered = False
+        self._has_asked_store = False
         self.told_count = 0
         self.asked_count = 0
         self.unknown_count = 0
@@ -115,31 +119,37 @@
         with self._changed:
             return self._core.origins.describe_versions(_clock.now())
 
-    def record_registered(self, versions: Iterable[Versions]) -> None:
-        """Merge the versions in the records of hosts, which were read at the start.
+    def record_registered(self, versions: Iterable[Versions] | None) -> None:
+        """Merge the versions in the records of hosts, which are read at the start.
 
-        :param versions: none if the store does not answer.
+        :param versions: None if the store does not answer.
         """
         with self._changed:
+            self._has_asked_store = True
+            if versions is None:
+                return
             for ages in versions:
                 self._core.origins.merge_versions(ages, _clock.now())
-            self._is_registered = True
+            self._core.origins.is_informed = True
 
     def may_lack_versions(self, service: PoolId, deadline: float) -> bool:
         """Return whether a service may have versions that this host has not heard of.
 
-        A host that has just started waits for the records of hosts and for a peer.
+        A host that has just started waits for the records of hosts and for a peer. It
+        does not rely on what it lists until it has read the records, or has heard a
+        peer that has: a version may have ended while no host ran.
         """
         until = min(deadline, self._started + LISTEN_SECONDS)
         with self._changed:
-            while not self._is_informed:
+            while not self._has_asked_all:
                 left = until - _clock.now()
                 if left <= 0.0:
                     break
                 self._changed.wait(min(left, LISTEN_POLL_SECONDS))
             now = _clock.now()
             has_several = self._core.origins.has_several_versions(service, now)
-            return has_several or self._is_isolated(now)
+            lacks_versions = not self._core.origins.is_informed
+            return has_several or lacks_versions or self._is_isolated(now)
 
     def tell(self, origin: StreamOrigin) -> None:
         """Tell an origin to the hosts that keep it."""
@@ -243,10 +253,10 @@
         return frozenset((self._own, *self._peers.live(now)))
 
     @property
-    def _is_informed(self) -> bool:
-        """Whether this host has heard of versions that ended before its start."""
+    def _has_asked_all(self) -> bool:
+        """Whether nobody can tell more now of versions that ended before the start."""
         has_heard = not self._peers.known or self._peers.last_heard is not None
-        return self._is_registered and has_heard
+        return self._has_asked_store and has_heard
 
     def _is_isolated(self, now: float) -> bool:
         """Return whether neither the store nor a peer has been heard from recently."""
--- a/src/rudderpass/origins/_tracker.py
+++ b/src/rudderpass/origins/_tracker.py
@@ -41,6 +41,9 @@
     Streams that this host began are kept whether or not their service has several
     versions: a second version may appear while they run.
 
+    :ivar is_informed: whether the host has learned which versions ended before its
+        start.
+
     Not thread-safe: the host's lock guards it.
 
     .. versionadded:: 0.2
@@ -51,6 +54,7 @@
         self._versions = ServiceVersions()
         self._own: dict[PoolId, OriginTable] = {}
         self._kept = OriginTable()
+        self.is_informed = True
 
     @property
     def count(self) -> int:
--- a/tests/host/test_origins.py
+++ b/tests/host/test_origins.py
@@ -15,7 +15,12 @@
 from rudderpass.errors import PlatformError
 from rudderpass.exchange import ExchangeCore
 from rudderpass.gossip import Heartbeat, OriginMessage, PeerTable
-from rudderpass.host._origins import ASK_SECONDS, ISOLATED_SECONDS, PeerOrigins
+from rudderpass.host._origins import (
+    ASK_SECONDS,
+    ISOLATED_SECONDS,
+    LISTEN_SECONDS,
+    PeerOrigins,
+)
 from rudderpass.origins import StreamKey
 from tests.directory.builders import (
     SERVICE,
@@ -256,6 +261,25 @@
     assert not hosts[0].may_lack_versions(SERVICE, later + 5.0)
 
 
+def test_hosts_that_all_started_while_the_store_was_away_take_no_unknown_stream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A version may have ended together with all hosts that knew of it."""
+    network = Network((V1,))
+    hosts = network.start(3)
+    for name, host in network.hosts.items():
+        network.cores[name].origins.is_informed = False
+        host.record_registered(None)
+    later = _clock.now() + LISTEN_SECONDS + 0.1
+    monkeypatch.setattr(_clock, "now", lambda: later)
+    for name in network.hosts:
+        network.hear(name)
+    assert all(host.may_lack_versions(SERVICE, later + 5.0) for host in hosts)
+    hosts[0].record_registered(())
+    assert not hosts[0].may_lack_versions(SERVICE, later + 5.0)
+    assert hosts[1].may_lack_versions(SERVICE, later + 5.0)
+
+
 def test_with_one_version_nothing_is_sent_and_the_store_is_not_called() -> None:
     network = Network((V1, V1))
     hosts = network.start(8)
