Do not take a crash for the end of a response without a length

Where a response has neither a length nor chunks, it ends with its connection. An upstream that crashed in the middle closed it just so: the caller got part of the body, or of the stream, as a complete 200, and the quarantine took the request for answered.

At such an end the host now asks whether the port still accepts connections (the check that crashes use already; its connection is kept for the next request), and treats the response as cut if not.

--- a/src/rudderpass/exchange/_responses.py
+++ b/src/rudderpass/exchange/_responses.py
@@ -87,6 +87,15 @@
     return f"{type(error).__name__} {error}".strip()
 
 
+def ends_with_connection(response: http.client.HTTPResponse) -> bool:
+    """Return whether a response has neither a length nor chunks.
+
+    Its end then cannot be told from a crash of the upstream. To be called before the
+    body is read.
+    """
+    return not response.chunked and response.length is None
+
+
 def read_complete_body(response: http.client.HTTPResponse, peer: str) -> bytes:
     """Read the complete body of a response.
 
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -36,6 +36,7 @@
     Delivered,
     UpstreamFailureResponse,
     describe_error,
+    ends_with_connection,
     forward_response,
     is_client_error,
     is_closed_without_response,
@@ -306,7 +307,10 @@
         head: ResponseHead,
     ) -> Delivered:
         connection.set_timeout(self._time_left)
+        is_unframed = ends_with_connection(response)
         body = read_complete_body(response, connection.address)
+        if is_unframed:
+            self._check_survived()
         self._progress.record_first_response()
         self._progress.record_started(self._accepted.team, self._assigned.sent)
         self._release_connection(connection, response, head)
@@ -331,6 +335,7 @@
     ) -> Delivered:
         status = f"{head.status} {head.reason}"
         self._progress.expect_stream(status, list(head.headers))
+        is_unframed = ends_with_connection(response)
         set_at = 0.0
         while True:
             now = _clock.now()
@@ -345,6 +350,8 @@
             raise self._cut_error("the stream ended before its Content-Length")
         if not self._progress.splitter.is_between_events:
             raise self._cut_error("the stream ended inside an event")
+        if is_unframed:
+            self._check_survived()
         self._progress.begin_stream()
         if not self._has_recorded_answer:
             self._record_answered()
@@ -352,6 +359,14 @@
         self._release_connection(connection, response, head)
         return Delivered(ExchangeOutcome.SERVED, head.status, [])
 
+    def _check_survived(self) -> None:
+        """Check that a response without a length did not end with its upstream.
+
+        :raises ConnectionCut: when the upstream has crashed.
+        """
+        if self._context.connections.has_crashed(self._assigned.address):
+            raise self._cut_error("the upstream crashed at the end of the response")
+
     def _record_stream(self) -> None:
         """Report the pace of a stream that came from a single upstream."""
         pace = self._progress.pace
