--- a/src/rudderpass/host/_descriptors.py
+++ b/src/rudderpass/host/_descriptors.py
@@ -13,7 +13,7 @@
 relayed connections (two each)."""
 
 MAX_CALLER_CONNECTIONS = 3000
-"""A connection takes about 20 KB."""
+"""Bounds the memory of connections."""
 
 MAX_USED_DESCRIPTORS = MAX_CALLER_CONNECTIONS + RESERVED_DESCRIPTORS
 
