--- a/src/rudderpass/quarantine/_attribution.py
+++ b/src/rudderpass/quarantine/_attribution.py
@@ -14,7 +14,7 @@
 number applies if a response had begun at some of the crashes: requests that crash
 upstreams do so when they start."""
 
-MIN_CRASHES_AMBIGUOUS = 5
+MIN_CRASHES_AMBIGUOUS = 4
 """The same for a prompt part if other parts were in flight in the same requests at the
 same crashes. Until then one request at a time is tried, which tells them apart."""
 
