Spare the last upstream from prompts that may crash it

A request with a suspect part now waits or is refused while one upstream is left, for 5 s after a crash or as long as the list is stale; what has only answered parts goes on there.

Requests without suspect parts, and whole requests that repeat, are treated as before.

--- a/src/rudderpass/exchange/_crashes.py
+++ b/src/rudderpass/exchange/_crashes.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from rudderpass._ids import UpstreamId
+import math
+
+from rudderpass._ids import PoolId, UpstreamId
 from rudderpass.directory import Directory
 from rudderpass.exchange._choice import RoutingState
 from rudderpass.quarantine import CutSend, QuarantineTracker
@@ -14,6 +16,11 @@
 network link failed, and the requests in flight there are not to blame."""
 
 
+SPARED_SECONDS = 5.0
+"""How long after a crash the last upstream of a service is spared from prompts that may
+crash it. Others have usually restarted by then."""
+
+
 class CrashDetector:
     """Reports the upstream crashes seen by a host to its quarantine.
 
@@ -51,6 +58,19 @@
         """Record that an upstream's entry was removed, also after a planned stop."""
         self._quarantine.record_crash(upstream, now)
 
+    def may_risk_upstream(self, service: PoolId, now: float) -> bool:
+        """Return whether a service can lose an upstream to a prompt that may crash it.
+
+        It cannot while a single one is left: after a crash, until others have had time
+        to restart, and while the list is stale, since restarted ones are not listed.
+        """
+        crashed = self._quarantine.crashed_since(-math.inf)
+        listed = self._directory.serving(service)
+        if sum(entry.upstream not in crashed for entry in listed) > 1:
+            return True
+        is_stale = self._directory.list_age(now) > MAX_LIST_AGE_SECONDS
+        return not (is_stale or self._quarantine.crashed_since(now - SPARED_SECONDS))
+
     def retract_disproved(self, now: float) -> None:
         """Retract the crashes of upstreams that still renew their entries."""
         if self._directory.list_age(now) > MAX_LIST_AGE_SECONDS:
--- a/src/rudderpass/exchange/_quarantine_gate.py
+++ b/src/rudderpass/exchange/_quarantine_gate.py
@@ -46,6 +46,10 @@
 prompt. One that does may send some events before its connections close."""
 
 
+SPARED_RETRY_SECONDS = 1.0
+"""Retry-After while the last upstream is spared."""
+
+
 @dataclass(frozen=True)
 class Permit:
     """Permission to send a request.
@@ -210,12 +214,22 @@
             waits = verdict.kind is VerdictKind.WAIT
             if waits and has_waited and verdict.crashes <= MAX_CRASHES_FOR_RETRY:
                 verdict = replace(verdict, kind=VerdictKind.TRIAL)
+            if verdict.kind is VerdictKind.TRIAL and not self._may_try(verdict, now):
+                return replace(
+                    verdict, kind=VerdictKind.WAIT, seconds=SPARED_RETRY_SECONDS
+                )
             if verdict.kind is VerdictKind.TRIAL:
                 for fingerprint in fingerprints:
                     if tracker.judge(fingerprint, now).kind is not VerdictKind.FREE:
                         tracker.begin_trial(fingerprint, now)
         return verdict
 
+    def _may_try(self, verdict: Verdict, now: float) -> bool:
+        if verdict.part is None:
+            return True
+        crashes = self._context.core.crashes
+        return crashes.may_risk_upstream(self._accepted.service, now)
+
     def _begin_trial(self, verdict: Verdict) -> Permit:
         self._is_on_trial = True
         self._log(verdict)
--- a/src/rudderpass/quarantine/_tracker.py
+++ b/src/rudderpass/quarantine/_tracker.py
@@ -250,6 +250,10 @@
         if crashed is not None and sent > crashed:
             self.retract_crash(upstream, now)
 
+    def crashed_since(self, moment: float) -> set[UpstreamId]:
+        """Return the upstreams that crashed after a given time, as far as is known."""
+        return {upstream for upstream, at in self._crashed.items() if at >= moment}
+
     def crashed_before(self, moment: float) -> list[UpstreamId]:
         """Return the upstreams whose crash was known before a given time."""
         return [upstream for upstream, at in self._crashed.items() if at < moment]
--- a/tests/exchange/test_crash_check.py
+++ b/tests/exchange/test_crash_check.py
@@ -12,9 +12,9 @@
 from rudderpass._ids import Fingerprint, RequestId, UpstreamId
 from rudderpass.exchange import Refused, UpstreamConnectionPool
 from rudderpass.exchange._connections import CRASH_CHECK_TIMEOUT_SECONDS
-from rudderpass.exchange._crashes import CRASH_DISPROOF_SECONDS
+from rudderpass.exchange._crashes import CRASH_DISPROOF_SECONDS, SPARED_SECONDS
 from rudderpass.quarantine import CutSend
-from tests.directory.builders import make_route, upstream_tombstone
+from tests.directory.builders import SERVICE, make_route, upstream_tombstone
 from tests.exchange.builders import (
     accept,
     assign,
@@ -163,3 +163,30 @@
         core.record_end(assigned, None, 1.0)
         chosen.add(assigned.upstream)
     assert len(chosen) > 2
+
+
+@pytest.mark.parametrize(
+    ("upstreams", "now", "listed_at", "expected"),
+    [
+        (3, 2.0, 1.5, True),
+        (2, 2.0, 1.5, False),
+        (2, 1.5 + SPARED_SECONDS, 1.0 + SPARED_SECONDS, True),
+        (2, 1.5 + SPARED_SECONDS, 0.2, False),
+        (3, 1.5 + SPARED_SECONDS, 0.2, True),
+    ],
+    ids=[
+        "two are left",
+        "one",
+        "one after a while",
+        "one of a stale list",
+        "two of it",
+    ],
+)
+def test_the_last_upstream_is_spared_after_a_crash(
+    upstreams: int, now: float, listed_at: float, expected: bool
+) -> None:
+    core = make_core(upstreams=upstreams)
+    first = sorted(core.directory.listed)[0]
+    core.crashes.record_refused_connection(UpstreamId(first), 1.0)
+    core.directory.apply_upstream_changes([], upstreams, "store", listed_at)
+    assert core.crashes.may_risk_upstream(SERVICE, now) is expected
--- a/tests/exchange/test_fatal_parts.py
+++ b/tests/exchange/test_fatal_parts.py
@@ -114,6 +114,17 @@
     assert count_fatal_sends(harness) == 2
 
 
+def test_the_last_upstream_is_spared_and_serves_sound_requests(
+    make_harness: MakeHarness,
+) -> None:
+    harness = make_harness(make_route(), *[crash_on_part(respond())] * 2)
+    assert ask(harness, "s1", "a:5,b:5,{name}:5") == 200
+    assert ask(harness, "r1") == 502
+    assert [ask(harness, f"r{number}") for number in (2, 3)] == [503] * 2
+    assert count_fatal_sends(harness) == 1
+    assert ask(harness, "s2", "a:5,b:5,{name}:5") == 200
+
+
 def test_a_failure_response_does_not_clear_a_part(make_harness: MakeHarness) -> None:
     harness = make_harness(make_route(), *[crash_on_part(respond())] * 6)
     assert ask(harness, "s1", "a:5,b:5,{name}:5") == 200
