Leave hosts that have just started out of the soak's count of late sends

Trace: all hosts had been killed before that, and sent them 0.2 to 0.4 s after they started again; users bind only hosts that have run for the contact time, as the soak of fatal bodies does.

--- a/tests/soak/fatal_parts.py
+++ b/tests/soak/fatal_parts.py
@@ -88,7 +88,8 @@
     """Outcome of a scenario.
 
     :ivar crashes: by part, when engines crashed that ran requests with it.
-    :ivar late_sends: by part, runs later than CONTACT_SECONDS after the fifth crash.
+    :ivar late_sends: by part, runs later than CONTACT_SECONDS after the fifth crash,
+        sent by hosts that had run for as long.
     :ivar sound: requests of the sound callers to engines.
     :ivar before: of these, the ones before the first crash.
     :ivar quarantined_sound: parts of sound requests that any host quarantined.
@@ -291,6 +292,7 @@
             for run in guilty
             if len(times) >= CRASH_THRESHOLD
             and run.at > times[CRASH_THRESHOLD - 1] + CONTACT_SECONDS
+            and not _is_out_of_touch(deployment, run.at)
         ]
     sound = [
         attempt
@@ -315,6 +317,14 @@
     )
 
 
+def _is_out_of_touch(deployment: PartDeployment, moment: float) -> bool:
+    """Return whether the hosts were killed, or started again shortly before."""
+    if deployment.down is None:
+        return False
+    killed, started = deployment.down
+    return killed <= moment <= started + CONTACT_SECONDS
+
+
 def _filter_violations(deployment: PartDeployment, callers: Callers) -> list[str]:
     """Return the callers' violations without slow responses while hosts were down."""
     if deployment.down is None:
