Review: remove the scripts' temporary folders whatever happens

Cause: a script that is ended by its time limit left its folder behind. Change: the deployment's close removes it; the time limit calls close.

--- a/review/standins.py
+++ b/review/standins.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -315,8 +316,7 @@
         watchdog.start()
 
     def _give_up(self) -> None:
-        for host in self.hosts:
-            host.kill()
+        self.close()
         os._exit(2)
 
     def start(self, bounds: str = "", more: str = "") -> None:
@@ -339,9 +339,7 @@
     def close(self) -> None:
         for host in self.hosts:
             host.kill()
-        for path in sorted(self.folder.rglob("*"), reverse=True):
-            path.rmdir() if path.is_dir() else path.unlink()
-        self.folder.rmdir()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class CannotRun(Exception):
