--- a/review/standins.py
+++ b/review/standins.py
@@ -25,6 +25,8 @@
 DEPS = ROOT / "target" / "deps"
 MAX_SECONDS = 115.0
 FRONT, READY, CONTROL, FIRST, LAST = 8227, 8220, 8229, 7340, 7355
+METRICS = 9464
+"""The port of the deploy file."""
 SETTINGS = """
 node = "{name}"
 role = "host"
@@ -294,6 +296,18 @@
             self.process.wait()
 
 
+def are_free(ip: str) -> bool:
+    """Return whether the ports that a host listens on are free at an address."""
+    for port in (FRONT, READY, FIRST, FIRST + 1, METRICS):
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((ip, port))
+            except OSError:
+                return False
+    return True
+
+
 class Deployment:
     """A store and hosts in three zones."""
 
@@ -303,6 +317,8 @@
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         rng = random.Random(os.getpid() ^ time.time_ns())
         prefix = f"127.{rng.randrange(16, 250)}.{rng.randrange(1, 250)}"
+        while not all(are_free(f"{prefix}.{i + 1}") for i in range(count)):
+            prefix = f"127.{rng.randrange(16, 250)}.{rng.randrange(1, 250)}"
         self.prefix = prefix
         self.store = Store()
         zones = ["nasr-hall", "maadi-hall", "giza-hall"]
