--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 set -e
 cd "$(dirname "$0")/.."
 test -d target/deps/rudderpass || { echo "run the deploy file's build first" >&2; exit 1; }
-for file in review/standins_2.py review/[4-8]/*.py; do
+for file in review/standins_2.py review/runner_2.py review/[4-8]/*.py; do
     [ -e "$file" ] || continue
     python3 - "$file" <<'PY'
 import sys
--- a/review/runner_2.py
+++ b/review/runner_2.py
@@ -3,7 +3,7 @@
     python3 runner_2.py ID ADDRESS_FILE EVENTS EVENT_SECONDS
 
 It answers each request by a stream of events without a length. It writes its address to
-the file, and a line for each run to standard output.
+the file, and a line for the begin and the end of each run to standard output.
 """
 
 from __future__ import annotations
@@ -25,6 +25,10 @@
 )
 
 
+def _tell(text: str) -> None:
+    os.write(1, f"{text}\n".encode())  # One call a line, so that no line is torn.
+
+
 def main() -> None:
     runner_id, address_file, events, seconds = sys.argv[1:5]
     count, pause = int(events), float(seconds)
@@ -38,10 +42,12 @@
             "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
         ).encode()
         begin = time.monotonic()
+        _tell(f"runs {request.method} {request.request_id}")
         sock.sendall(head + make_event(1))
         for number in range(2, count + 1):
             time.sleep(max(0.0, begin + number * pause - time.monotonic()))
             sock.sendall(make_event(number))
+        _tell(f"has run {request.request_id}, {count} events")
         return False
 
     runner = Runner("llm", "", 64, behave)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -43,9 +43,12 @@
 
 
 class Record:
-    """Writes lines to the case's record.txt."""
+    """Writes lines to the case's record.txt: what is sent, answered and run."""
+
+    current: Record | None = None
 
     def __init__(self, path: Path) -> None:
+        Record.current = self
         self._file = path.open("w", encoding="utf-8")
         self._lock = threading.Lock()
 
@@ -60,6 +63,12 @@
         print(text, flush=True)
 
 
+def note(text: str) -> None:
+    """Write a line to the record, if there is one in this process."""
+    if Record.current is not None:
+        Record.current(text)
+
+
 # --- the platform's store ---------------------------------------------------------
 
 
@@ -287,8 +296,13 @@
                 b"X-Instance-Id: " + self.id.encode() + b"\r\nContent-Length: 0\r\n\r\n"
             )
             return True
+        self.note_run(request)
         return self._behave(self, sock, request)
 
+    def note_run(self, request: Received) -> None:
+        """Record that this runner has begun to run a request."""
+        note(f"runner {self.id} runs {request.method} {request.request_id}")
+
 
 def send_json(sock: socket.socket, body: bytes) -> None:
     sock.sendall(
@@ -390,6 +404,10 @@
         lines.append(f"Content-Length: {len(body)}")
     head = "\r\n".join([*lines, "", ""]).encode()
     sent = time.monotonic()
+    note(
+        f"client sends {method} /{route}/2f {answer.request_id}, {len(body)} bytes, to"
+        f" {address[0]}:{address[1]}"
+    )
     try:
         with socket.create_connection(address, 1.0) as sock:
             sock.settimeout(wait)
@@ -399,13 +417,24 @@
             _read_answer(sock, answer, until)
     except TimeoutError:
         answer.error = answer.error or "the client stopped waiting"
+        _note_answer(answer)
         return answer
     except OSError as error:
         answer.error = f"{type(error).__name__}: {error}"
     answer.ended = time.monotonic() - sent
+    _note_answer(answer)
     return answer
 
 
+def _note_answer(answer: Answer) -> None:
+    state = "whole" if answer.is_whole else answer.error or "not whole"
+    when = "" if answer.ended is None else f", after {answer.ended:.3f} s"
+    note(
+        f"client got {answer.status or 'no status'} for {answer.request_id},"
+        f" {len(answer.body)} bytes, {state}{when}"
+    )
+
+
 class _Reader:
     def __init__(self, sock: socket.socket, until: float) -> None:
         self._sock = sock
@@ -726,14 +755,16 @@
     }
 
 
-def run_case(folder: Path, case: Callable[[Record, bool], bool]) -> None:
+def run_case(
+    folder: Path, case: Callable[[Record, bool], bool], has_trouble: bool
+) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
     :param case: takes the record and whether there is trouble; returns whether the rule
         held.
+    :param has_trouble: whether to disturb; the case reads it from TROUBLE.
     """
     record = Record(folder / "record.txt")
-    has_trouble = os.environ.get("TROUBLE") != "0"
     record(f"trouble: {has_trouble}")
     try:
         held = case(record, has_trouble)
