--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import sys
 import threading
@@ -78,6 +79,7 @@
         self, sock: socket.socket, reader: Any, head: Received, length: int
     ) -> bool:
         """Answer an upload, and read it; return whether the connection may go on."""
+        self.note_run(head)
         expected = make_body(int(head.headers["x-upload"]))
         if not self.is_early:
             body = reader.read(length)
@@ -233,4 +235,4 @@
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, case)
+    run_case(FOLDER, case, os.environ.get("TROUBLE") != "0")
