--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import random
 import socket
 import sys
@@ -32,7 +33,7 @@
 SPELL_SECONDS = 5.0
 PAUSE_SECONDS = 4.0
 SPELLS = 10
-GARBLING_SHARE = 0.5
+GARBLING_SHARE = 0.35
 BROKEN_SHARE = 0.02
 REQUESTS_PER_SECOND = 150.0
 GOLDEN = 0.6180339887
@@ -143,7 +144,7 @@
         deployment.start_hosts()
         desks = [r.id for r in deployment.runners if r.service == "desk"]
         engines = [r.id for r in deployment.runners if r.service == "llm"]
-        # At most the share of 0.5: one of three, and two of five.
+        # At most the share: one of three, and one of five.
         garble.runners = {*desks[: int(3 * GARBLING_SHARE)]}
         garble.runners |= {*engines[: int(5 * GARBLING_SHARE)]}
         return _play(deployment, garble, runs, record, has_trouble)
@@ -219,4 +220,4 @@
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, case)
+    run_case(FOLDER, case, os.environ.get("TROUBLE") != "0")
