Take no head for complete before its empty line has arrived

Cause: http.client takes the end of a connection for the empty line that ends a head, and a line that is no header for the end of all headers. A head that has lost Content-Length or Transfer-Encoding then states a response that ends with its connection, which has just ended.

Ruled out: the dialect (it sees only parsed heads), and the check for a crash (the upstream's port is open).

Change: rudderpass.httpclient, one object that owns the socket of a connection from connect to release. It hands http.client a head once it is complete and all its lines are headers, and bodies are read by the one valid framing that the head states. It holds because nothing behind it sees an incomplete head, whatever cut it.

--- a/src/rudderpass/exchange/_connections.py
+++ b/src/rudderpass/exchange/_connections.py
@@ -4,7 +4,6 @@
 
 import errno
 import http.client
-import socket
 import threading
 from collections import deque
 from concurrent.futures import Future
@@ -12,9 +11,9 @@
 
 from rudderpass import _clock
 from rudderpass._ids import AvailabilityZone, NodeId
-from rudderpass._sockets import is_readable
 from rudderpass.errors import ConnectionRefused, UpstreamError, UpstreamUnreachable
 from rudderpass.exchange._request import ExchangeRequest, Headers
+from rudderpass.httpclient import Response, Transport
 from rudderpass.tunnels import AllowsZone, Dialed, Dialer, DirectDialer
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -42,14 +41,14 @@
 
 @dataclass
 class _IdleConnection:
-    connection: http.client.HTTPConnection
+    transport: Transport
     idle_until: float
 
 
 class UpstreamConnection:
     """A connection used by one exchange.
 
-    :param connection: an established connection.
+    :param transport: an established connection.
     :param is_reused: whether it has carried an exchange before.
     :param connect_seconds: how long connecting took; None if it is reused.
     :param relay: the host that it leads through; None if it is direct.
@@ -58,19 +57,23 @@
 
     def __init__(
         self,
-        connection: http.client.HTTPConnection,
+        transport: Transport,
         address: str,
         is_reused: bool,
         connect_seconds: float | None = None,
         relay: NodeId | None = None,
     ) -> None:
-        self._connection = connection
+        self._transport = transport
+        self._http = http.client.HTTPConnection(address)
+        self._http.sock = transport
+        self._method = ""
         self._address = address
         self._responded_early = False
         self.write_error: OSError | None = None
         self.is_reused = is_reused
         self.connect_seconds = connect_seconds
         self.relay = relay
+        transport.begin_exchange()
 
     @property
     def address(self) -> str:
@@ -83,64 +86,66 @@
         return self._responded_early
 
     @property
-    def raw(self) -> http.client.HTTPConnection:
-        """The underlying :mod:`http.client` connection."""
-        return self._connection
+    def transport(self) -> Transport:
+        """The connection itself, which outlives the exchange if it is pooled."""
+        return self._transport
+
+    @property
+    def has_received(self) -> bool:
+        """Whether any byte of a response has arrived."""
+        return self._transport.has_received
 
     def set_timeout(self, seconds: float) -> None:
         """Set the timeout of the next reads and writes."""
-        if self._connection.sock is not None:
-            self._connection.sock.settimeout(max(0.01, seconds))
+        self._transport.sock.settimeout(max(0.01, seconds))
 
     def send(self, request: ExchangeRequest, headers: Headers) -> None:
         """Send a request.
 
         :raises OSError: when sending fails; parts may have been sent.
         """
-        self._connection.putrequest(
+        self._method = request.method
+        self._http.putrequest(
             request.method, request.target, skip_host=True, skip_accept_encoding=True
         )
         for name, value in headers:
-            self._connection.putheader(name, value)
+            self._http.putheader(name, value)
         if len(request.body) <= _CHUNK_BYTES:
-            self._connection.endheaders(request.body or None)
+            self._http.endheaders(request.body or None)
             return
-        self._connection.endheaders()
+        self._http.endheaders()
         self._send_chunks(request.body)
 
     def wait_for_response(self, seconds: float) -> bool:
         """Wait for a response or the connection's end; return whether either came."""
-        sock = self._connection.sock
-        if sock is None or sock.fileno() < 0:
-            return True  # The following read reports the error.
-        return is_readable(sock, seconds)
+        return self._transport.wait_for_data(seconds)
 
-    def read_head(self) -> http.client.HTTPResponse:
-        """Wait for the head of the response."""
-        return self._connection.getresponse()
+    def read_head(self) -> Response:
+        """Wait for the complete head of the response.
+
+        :raises OSError: when the connection was reset, or nothing came in time.
+        :raises HTTPException: when the connection ended before the end of the head, or
+            the bytes are no valid head.
+        """
+        self._transport.receive_head()
+        with self._http.getresponse() as head:
+            return Response(head, self._method, self._transport)
 
     def abort(self) -> None:
         """Abort the exchange from another thread; upstreams then cancel the request."""
-        sock = self._connection.sock
-        if sock is None:
-            return
-        try:
-            sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass  # Already closed.
+        self._transport.abort()
 
     def close(self) -> None:
         """Close the connection."""
-        self._connection.close()
+        self._transport.release()
 
     def _send_chunks(self, body: bytes) -> None:
         """Send a long body in chunks; stop if the response starts before its end."""
-        sock = self._connection.sock
         for start in range(0, len(body), _CHUNK_BYTES):
-            if is_readable(sock):
+            if self._transport.wait_for_data(0.0):
                 self._responded_early = True
                 return
-            sock.sendall(body[start : start + _CHUNK_BYTES])
+            self._transport.sendall(body[start : start + _CHUNK_BYTES])
 
 
 def _allow_any_zone(zone: AvailabilityZone | None) -> bool:
@@ -181,7 +186,6 @@
             if idle is not None:
                 return UpstreamConnection(idle, address, is_reused=True)
         limit = min(CONNECT_TIMEOUT_SECONDS, max(0.01, timeout))
-        connection = http.client.HTTPConnection(address, timeout=limit)
         began = _clock.now()
         try:
             dialed = self._dial(address, limit, allows_zone)
@@ -193,8 +197,9 @@
             ) from error
         is_direct = dialed.relay is None
         seconds = _clock.now() - began if is_direct else None
-        connection.sock = dialed.sock
-        return UpstreamConnection(connection, address, False, seconds, dialed.relay)
+        dialed.sock.settimeout(limit)
+        transport = Transport(dialed.sock)
+        return UpstreamConnection(transport, address, False, seconds, dialed.relay)
 
     def _dial(self, address: str, limit: float, allows_zone: AllowsZone) -> Dialed:
         """Connect; close the idle connections if the process has no descriptor left."""
@@ -242,17 +247,18 @@
     def release(self, connection: UpstreamConnection, keep_alive: float) -> None:
         """Return the connection of a successful exchange to the pool."""
         idle_seconds = min(keep_alive, MAX_IDLE_SECONDS)
-        raw = connection.raw
         is_reusable = connection.relay is None and not connection.responded_early
-        if idle_seconds <= 0 or raw.sock is None or not is_reusable:
+        if idle_seconds <= 0 or not is_reusable:
             connection.close()
             return
         with self._lock:
             idle = self._idle.setdefault(connection.address, deque())
-            idle.append(_IdleConnection(raw, _clock.now() + idle_seconds))
+            idle.append(
+                _IdleConnection(connection.transport, _clock.now() + idle_seconds)
+            )
             excess = idle.popleft() if len(idle) > MAX_IDLE_PER_UPSTREAM else None
         if excess is not None:
-            excess.connection.close()
+            excess.transport.release()
 
     def close_expired(self, now: float) -> None:
         """Close connections that have been idle for too long."""
@@ -262,20 +268,20 @@
                 while idle and idle[0].idle_until <= now:
                     expired.append(idle.popleft())
         for entry in expired:
-            entry.connection.close()
+            entry.transport.release()
 
     def discard(self, address: str) -> None:
         """Close the idle connections to an upstream that was removed or restarted."""
         with self._lock:
             idle = self._idle.pop(address, deque())
         for entry in idle:
-            entry.connection.close()
+            entry.transport.release()
 
     def close(self) -> None:
         """Close all idle connections."""
         self.close_expired(float("inf"))
 
-    def _take(self, address: str) -> http.client.HTTPConnection | None:
+    def _take(self, address: str) -> Transport | None:
         now = _clock.now()
         while True:
             with self._lock:
@@ -283,13 +289,7 @@
                 entry = idle.pop() if idle else None
             if entry is None:
                 return None
-            if entry.idle_until > now and _has_no_input(entry.connection.sock):
-                return entry.connection
-            entry.connection.close()
-
-
-def _has_no_input(sock: socket.socket | None) -> bool:
-    """Return whether nothing has arrived: no close and no unexpected response."""
-    if sock is None:
-        return False
-    return not is_readable(sock)
+            # Input is a close, or a response that nobody asked for.
+            if entry.idle_until > now and not entry.transport.has_surplus:
+                return entry.transport
+            entry.transport.release()
--- a/src/rudderpass/exchange/_responses.py
+++ b/src/rudderpass/exchange/_responses.py
@@ -11,6 +11,7 @@
 from rudderpass.exchange._connections import UpstreamConnection
 from rudderpass.exchange._progress import ExchangeOutcome
 from rudderpass.exchange._request import ResponseHead
+from rudderpass.httpclient import Response
 
 
 class UpstreamFailureResponse(UpstreamError):
@@ -87,23 +88,14 @@
     return f"{type(error).__name__} {error}".strip()
 
 
-def ends_with_connection(response: http.client.HTTPResponse) -> bool:
-    """Return whether a response has neither a length nor chunks.
-
-    Its end then cannot be told from a crash of the upstream. To be called before the
-    body is read.
-    """
-    return not response.chunked and response.length is None
-
-
-def read_complete_body(response: http.client.HTTPResponse, peer: str) -> bytes:
+def read_complete_body(response: Response, peer: str) -> bytes:
     """Read the complete body of a response.
 
     :raises UpstreamError: when it ends early.
     """
     try:
         return response.read()
-    except (OSError, http.client.HTTPException, ValueError) as error:
+    except (OSError, http.client.HTTPException) as error:
         text = f"the response was cut: {describe_error(error)}"
         error_type = ConnectionCut if is_connection_cut(error) else UpstreamError
         raise error_type(text, sent=True, step="read", peer=peer) from error
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -36,7 +36,6 @@
     Delivered,
     UpstreamFailureResponse,
     describe_error,
-    ends_with_connection,
     forward_response,
     is_client_error,
     is_closed_without_response,
@@ -45,12 +44,12 @@
     stale_connection_error,
 )
 from rudderpass.exchange._resumption import record_stream_begun
+from rudderpass.httpclient import Response
 from rudderpass.learning import StreamSample
 
 _OVERDUE_POLL_SECONDS = 0.1
 """Interval at which an overdue response is checked again."""
 
-_READ_BYTES = 65536
 _TIMEOUT_REFRESH_SECONDS = 0.1
 """Interval at which a stream's read timeout is refreshed; a silent upstream is thus
 abandoned at most this long after the deadline."""
@@ -133,7 +132,7 @@
         head = self._context.dialect.parse_response_head(
             response.status,
             response.reason,
-            response.getheaders(),
+            response.headers,
             self._progress.request.request_id,
         )
         self._record_head(head)
@@ -222,7 +221,7 @@
         except OSError as error:
             connection.write_error = error
 
-    def _read_head(self, connection: UpstreamConnection) -> http.client.HTTPResponse:
+    def _read_head(self, connection: UpstreamConnection) -> Response:
         if connection.write_error is None:
             self._await_response(connection)
         connection.set_timeout(self._time_left)
@@ -230,7 +229,8 @@
             return connection.read_head()
         except (OSError, http.client.HTTPException) as error:
             reason = connection.write_error or error
-            if connection.is_reused and is_closed_without_response(reason):
+            is_stale = connection.is_reused and not connection.has_received
+            if is_stale and is_closed_without_response(reason):
                 raise stale_connection_error(connection) from error
             raise self._upstream_error(
                 f"no answer: {describe_error(reason)}", reason
@@ -263,7 +263,7 @@
     def _check_response(
         self,
         head: ResponseHead,
-        response: http.client.HTTPResponse,
+        response: Response,
         connection: UpstreamConnection,
     ) -> None:
         """Raise unless the response may be forwarded."""
@@ -303,11 +303,11 @@
     def _forward_complete(
         self,
         connection: UpstreamConnection,
-        response: http.client.HTTPResponse,
+        response: Response,
         head: ResponseHead,
     ) -> Delivered:
         connection.set_timeout(self._time_left)
-        is_unframed = ends_with_connection(response)
+        is_unframed = response.ends_with_connection
         body = read_complete_body(response, connection.address)
         if is_unframed:
             self._check_survived()
@@ -330,12 +330,12 @@
     def _forward_stream(
         self,
         connection: UpstreamConnection,
-        response: http.client.HTTPResponse,
+        response: Response,
         head: ResponseHead,
     ) -> Delivered:
         status = f"{head.status} {head.reason}"
         self._progress.expect_stream(status, list(head.headers))
-        is_unframed = ends_with_connection(response)
+        is_unframed = response.ends_with_connection
         set_at = 0.0
         while True:
             now = _clock.now()
@@ -346,8 +346,6 @@
             if not data:
                 break
             self._forward_events(data)
-        if response.length:
-            raise self._cut_error("the stream ended before its Content-Length")
         if not self._progress.splitter.is_between_events:
             raise self._cut_error("the stream ended inside an event")
         if is_unframed:
@@ -377,10 +375,10 @@
         with self._context.lock:
             self._context.core.record_stream(sample, _clock.now())
 
-    def _read_chunk(self, response: http.client.HTTPResponse) -> bytes:
+    def _read_chunk(self, response: Response) -> bytes:
         try:
-            return response.read1(_READ_BYTES)
-        except (OSError, http.client.HTTPException, ValueError) as error:
+            return response.read_some()
+        except (OSError, http.client.HTTPException) as error:
             text = f"the stream broke: {describe_error(error)}"
             raise self._upstream_error(text, error) from error
 
@@ -430,11 +428,11 @@
     def _release_connection(
         self,
         connection: UpstreamConnection,
-        response: http.client.HTTPResponse,
+        response: Response,
         head: ResponseHead,
     ) -> None:
         """Pool the connection of a complete response if the upstream allows it."""
-        if response.will_close or head.kind is not ResponseKind.SUCCESS:
+        if not response.allows_reuse or head.kind is not ResponseKind.SUCCESS:
             connection.close()
         else:
             self._context.connections.release(connection, head.keep_alive)
--- a/src/rudderpass/streams/_chunks.py
+++ b/src/rudderpass/streams/_chunks.py
@@ -41,6 +41,11 @@
         """Whether the last chunk and the trailer section have arrived."""
         return self._state is _State.DONE
 
+    @property
+    def surplus(self) -> bytes:
+        """Bytes that have arrived behind the body."""
+        return self._buffer if self.is_done else b""
+
     def feed(self, data: bytes) -> bytes:
         """Decode ``data``; return the content received so far and not yet returned.
 
--- a/src/rudderpass/tunnels/_socket.py
+++ b/src/rudderpass/tunnels/_socket.py
@@ -5,6 +5,7 @@
 import io
 import socket
 import time
+from collections.abc import Callable
 from typing import Any
 
 from rudderpass._sockets import set_tcp_options
@@ -31,52 +32,82 @@
 
 
 class TunnelSocket(socket.socket):
-    """A connection to an upstream through a relaying host, as a socket."""
+    """A connection to an upstream through a relaying host, as a socket.
+
+    What it receives is what the upstream sent; ConnectionResetError tells that the
+    relaying host reported no orderly end.
+    """
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._frames = _FrameDecoder()
+
+    def recv(self, count: int, flags: int = 0) -> bytes:
+        """Return bytes that the upstream sent; empty at its end."""
+        return self._frames.read(super().recv, count)
+
+    def receive_status(self) -> bytes:
+        """Return the byte by which the relaying host replies; empty at its end."""
+        return super().recv(1)
 
     def makefile(self, *args: Any, **kwargs: Any) -> Any:
         """Return a buffered reader of what the upstream sent."""
         raw = super().makefile("rb", buffering=0)
-        return io.BufferedReader(_FrameReader(raw))
+        return io.BufferedReader(_FrameReader(raw, self._frames))
 
 
-class _FrameReader(io.RawIOBase):
-    """Reads the data of frames; raises ConnectionResetError if the last is missing."""
+class _FrameDecoder:
+    """Removes the frames; raises ConnectionResetError if the last is missing."""
 
-    def __init__(self, raw: Any) -> None:
-        self._raw = raw
+    def __init__(self) -> None:
+        self._header = b""
         self._left = 0
         self._has_ended = False
 
+    def read(self, receive: Callable[[int], bytes], count: int) -> bytes:
+        """Return up to ``count`` bytes of data; empty at the upstream's end.
+
+        :param receive: returns up to a number of bytes of the connection. It may raise
+            BlockingIOError or TimeoutError; the next call then continues.
+        """
+        while self._left == 0 and not self._has_ended:
+            self._header += _require(receive(FRAME_HEADER.size - len(self._header)))
+            if len(self._header) < FRAME_HEADER.size:
+                continue
+            self._left = FRAME_HEADER.unpack(self._header)[0]
+            self._has_ended = self._left == 0
+            self._header = b""
+        if self._has_ended:
+            return b""
+        data = _require(receive(min(count, self._left)))
+        self._left -= len(data)
+        return data
+
+
+class _FrameReader(io.RawIOBase):
+    """The data of frames as a file."""
+
+    def __init__(self, raw: Any, frames: _FrameDecoder) -> None:
+        self._raw = raw
+        self._frames = frames
+
     def readable(self) -> bool:
         return True
 
     def readinto(self, buffer: Any) -> int:
-        if self._has_ended or not buffer:
-            return 0
-        if self._left == 0:
-            self._left = self._read_length()
-            self._has_ended = self._left == 0
-            if self._has_ended:
-                return 0
-        count: int = self._raw.readinto(memoryview(buffer)[: self._left])
-        if not count:
-            raise ConnectionResetError("the relaying host closed the tunnel")
-        self._left -= count
-        return count
+        data = self._frames.read(self._raw.read, len(buffer)) if buffer else b""
+        buffer[: len(data)] = data
+        return len(data)
 
     def close(self) -> None:
         self._raw.close()
         super().close()
 
-    def _read_length(self) -> int:
-        header = b""
-        while len(header) < FRAME_HEADER.size:
-            data = self._raw.read(FRAME_HEADER.size - len(header))
-            if not data:
-                raise ConnectionResetError("the relaying host closed the tunnel")
-            header += data
-        length: int = FRAME_HEADER.unpack(header)[0]
-        return length
+
+def _require(data: bytes) -> bytes:
+    if not data:
+        raise ConnectionResetError("the relaying host closed the tunnel")
+    return data
 
 
 def open_tunnel(
@@ -103,7 +134,7 @@
         left = max(0.01, timeout - (time.monotonic() - began))
         sock.settimeout(left)
         sock.sendall(encode_open(OpenRequest(target, left * RELAY_SHARE)))
-        reply = sock.recv(1)
+        reply = sock.receive_status()
         if not reply:
             raise ConnectionResetError(f"{relay} closed the connection")
         status = _decode_status(relay, reply)
