Use a connection again only if its request was sent whole

Cause: an early response was looked for between two chunks, not while sendall waited for an upstream that read no further. The time-out that ended it was ignored once a response was there, and release() asked only whether a response had been seen early, not whether the request had been sent.

Ruled out: callers that pipeline, and requests mixed within a host; one thread writes to a connection, in order.

Change: sending watches both directions and stops when a response begins; a connection is pooled only if the request was sent whole, the response read whole by its own framing, and nothing is left behind it. It holds whatever stops the sending, since a request counts as sent only behind its last byte.

--- a/src/rudderpass/exchange/_connections.py
+++ b/src/rudderpass/exchange/_connections.py
@@ -35,7 +35,6 @@
 CHECK_IDLE_SECONDS = 1.0
 """Idle time of a connection that such a check has established."""
 
-_CHUNK_BYTES = 16384
 _NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
 
 
@@ -68,7 +67,8 @@
         self._http.sock = transport
         self._method = ""
         self._address = address
-        self._responded_early = False
+        self._is_sent = False
+        self._response: Response | None = None
         self.write_error: OSError | None = None
         self.is_reused = is_reused
         self.connect_seconds = connect_seconds
@@ -80,11 +80,6 @@
         """The upstream's address."""
         return self._address
 
-    @property
-    def responded_early(self) -> bool:
-        """Whether the response began before the body was sent; rules out reuse."""
-        return self._responded_early
-
     @property
     def transport(self) -> Transport:
         """The connection itself, which outlives the exchange if it is pooled."""
@@ -95,12 +90,27 @@
         """Whether any byte of a response has arrived."""
         return self._transport.has_received
 
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent on this connection.
+
+        Not if the upstream expects more of the last request, or may send more of the
+        last response.
+        """
+        if self.relay is not None or self._transport.has_surplus:
+            return False
+        if not self._method:
+            return True  # It has carried no request.
+        return (
+            self._is_sent and self._response is not None and self._response.allows_reuse
+        )
+
     def set_timeout(self, seconds: float) -> None:
         """Set the timeout of the next reads and writes."""
-        self._transport.sock.settimeout(max(0.01, seconds))
+        self._transport.set_timeout(max(0.01, seconds))
 
     def send(self, request: ExchangeRequest, headers: Headers) -> None:
-        """Send a request.
+        """Send a request; stop if its response begins before its end.
 
         :raises OSError: when sending fails; parts may have been sent.
         """
@@ -110,11 +120,8 @@
         )
         for name, value in headers:
             self._http.putheader(name, value)
-        if len(request.body) <= _CHUNK_BYTES:
-            self._http.endheaders(request.body or None)
-            return
-        self._http.endheaders()
-        self._send_chunks(request.body)
+        self._http.endheaders(request.body or None)
+        self._is_sent = not self._transport.has_response_begun
 
     def wait_for_response(self, seconds: float) -> bool:
         """Wait for a response or the connection's end; return whether either came."""
@@ -129,7 +136,8 @@
         """
         self._transport.receive_head()
         with self._http.getresponse() as head:
-            return Response(head, self._method, self._transport)
+            self._response = Response(head, self._method, self._transport)
+        return self._response
 
     def abort(self) -> None:
         """Abort the exchange from another thread; upstreams then cancel the request."""
@@ -139,14 +147,6 @@
         """Close the connection."""
         self._transport.release()
 
-    def _send_chunks(self, body: bytes) -> None:
-        """Send a long body in chunks; stop if the response starts before its end."""
-        for start in range(0, len(body), _CHUNK_BYTES):
-            if self._transport.wait_for_data(0.0):
-                self._responded_early = True
-                return
-            self._transport.sendall(body[start : start + _CHUNK_BYTES])
-
 
 def _allow_any_zone(zone: AvailabilityZone | None) -> bool:
     return True
@@ -247,8 +247,7 @@
     def release(self, connection: UpstreamConnection, keep_alive: float) -> None:
         """Return the connection of a successful exchange to the pool."""
         idle_seconds = min(keep_alive, MAX_IDLE_SECONDS)
-        is_reusable = connection.relay is None and not connection.responded_early
-        if idle_seconds <= 0 or not is_reusable:
+        if idle_seconds <= 0 or not connection.is_reusable:
             connection.close()
             return
         with self._lock:
@@ -290,6 +289,6 @@
             if entry is None:
                 return None
             # Input is a close, or a response that nobody asked for.
-            if entry.idle_until > now and not entry.transport.has_surplus:
+            if entry.idle_until > now and not entry.transport.wait_for_data(0.0):
                 return entry.transport
             entry.transport.release()
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -313,7 +313,7 @@
             self._check_survived()
         self._progress.record_first_response()
         self._progress.record_started(self._accepted.team, self._assigned.sent)
-        self._release_connection(connection, response, head)
+        self._release_connection(connection, head)
         outcome = (
             ExchangeOutcome.SERVED
             if head.kind is ResponseKind.SUCCESS
@@ -354,7 +354,7 @@
         if not self._has_recorded_answer:
             self._record_answered()
         self._record_stream()
-        self._release_connection(connection, response, head)
+        self._release_connection(connection, head)
         return Delivered(ExchangeOutcome.SERVED, head.status, [])
 
     def _check_survived(self) -> None:
@@ -426,16 +426,13 @@
             log_pause(self._progress.request, self._accepted, self._assigned, pause)
 
     def _release_connection(
-        self,
-        connection: UpstreamConnection,
-        response: Response,
-        head: ResponseHead,
+        self, connection: UpstreamConnection, head: ResponseHead
     ) -> None:
         """Pool the connection of a complete response if the upstream allows it."""
-        if not response.allows_reuse or head.kind is not ResponseKind.SUCCESS:
-            connection.close()
-        else:
+        if head.kind is ResponseKind.SUCCESS:
             self._context.connections.release(connection, head.keep_alive)
+        else:
+            connection.close()
 
     def _record_head(self, head: ResponseHead) -> None:
         """Record the head if the response comes from the assigned upstream."""
--- a/src/rudderpass/httpclient/_transport.py
+++ b/src/rudderpass/httpclient/_transport.py
@@ -5,6 +5,7 @@
 import http.client
 import io
 import re
+import select
 import socket
 
 from rudderpass._sockets import is_readable
@@ -13,6 +14,7 @@
 """Bytes of a response's status line and headers."""
 
 _RECEIVE_BYTES = 65_536
+_SEND_BYTES = 65_536
 _HEAD_END = re.compile(rb"\n\r?\n")
 _HEAD_END_BYTES = 3
 _HEADER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*\r?")
@@ -36,14 +38,20 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
+        self._timeout = sock.gettimeout()
+        sock.setblocking(False)
         self._received = b""
+        self._has_response_begun = False
         self._head = b""
         self._has_received = False
 
     @property
-    def sock(self) -> socket.socket:
-        """The socket."""
-        return self._sock
+    def has_response_begun(self) -> bool:
+        """Whether a response began before the request was sent completely.
+
+        The rest of the request is not sent then.
+        """
+        return self._has_response_begun
 
     @property
     def has_received(self) -> bool:
@@ -52,12 +60,17 @@
 
     @property
     def has_surplus(self) -> bool:
-        """Whether bytes have arrived that belong to no response."""
-        return bool(self._received) or is_readable(self._sock)
+        """Whether bytes have arrived behind the last response."""
+        return bool(self._received)
 
     def begin_exchange(self) -> None:
         """Prepare for the next request on this connection."""
         self._has_received = False
+        self._has_response_begun = False
+
+    def set_timeout(self, seconds: float) -> None:
+        """Set how long to wait until the next bytes can be sent or received."""
+        self._timeout = seconds
 
     def wait_for_data(self, seconds: float) -> bool:
         """Wait for data or the connection's end; return whether either came."""
@@ -71,9 +84,11 @@
         if self._received:
             data, self._received = self._received, b""
             return data
-        data = self._sock.recv(_RECEIVE_BYTES)
-        self._has_received = self._has_received or bool(data)
-        return data
+        while True:
+            self._wait_for(select.POLLIN)
+            received = self._receive_arrived()
+            if received is not None:
+                return received
 
     def push_back(self, data: bytes) -> None:
         """Return received bytes that do not belong to the current response."""
@@ -108,8 +123,19 @@
         return io.BytesIO(self._head)
 
     def sendall(self, data: bytes) -> None:
-        """Send all of ``data``."""
-        self._sock.sendall(data)
+        """Send ``data``; stop if a response begins before its end.
+
+        :raises OSError: when sending fails, or no byte was sent in time.
+        """
+        left = memoryview(data)
+        while left and not self._has_response_begun:
+            try:
+                left = left[self._sock.send(left[:_SEND_BYTES]) :]
+            except BlockingIOError:
+                # A server that has responded may read no further.
+                self._wait_for(select.POLLIN | select.POLLOUT)
+            if left:
+                self._check_response_begun()
 
     def close(self) -> None:
         """Do nothing: :mod:`http.client` does not decide when the socket is closed."""
@@ -125,6 +151,36 @@
         """Close the socket."""
         self._sock.close()
 
+    def _check_response_begun(self) -> None:
+        """Note a response, or the end of the connection, that came while sending."""
+        if not is_readable(self._sock):
+            return
+        data = self._receive_arrived()
+        if data is None:
+            return
+        self._has_response_begun = True
+        self.push_back(data)
+
+    def _receive_arrived(self) -> bytes | None:
+        """Return what has arrived; empty at the end, None if nothing has."""
+        try:
+            data = self._sock.recv(_RECEIVE_BYTES)
+        except BlockingIOError:
+            return None
+        self._has_received = self._has_received or bool(data)
+        return data
+
+    def _wait_for(self, events: int) -> None:
+        """Wait until the socket is ready.
+
+        :raises TimeoutError: when it is not in time.
+        """
+        poller = select.poll()  # select() fails for descriptors from 1024 on.
+        poller.register(self._sock, events)
+        timeout = None if self._timeout is None else 1000 * self._timeout
+        if not poller.poll(timeout):
+            raise TimeoutError("timed out")
+
 
 def _check_header_lines(head: bytes) -> None:
     """Check the lines of a head; the parser takes an invalid one for its end.
--- a/tests/exchange/harness.py
+++ b/tests/exchange/harness.py
@@ -240,6 +240,7 @@
     """One host's HTTP server and its upstreams, tried in the order given.
 
     :param versions: of the upstreams' software; all of one version by default.
+    :param addresses: of upstreams that the test runs itself.
     """
 
     def __init__(
@@ -252,14 +253,18 @@
         before_decision: Callable[[], None] = lambda: None,
         dialer: Dialer | None = None,
         versions: Sequence[str] = (),
+        addresses: Sequence[str] = (),
     ) -> None:
         self.upstreams = [FakeUpstream(behaviour) for behaviour in behaviours]
         self.summaries: list[ExchangeSummary] = []
         self.retries: list[RetryDecision] = []
         self.initialized = threading.Event()
         self.initialized.set()
-        addresses = [upstream.address for upstream in self.upstreams]
-        addresses = ["127.0.0.1:1"] * unreachable + addresses
+        addresses = [
+            *["127.0.0.1:1"] * unreachable,
+            *addresses,
+            *[upstream.address for upstream in self.upstreams],
+        ]
         zone = AvailabilityZone("here")
         self.core = core or self._make_core(route, addresses, zone, versions)
         context = ExchangeContext(
