Bound in time and bytes whatever an upstream sends without end

Cause: a socket's time-out begins anew with each byte; nothing counted the bytes of interim responses, trailers and bodies; 1xx responses other than 100 counted as final; a first byte counted as an answer where an overdue one is sent elsewhere.

Ruled out: the sums of streams (only an incomplete event is kept), and buffers of callers' connections (on disk beyond 1 MB).

Change: the limit of an exchange is a moment that each wait keeps, and heads, interim responses, framing, events, bodies, failures and all bodies of a host together are bounded; a metric and the attempt line name the bound. 1xx responses are skipped. Calls to the store, to hosts, to the platform and for lists of cached parts go through the same owner of the socket. A tunnel whose upstream reads nothing ends after 10 s. It holds whatever a server sends, since time and bytes are counted where they arrive.

--- a/src/rudderpass/exchange/__init__.py
+++ b/src/rudderpass/exchange/__init__.py
@@ -45,6 +45,7 @@
     EventSplitter as EventSplitter,
 )
 from rudderpass.exchange._health import UpstreamHealth as UpstreamHealth
+from rudderpass.exchange._held_bytes import HeldBytes as HeldBytes
 from rudderpass.exchange._joint_rate import (
     SENDERS as SENDERS,
     ColdLimit as ColdLimit,
--- a/src/rudderpass/exchange/_connections.py
+++ b/src/rudderpass/exchange/_connections.py
@@ -32,6 +32,10 @@
 """Connect timeout of the check whether an upstream has crashed. A refusal takes one
 round trip, and the caller waits for it."""
 
+MIN_READ_SECONDS = 0.01
+"""A response that has arrived by its deadline is read even if the sending took until
+then."""
+
 CHECK_IDLE_SECONDS = 1.0
 """Idle time of a connection that such a check has established."""
 
@@ -106,9 +110,9 @@
         is_sent = self._transport.is_request_sent
         return is_sent and self._response is not None and self._response.allows_reuse
 
-    def set_timeout(self, seconds: float) -> None:
-        """Set the timeout of the next reads and writes."""
-        self._transport.set_timeout(max(0.01, seconds))
+    def set_deadline(self, moment: float) -> None:
+        """Set when sending and receiving end, however often bytes arrive until then."""
+        self._transport.set_deadline(max(moment, _clock.now() + MIN_READ_SECONDS))
 
     def send(self, request: ExchangeRequest, headers: Headers) -> None:
         """Send a request; stop if its response begins before its end.
@@ -125,8 +129,8 @@
         self._transport.end_request()
 
     def wait_for_response(self, seconds: float) -> bool:
-        """Wait for a response or the connection's end; return whether either came."""
-        return self._transport.wait_for_data(seconds)
+        """Wait for a head or the connection's end; return whether either came."""
+        return self._transport.wait_for_head(seconds)
 
     def read_head(self) -> Response:
         """Wait for the complete head of the response.
@@ -198,7 +202,6 @@
             ) from error
         is_direct = dialed.relay is None
         seconds = _clock.now() - began if is_direct else None
-        dialed.sock.settimeout(limit)
         transport = Transport(dialed.sock)
         return UpstreamConnection(transport, address, False, seconds, dialed.relay)
 
@@ -290,6 +293,6 @@
             if entry is None:
                 return None
             # Input is a close, or a response that nobody asked for.
-            if entry.idle_until > now and not entry.transport.wait_for_data(0.0):
+            if entry.idle_until > now and not entry.transport.has_input():
                 return entry.transport
             entry.transport.release()
--- a/src/rudderpass/exchange/_events.py
+++ b/src/rudderpass/exchange/_events.py
@@ -4,7 +4,10 @@
 
 from dataclasses import dataclass
 
+from rudderpass.httpclient import Bound, ResponseTooLong
+
 _EVENT_DELIMITERS = (b"\n\n", b"\r\n\r\n")
+_LONGEST_DELIMITER = max(map(len, _EVENT_DELIMITERS))
 _ID_FIELD = b"id:"
 MAX_EVENT_BYTES = 1024 * 1024
 """A longer event counts as a broken stream; real events hold only a few tokens."""
@@ -14,6 +17,13 @@
     """The bytes are not a valid stream of events with ascending ids."""
 
 
+class EventTooLong(EventError, ResponseTooLong):
+    """An event has more than MAX_EVENT_BYTES."""
+
+    def __init__(self) -> None:
+        ResponseTooLong.__init__(self, Bound.EVENT, MAX_EVENT_BYTES)
+
+
 @dataclass(frozen=True)
 class CompleteEvents:
     """A run of complete events.
@@ -37,7 +47,7 @@
     """
 
     def __init__(self, last_id: str | None = None) -> None:
-        self._partial = b""
+        self._partial = bytearray()
         self._last_id = last_id
 
     @property
@@ -50,23 +60,30 @@
         """Whether no partial event is buffered."""
         return not self._partial
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes of the partial event."""
+        return len(self._partial)
+
     def discard_partial(self) -> None:
         """Discard the partial event left by a broken stream."""
-        self._partial = b""
+        self._partial.clear()
 
     def feed(self, data: bytes) -> CompleteEvents:
         """Return the events that ``data`` completes.
 
         :raises EventError: when an event is too long, or ids do not ascend.
         """
-        buffered = self._partial + data
+        searched = max(0, len(self._partial) - _LONGEST_DELIMITER)
+        self._partial += data
         end = max(
-            _end_of_last_delimiter(delimiter, buffered)
+            _end_of_last_delimiter(delimiter, self._partial, searched)
             for delimiter in _EVENT_DELIMITERS
         )
-        complete, self._partial = buffered[:end], buffered[end:]
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
         if len(self._partial) > MAX_EVENT_BYTES:
-            raise EventError("event too long")
+            raise EventTooLong
         return CompleteEvents(complete, self._track_ids(complete))
 
     def _track_ids(self, complete: bytes) -> int:
@@ -88,9 +105,9 @@
             raise EventError(f"event id {event_id} does not ascend from {last}")
 
 
-def _end_of_last_delimiter(delimiter: bytes, data: bytes) -> int:
+def _end_of_last_delimiter(delimiter: bytes, data: bytearray, start: int) -> int:
     """Return the position after the last ``delimiter``, or 0 if there is none."""
-    position = data.rfind(delimiter)
+    position = data.rfind(delimiter, start)
     return 0 if position < 0 else position + len(delimiter)
 
 
--- a/src/rudderpass/exchange/_progress.py
+++ b/src/rudderpass/exchange/_progress.py
@@ -15,9 +15,11 @@
 from rudderpass.exchange._core import ExchangeCore
 from rudderpass.exchange._dialect import ExchangeDialect
 from rudderpass.exchange._events import EventSplitter
+from rudderpass.exchange._held_bytes import HeldBytes, ResponseMemory
 from rudderpass.exchange._request import ExchangeRequest
 from rudderpass.exchange._resumption import NoOtherHosts, OriginSource
 from rudderpass.exchange._slot_queue import SlotQueue
+from rudderpass.httpclient import Bound
 from rudderpass.streams import AttemptState
 from rudderpass.webserver import CallerConnection, convert_disconnect
 
@@ -78,6 +80,8 @@
         brittle, which peers must learn at once.
     :param slot_queue: the requests that wait for a slot of a brittle upstream.
     :param origins: where origins of streams are kept besides this host.
+    :param held_bytes: of the responses that are being received.
+    :param on_too_long: called when an upstream sent more than a response may have.
     """
 
     core: ExchangeCore
@@ -93,6 +97,8 @@
     on_urgent_head: Callable[[], None] = lambda: None
     slot_queue: SlotQueue = field(default_factory=SlotQueue)
     origins: OriginSource = field(default_factory=NoOtherHosts)
+    held_bytes: HeldBytes = field(default_factory=HeldBytes)
+    on_too_long: Callable[[Bound], None] = lambda bound: None
 
 
 class Progress:
@@ -106,6 +112,7 @@
     :ivar longest_pause: seconds between two events of a stream, so far.
     :ivar latest_pause: seconds between the two latest events.
     :ivar late_pauses: pauses so far beyond the route's target.
+    :ivar memory: the bytes of responses that the host holds for it.
     :ivar version: the software version that began the stream; the caller holds events
         of it, and no other may go on with the stream. None before the first event.
 
@@ -130,6 +137,7 @@
         self.longest_pause = 0.0
         self.latest_pause = 0.0
         self.late_pauses = 0
+        self.memory = ResponseMemory(context.held_bytes)
         self.version: SoftwareVersion | None = None
         self._has_started = False
         self._pauses: list[float] = []
@@ -182,9 +190,11 @@
 
         :param on_first: called before the first event is passed on.
         :raises EventError: when the event stream is invalid.
+        :raises ResponseTooLong: when the host holds too many bytes.
         :raises CallerGone: when the caller has disconnected.
         """
         events = self.splitter.feed(data)
+        self.memory.set_event(self.splitter.partial_bytes)
         if not events.data:
             return False
         self.record_first_response()
--- a/src/rudderpass/exchange/_responses.py
+++ b/src/rudderpass/exchange/_responses.py
@@ -9,6 +9,7 @@
 
 from rudderpass.errors import ConnectionCut, StaleConnection, UpstreamError
 from rudderpass.exchange._connections import UpstreamConnection
+from rudderpass.exchange._held_bytes import ResponseMemory
 from rudderpass.exchange._progress import ExchangeOutcome
 from rudderpass.exchange._request import ResponseHead
 from rudderpass.httpclient import Response
@@ -88,13 +89,17 @@
     return f"{type(error).__name__} {error}".strip()
 
 
-def read_complete_body(response: Response, peer: str) -> bytes:
+def read_complete_body(
+    response: Response, limit: int, memory: ResponseMemory, peer: str
+) -> bytes:
     """Read the complete body of a response.
 
-    :raises UpstreamError: when it ends early.
+    :param limit: bytes that it may have.
+    :param memory: counts the bytes.
+    :raises UpstreamError: when it ends early, or is too long.
     """
     try:
-        return response.read()
+        return response.read(limit, memory.add_body)
     except (OSError, http.client.HTTPException) as error:
         text = f"the response was cut: {describe_error(error)}"
         error_type = ConnectionCut if is_connection_cut(error) else UpstreamError
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -20,6 +20,7 @@
 from rudderpass.exchange._connections import UpstreamConnection
 from rudderpass.exchange._dialect import SendContext
 from rudderpass.exchange._events import EventError
+from rudderpass.exchange._held_bytes import MAX_BODY_BYTES, MAX_FAILURE_BYTES
 from rudderpass.exchange._logging import (
     log_brittle,
     log_leaving,
@@ -44,16 +45,12 @@
     stale_connection_error,
 )
 from rudderpass.exchange._resumption import record_stream_begun
-from rudderpass.httpclient import Response
+from rudderpass.httpclient import Response, ResponseTooLong
 from rudderpass.learning import StreamSample
 
 _OVERDUE_POLL_SECONDS = 0.1
 """Interval at which an overdue response is checked again."""
 
-_TIMEOUT_REFRESH_SECONDS = 0.1
-"""Interval at which a stream's read timeout is refreshed; a silent upstream is thus
-abandoned at most this long after the deadline."""
-
 
 class Send:
     """Sends one request to one upstream and forwards the response.
@@ -116,6 +113,8 @@
             elif is_client_error(error) and not self._progress.is_streaming:
                 succeeded = True  # As if it were forwarded; the connection is closed.
             self._record_refusal(error)
+            if isinstance(error.__cause__, ResponseTooLong):
+                self._context.on_too_long(error.__cause__.bound)
             raise
         finally:
             self._connection = None
@@ -206,7 +205,7 @@
         progress.sends += 1
         progress.state = replace(progress.state, attempts=progress.state.attempts + 1)
         left = self._time_left
-        connection.set_timeout(left)
+        connection.set_deadline(self._accepted.deadline)
         context = SendContext(
             self._assigned.name,
             self._accepted.team,
@@ -220,11 +219,13 @@
             connection.send(progress.request, headers)
         except OSError:
             pass  # The connection keeps the error, by which its end is judged.
+        except http.client.HTTPException as error:
+            raise self._upstream_error(f"no answer: {describe_error(error)}") from error
 
     def _read_head(self, connection: UpstreamConnection) -> Response:
         if connection.send_error is None:
             self._await_response(connection)
-        connection.set_timeout(self._time_left)
+        connection.set_deadline(self._accepted.deadline)
         try:
             return connection.read_head()
         except (OSError, http.client.HTTPException) as error:
@@ -277,7 +278,7 @@
         if head.kind is ResponseKind.FAILURE:
             if head.status < HTTPStatus.INTERNAL_SERVER_ERROR and not is_streaming:
                 return  # Another upstream would respond the same.
-            body = read_complete_body(response, connection.address)
+            body = self._read_body(response, MAX_FAILURE_BYTES)
             self._progress.record_started(self._accepted.team, self._assigned.sent)
             raise UpstreamFailureResponse(head, body, connection.address)
         refused = head.kind is not ResponseKind.UNRELATED
@@ -306,9 +307,8 @@
         response: Response,
         head: ResponseHead,
     ) -> Delivered:
-        connection.set_timeout(self._time_left)
         is_unframed = response.ends_with_connection
-        body = read_complete_body(response, connection.address)
+        body = self._read_body(response, MAX_BODY_BYTES)
         if is_unframed:
             self._check_survived()
         self._progress.record_first_response()
@@ -336,15 +336,7 @@
         status = f"{head.status} {head.reason}"
         self._progress.expect_stream(status, list(head.headers))
         is_unframed = response.ends_with_connection
-        set_at = 0.0
-        while True:
-            now = _clock.now()
-            if now - set_at > _TIMEOUT_REFRESH_SECONDS:
-                connection.set_timeout(self._time_left)
-                set_at = now
-            data = self._read_chunk(response)
-            if not data:
-                break
+        while data := self._read_chunk(response):
             self._forward_events(data)
         if not self._progress.splitter.is_between_events:
             raise self._cut_error("the stream ended inside an event")
@@ -357,6 +349,10 @@
         self._release_connection(connection, head)
         return Delivered(ExchangeOutcome.SERVED, head.status, [])
 
+    def _read_body(self, response: Response, limit: int) -> bytes:
+        memory, peer = self._progress.memory, self._assigned.address
+        return read_complete_body(response, limit, memory, peer)
+
     def _check_survived(self) -> None:
         """Check that a response without a length did not end with its upstream.
 
@@ -385,7 +381,7 @@
     def _forward_events(self, data: bytes) -> None:
         try:
             has_forwarded = self._progress.forward_events(data, self._bind_version)
-        except EventError as error:
+        except (EventError, ResponseTooLong) as error:
             raise self._upstream_error(f"invalid event stream: {error}") from error
         if not has_forwarded:
             return
--- a/src/rudderpass/exchange/_serve.py
+++ b/src/rudderpass/exchange/_serve.py
@@ -148,6 +148,7 @@
             raise
         finally:
             self._caller.watch(None)
+            self._progress.memory.release()
             if self._quarantine_gate is not None:
                 self._quarantine_gate.close()
         self._finish(delivered.outcome, delivered.status)
--- a/src/rudderpass/gossip/_transport.py
+++ b/src/rudderpass/gossip/_transport.py
@@ -7,6 +7,8 @@
 import threading
 import time
 from collections.abc import Callable, Iterable
+from contextlib import closing
+from http import HTTPStatus
 from typing import Any
 
 from rudderpass._ids import NodeId, StoreEra
@@ -28,6 +30,7 @@
     decode_origins,
     encode_origins,
 )
+from rudderpass.httpclient import Connection
 from rudderpass.webserver import HttpServer, ServerLimits
 
 STATE_PATH = "/state"
@@ -35,6 +38,12 @@
 FETCH_SECONDS = 0.8
 """Time-out for fetching a peer's state; another peer is queried soon after."""
 
+TRANSFER_SECONDS = 3.0
+"""Further time for a state that keeps arriving over a slow link."""
+
+MAX_FETCHED_BYTES = 16 * 1024 * 1024
+"""Bytes of a peer's state or prompts."""
+
 MAX_DATAGRAM_BYTES = 60_000
 
 MAX_BURST_BYTES = 16_000
@@ -156,15 +165,22 @@
         return decode_prompts(self._fetch(peer, PROMPTS_PATH))
 
     def _fetch(self, peer: NodeId, path: str) -> bytes:
-        connection = http.client.HTTPConnection(peer, timeout=FETCH_SECONDS)
         try:
-            connection.request("GET", path)
-            return connection.getresponse().read()
+            with closing(Connection(peer, FETCH_SECONDS)) as connection:
+                reply = connection.call(
+                    "GET",
+                    path,
+                    FETCH_SECONDS,
+                    MAX_FETCHED_BYTES,
+                    transfer_seconds=TRANSFER_SECONDS,
+                )
         except (OSError, http.client.HTTPException) as error:
             text = f"no answer: {type(error).__name__} {error}"
             raise PeerError(text, step="fetch", peer=peer) from error
-        finally:
-            connection.close()
+        if reply.status != HTTPStatus.OK:
+            text = f"status {reply.status}"
+            raise PeerError(text, step="fetch", peer=peer)
+        return reply.content
 
     def _bind(self, host: str, port: int) -> tuple[socket.socket, HttpServer]:
         """Bind one port for UDP and TCP; port 0 selects any that is free for both."""
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -22,6 +22,7 @@
     ExchangeApp,
     ExchangeContext,
     ExchangeCore,
+    HeldBytes,
     UpstreamConnectionPool,
     log_cold,
 )
@@ -134,6 +135,7 @@
         self._metrics = HostMetrics(
             lambda: self._status.read_gauges(), lambda: self._directory.unusable
         )
+        self._held_bytes = HeldBytes()
         self._state_complete = threading.Event()
         self._initialized = threading.Event()
         context = ExchangeContext(
@@ -149,6 +151,8 @@
             self._record_started,
             self._peers.send_soon,
             origins=self._origins,
+            held_bytes=self._held_bytes,
+            on_too_long=self._metrics.record_too_long,
         )
         self._app = ExchangeApp(context)
         self._caller_server = HttpServer(
@@ -200,6 +204,7 @@
             self._caller_server,
             lambda: self._app.active,
             dropped_lines,
+            self._held_bytes,
         )
         self._suspension_recovery = SuspensionRecovery(
             self._core,
--- a/src/rudderpass/host/_metrics.py
+++ b/src/rudderpass/host/_metrics.py
@@ -12,6 +12,7 @@
 from rudderpass._ids import PoolId
 from rudderpass.errors import UnusableReason
 from rudderpass.exchange import ExchangeOutcome, ExchangeSummary, RetryDecision
+from rudderpass.httpclient import Bound
 
 if TYPE_CHECKING:
     from prometheus_client.core import Metric
@@ -63,6 +64,7 @@
     upstreams_wanted: int
     upstreams_wanted_price: float
     log_lines_dropped: int
+    response_bytes_held: int
 
 
 @dataclass
@@ -110,6 +112,7 @@
         self._sends: Counter[str] = Counter()
         self._late_pauses: Counter[str] = Counter()
         self._retries: Counter[tuple[PoolId, bool]] = Counter()
+        self._too_long: Counter[Bound] = Counter()
         self._first_response_times: dict[str, _LatencyHistogram] = {}
         self._exchange_times: dict[str, _LatencyHistogram] = {}
 
@@ -132,6 +135,11 @@
         with self._lock:
             self._retries[service, retry.is_allowed] += 1
 
+    def record_too_long(self, bound: Bound) -> None:
+        """Count a response that was given up since its upstream sent too much."""
+        with self._lock:
+            self._too_long[bound] += 1
+
     def expose(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         from prometheus_client import CollectorRegistry, generate_latest
@@ -185,6 +193,13 @@
         )
         for (service, is_allowed), count in self._retries.items():
             retries.add_metric((service, str(is_allowed).lower()), count)
+        too_long = CounterMetricFamily(
+            "rudderpass_too_long_responses",
+            "Responses given up since their upstream sent too much, by what.",
+            labels=("bound",),
+        )
+        for bound, count in self._too_long.items():
+            too_long.add_metric((bound.name.lower(),), count)
         unusable = CounterMetricFamily(
             "rudderpass_unusable_records",
             "Records in the platform's store that could not be used.",
@@ -196,6 +211,7 @@
         yield sends
         yield late_pauses
         yield retries
+        yield too_long
         yield unusable
 
     def _histograms(self) -> Iterator[Metric]:
--- a/src/rudderpass/host/_status.py
+++ b/src/rudderpass/host/_status.py
@@ -7,7 +7,7 @@
 
 from rudderpass import _clock
 from rudderpass.directory import StoreFollower
-from rudderpass.exchange import ExchangeCore
+from rudderpass.exchange import ExchangeCore, HeldBytes
 from rudderpass.host._admin import EvacuatedZone
 from rudderpass.host._duties import HostDuties
 from rudderpass.host._metrics import HostGauges
@@ -28,6 +28,7 @@
     :param caller_server: the server that callers connect to.
     :param count_active: returns the number of requests in progress.
     :param dropped_lines: returns the number of dropped log lines.
+    :param held_bytes: of the responses that are being received.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         caller_server: HttpServer,
         count_active: Callable[[], int],
         dropped_lines: Callable[[], int],
+        held_bytes: HeldBytes,
     ) -> None:
         self._core = core
         self._lock = lock
@@ -55,6 +57,7 @@
         self._caller_server = caller_server
         self._count_active = count_active
         self._dropped_lines = dropped_lines
+        self._held_bytes = held_bytes
 
     def read_gauges(self) -> HostGauges:
         """Return the current values of the metrics."""
@@ -105,6 +108,7 @@
                 upstreams_wanted=0 if duties is None else duties.upstreams_wanted,
                 upstreams_wanted_price=0.0 if duties is None else duties.order_price,
                 log_lines_dropped=self._dropped_lines(),
+                response_bytes_held=self._held_bytes.count,
             )
 
     def list_evacuated(self) -> list[EvacuatedZone]:
--- a/src/rudderpass/httpclient/__init__.py
+++ b/src/rudderpass/httpclient/__init__.py
@@ -4,8 +4,12 @@
 response ends and whether its connection may be used again is decided here.
 """
 
-from rudderpass.httpclient._response import Response as Response
-from rudderpass.httpclient._transport import (
+from rudderpass.httpclient._connection import Connection as Connection, Reply as Reply
+from rudderpass.httpclient._limits import (
+    Bound as Bound,
+    DeadlinePassed as DeadlinePassed,
     MalformedResponse as MalformedResponse,
-    Transport as Transport,
+    ResponseTooLong as ResponseTooLong,
 )
+from rudderpass.httpclient._response import Response as Response
+from rudderpass.httpclient._transport import Transport as Transport
--- a/src/rudderpass/httpclient/_framing.py
+++ b/src/rudderpass/httpclient/_framing.py
@@ -7,8 +7,8 @@
 from functools import singledispatch
 from http import HTTPStatus
 
-from rudderpass.httpclient._transport import MalformedResponse
-from rudderpass.streams import ChunkDecoder, ChunkError
+from rudderpass.httpclient._limits import Bound, MalformedResponse, ResponseTooLong
+from rudderpass.streams import ChunkDecoder, ChunkError, ChunkFramingTooLong
 
 Headers = Sequence[tuple[str, str]]
 
@@ -79,6 +79,8 @@
 def _(framing: ChunkedFraming, data: bytes) -> tuple[bytes, bytes]:
     try:
         content = framing.decoder.feed(data)
+    except ChunkFramingTooLong as error:
+        raise ResponseTooLong(Bound.FRAMING, error.limit) from error
     except ChunkError as error:
         raise MalformedResponse(str(error)) from error
     return content, framing.decoder.surplus
--- a/src/rudderpass/httpclient/_response.py
+++ b/src/rudderpass/httpclient/_response.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 import http.client
+from collections.abc import Callable
 
 from rudderpass.httpclient._framing import (
     ConnectionFraming,
+    LengthFraming,
     decode,
     find_framing,
     is_complete,
 )
+from rudderpass.httpclient._limits import Bound, ResponseTooLong
 from rudderpass.httpclient._transport import Transport
 
 
+def _hold_nothing(count: int) -> None:
+    pass
+
+
 class Response:
     """A response: its head, and its body as it is read.
 
@@ -66,7 +73,7 @@
 
         :raises IncompleteRead: when the connection ends before the body.
         :raises MalformedResponse: when the framing is invalid.
-        :raises OSError: when the connection was reset, or nothing came in time.
+        :raises OSError: when the connection was reset, or the deadline has passed.
         """
         while not self._has_ended and not is_complete(self._framing):
             data = self._transport.receive()
@@ -80,16 +87,25 @@
                 return content
         return b""
 
-    def read(self) -> bytes:
+    def read(self, limit: int, hold: Callable[[int], None] = _hold_nothing) -> bytes:
         """Return the complete body.
 
+        :param limit: bytes that it may have.
+        :param hold: called with the number of bytes each time that some have arrived.
         :raises IncompleteRead: when the connection ends before the body.
+        :raises ResponseTooLong: when the body is longer than ``limit``.
         :raises MalformedResponse: when the framing is invalid.
-        :raises OSError: when the connection was reset, or nothing came in time.
+        :raises OSError: when the connection was reset, or the deadline has passed.
         """
+        framing = self._framing
+        if isinstance(framing, LengthFraming) and framing.left > limit:
+            raise ResponseTooLong(Bound.BODY, limit)
         body = bytearray()
         while data := self.read_some():
+            hold(len(data))
             body += data
+            if len(body) > limit:
+                raise ResponseTooLong(Bound.BODY, limit)
         return bytes(body)
 
     def _end(self) -> None:
--- a/src/rudderpass/httpclient/_transport.py
+++ b/src/rudderpass/httpclient/_transport.py
@@ -4,26 +4,32 @@
 
 import http.client
 import io
+import math
 import re
 import select
 import socket
 
+from rudderpass import _clock
 from rudderpass._sockets import is_readable
-
-MAX_HEAD_BYTES = 65_536
-"""Bytes of a response's status line and headers."""
+from rudderpass.httpclient._limits import (
+    MAX_HEAD_BYTES,
+    MAX_INTERIM_BYTES,
+    Bound,
+    DeadlinePassed,
+    MalformedResponse,
+    ResponseTooLong,
+)
 
 _RECEIVE_BYTES = 65_536
 _SEND_BYTES = 65_536
 _HEAD_END = re.compile(rb"\n\r?\n")
 _HEAD_END_BYTES = 3
+_INTERIM = re.compile(rb"HTTP/1\.[01] 1(?!01)")
+_UPGRADE = re.compile(rb"HTTP/1\.[01] 101")
+_INTERIM_PREFIXES = (b"HTTP/1.1 1", b"HTTP/1.0 1")
 _HEADER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*\r?")
 
 
-class MalformedResponse(http.client.HTTPException):
-    """The bytes that a server sent are no valid response."""
-
-
 class Transport:
     """Sends and receives the bytes of exchanges with an HTTP server.
 
@@ -38,10 +44,14 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
-        self._timeout = sock.gettimeout()
         sock.setblocking(False)
-        self._received = b""
+        self._deadline = math.inf
+        self._idle_timeout = math.inf
+        self._received = bytearray()
+        self._searched = 0
+        self._interim_bytes = 0
         self._head = b""
+        self._head_error: OSError | http.client.HTTPException | None = None
         self._has_received = False
         self._has_response_begun = False
         self._send_error: OSError | None = None
@@ -74,6 +84,9 @@
 
     def begin_exchange(self) -> None:
         """Prepare for the next request on this connection."""
+        self._head = b""
+        self._head_error = None
+        self._interim_bytes = 0
         self._has_received = False
         self._has_response_begun = False
         self._send_error = None
@@ -83,55 +96,71 @@
         """Note that the request has been sent, unless a response stopped it."""
         self._is_request_sent = not self._has_response_begun
 
-    def set_timeout(self, seconds: float) -> None:
-        """Set how long to wait until the next bytes can be sent or received."""
-        self._timeout = seconds
+    def set_deadline(self, moment: float, idle_timeout: float = math.inf) -> None:
+        """Set when sending and receiving end, however often bytes arrive until then.
 
-    def wait_for_data(self, seconds: float) -> bool:
-        """Wait for data or the connection's end; return whether either came."""
-        return bool(self._received) or is_readable(self._sock, seconds)
+        :param moment: on the clock of :mod:`rudderpass._clock`.
+        :param idle_timeout: seconds after which they end if no byte arrives.
+        """
+        self._deadline = moment
+        self._idle_timeout = idle_timeout
+
+    def has_input(self) -> bool:
+        """Return whether data or the connection's end has arrived."""
+        return bool(self._received) or is_readable(self._sock)
 
     def receive(self) -> bytes:
-        """Return the next bytes of a response; empty at the end of the connection.
+        """Return the next bytes of a body; empty at the end of the connection.
 
-        :raises OSError: when the connection was reset, or nothing came in time.
+        :raises OSError: when the connection was reset, or the deadline has passed.
         """
-        if self._received:
-            data, self._received = self._received, b""
-            return data
-        while True:
-            self._wait_for(select.POLLIN)
-            received = self._receive_arrived()
-            if received is not None:
-                return received
+        if not self._received:
+            return self._receive_more()
+        data = bytes(self._received)
+        self._received.clear()
+        return data
 
     def push_back(self, data: bytes) -> None:
         """Return received bytes that do not belong to the current response."""
-        self._received = data + self._received
+        self._received[:0] = data
 
     def receive_head(self) -> None:
         """Receive a complete head, which :meth:`makefile` then hands over.
 
+        Interim responses (1xx) are no answer and are skipped.
+
         :raises RemoteDisconnected: when the connection ends before the first byte.
         :raises IncompleteRead: when it ends within the head.
         :raises MalformedResponse: when the head is too long, or no head.
+        :raises OSError: when the connection was reset, or the deadline has passed.
         """
-        received = bytearray()
-        end = None
-        while end is None:
-            data = self.receive()
-            if not data and not received:
+        if self._head_error is not None:
+            raise self._head_error
+        while not self._head and not self._take_head():
+            data = self._receive_more()
+            if not data and not self._has_received:
                 raise http.client.RemoteDisconnected("closed without a response")
             if not data:
-                raise http.client.IncompleteRead(bytes(received))
-            searched = max(0, len(received) - _HEAD_END_BYTES)
-            received += data
-            end = _HEAD_END.search(received, searched)
-            if (end.end() if end else len(received)) > MAX_HEAD_BYTES:
-                raise MalformedResponse(f"head of more than {MAX_HEAD_BYTES} bytes")
-        self._head = bytes(received[: end.end()])
-        self.push_back(bytes(received[end.end() :]))
-        _check_header_lines(self._head)
+                raise http.client.IncompleteRead(bytes(self._received))
+            self._received += data
+
+    def wait_for_head(self, seconds: float) -> bool:
+        """Wait for a complete head; return whether it came, or can no longer come.
+
+        Bytes that are no complete head do not count: a server that sends one now and
+        then is as late as a silent one. :meth:`receive_head` raises what went wrong.
+        """
+        deadline = self._deadline
+        self._deadline = min(deadline, _clock.now() + seconds)
+        try:
+            self.receive_head()
+        except DeadlinePassed:
+            return False
+        except (OSError, http.client.HTTPException) as error:
+            self._head_error = error
+        finally:
+            self._deadline = deadline
+        return True
 
     def makefile(self, mode: str) -> io.BytesIO:
         """Return the head that was received last, for :mod:`http.client`."""
@@ -140,7 +169,8 @@
     def sendall(self, data: bytes) -> None:
         """Send ``data``; stop if a response begins before its end.
 
-        :raises OSError: when sending fails, or no byte was sent in time.
+        :raises OSError: when sending fails, or the deadline has passed.
+        :raises MalformedResponse: when too many interim responses came meanwhile.
         """
         left = memoryview(data)
         try:
@@ -186,8 +216,55 @@
         data = self._receive_arrived()
         if data is None:
             return
-        self._has_response_begun = True
-        self.push_back(data)
+        self._received += data
+        self._skip_interim()
+        self._has_response_begun = not data or not self._may_be_interim()
+
+    def _may_be_interim(self) -> bool:
+        """Return whether what has arrived may be the beginning of an interim head."""
+        begun = bytes(self._received[: len(_INTERIM_PREFIXES[0])])
+        may_be = any(prefix.startswith(begun) for prefix in _INTERIM_PREFIXES)
+        return may_be and not _UPGRADE.match(self._received)
+
+    def _take_head(self) -> bool:
+        """Take a complete head from what has arrived; return whether there is one."""
+        self._skip_interim()
+        end = self._find_head_end()
+        if end is None:
+            return False
+        self._head = bytes(self._received[:end])
+        del self._received[:end]
+        if _UPGRADE.match(self._head):
+            raise MalformedResponse("an upgrade that was not asked for")
+        _check_header_lines(self._head)
+        return True
+
+    def _skip_interim(self) -> None:
+        """Remove complete interim responses."""
+        while _INTERIM.match(self._received):
+            end = self._find_head_end()
+            if end is None:
+                return
+            del self._received[:end]
+            self._interim_bytes += end
+            if self._interim_bytes > MAX_INTERIM_BYTES:
+                raise ResponseTooLong(Bound.INTERIM, MAX_INTERIM_BYTES)
+
+    def _find_head_end(self) -> int | None:
+        """Return where a head ends; None if its end has not arrived."""
+        found = _HEAD_END.search(self._received, self._searched)
+        length = found.end() if found else len(self._received)
+        self._searched = 0 if found else max(0, length - _HEAD_END_BYTES)
+        if length > MAX_HEAD_BYTES:
+            raise ResponseTooLong(Bound.HEAD, MAX_HEAD_BYTES)
+        return length if found else None
+
+    def _receive_more(self) -> bytes:
+        while True:
+            self._wait_for(select.POLLIN)
+            received = self._receive_arrived()
+            if received is not None:
+                return received
 
     def _receive_arrived(self) -> bytes | None:
         """Return what has arrived; empty at the end, None if nothing has."""
@@ -203,13 +280,17 @@
     def _wait_for(self, events: int) -> None:
         """Wait until the socket is ready.
 
-        :raises TimeoutError: when it is not in time.
+        :raises DeadlinePassed: when it is not in time.
         """
         poller = select.poll()  # select() fails for descriptors from 1024 on.
         poller.register(self._sock, events)
-        timeout = None if self._timeout is None else 1000 * self._timeout
-        if not poller.poll(timeout):
-            raise TimeoutError("timed out")
+        until = min(self._deadline, _clock.now() + self._idle_timeout)
+        while True:
+            left = until - _clock.now()
+            if left <= 0.0:
+                raise DeadlinePassed("the time limit has passed")
+            if poller.poll(None if math.isinf(left) else 1000 * left):
+                return
 
 
 def _check_header_lines(head: bytes) -> None:
--- a/src/rudderpass/platform/_caches.py
+++ b/src/rudderpass/platform/_caches.py
@@ -4,6 +4,7 @@
 
 import http.client
 from collections.abc import Callable
+from contextlib import closing
 from http import HTTPStatus
 
 from msgspec import UNSET
@@ -11,12 +12,16 @@
 from rudderpass.directory import RegisteredUpstream, make_instance_id
 from rudderpass.errors import UnusableRecord, UpstreamError
 from rudderpass.exchange import PartId, PromptPart
+from rudderpass.httpclient import Connection
 from rudderpass.platform._schemas import CachedPartList, Schema
 
 LIST_PATH = "/-/kv-list"
 CALL_TIMEOUT_SECONDS = 1.0
 """An upstream responds after its current step; prefilling a chunk takes 60 ms."""
 
+MAX_LIST_BYTES = 8 * 1024 * 1024
+"""Bytes of a list of cached prompt parts."""
+
 
 _cached_parts = Schema(CachedPartList, "list of cached prompt parts")
 
@@ -31,28 +36,25 @@
         be queried any more.
     """
     address = entry.address
-    connection = http.client.HTTPConnection(address, timeout=CALL_TIMEOUT_SECONDS)
     try:
-        connection.connect()
-        if not may_send():
-            raise UpstreamError(
-                "cache list: may not be queried any more",
-                sent=False,
-                step="cache list",
-                peer=address,
+        with closing(Connection(address, CALL_TIMEOUT_SECONDS)) as connection:
+            if not may_send():
+                raise UpstreamError(
+                    "cache list: may not be queried any more",
+                    sent=False,
+                    step="cache list",
+                    peer=address,
+                )
+            reply = connection.call(
+                "GET", LIST_PATH, CALL_TIMEOUT_SECONDS, MAX_LIST_BYTES
             )
-        connection.request("GET", LIST_PATH)
-        response = connection.getresponse()
-        body = response.read()
-        if response.status != HTTPStatus.OK:
-            raise _make_error(f"status {response.status}", address)
-        cached = _cached_parts.read(body)
+        if reply.status != HTTPStatus.OK:
+            raise _make_error(f"status {reply.status}", address)
+        cached = _cached_parts.read(reply.content)
     except (OSError, http.client.HTTPException) as error:
         raise _make_error(f"{type(error).__name__} {error}", address) from error
     except UnusableRecord as error:
         raise _make_error(error.message, address) from error
-    finally:
-        connection.close()
     if cached.born is not UNSET and entry.upstream != make_instance_id(
         entry.name, cached.born
     ):
--- a/src/rudderpass/platform/_cloud.py
+++ b/src/rudderpass/platform/_cloud.py
@@ -4,13 +4,14 @@
 
 import http.client
 import json
+from contextlib import closing
 from http import HTTPStatus
 from typing import Any
 
 from rudderpass._ids import FencingToken
-from rudderpass._sockets import set_tcp_options
 from rudderpass.duties import CallResult, ScalingGroup, WindowUsage
 from rudderpass.eventlog import log
+from rudderpass.httpclient import Connection
 
 HOLDER_HEADER = "X-Duty-Holder"
 TOKEN_HEADER = "X-Fencing-Token"
@@ -20,6 +21,9 @@
 CALL_TIMEOUT_SECONDS = 1.5
 """A call that times out may still be carried out; the holder retries it."""
 
+MAX_RESPONSE_BYTES = 64 * 1024
+"""Bytes of a response's body, which says little more than its status."""
+
 _RESULT_BY_STATUS: dict[int, CallResult] = {
     HTTPStatus.OK: CallResult.DONE,
     HTTPStatus.CONFLICT: CallResult.CONFLICT,
@@ -66,26 +70,27 @@
         self, path: str, holder: str, token: FencingToken, content: dict[str, Any]
     ) -> CallResult:
         self.calls += 1
-        connection = http.client.HTTPConnection(
-            self._address, timeout=CALL_TIMEOUT_SECONDS
-        )
         headers = {
             HOLDER_HEADER: holder,
             TOKEN_HEADER: str(token),
             "Content-Type": "application/json",
         }
+        body = json.dumps(content).encode()
         try:
-            connection.connect()
-            set_tcp_options(connection.sock)
-            connection.request("POST", path, json.dumps(content).encode(), headers)
-            response = connection.getresponse()
-            body = response.read()
+            with closing(Connection(self._address, CALL_TIMEOUT_SECONDS)) as connection:
+                reply = connection.call(
+                    "POST",
+                    path,
+                    CALL_TIMEOUT_SECONDS,
+                    MAX_RESPONSE_BYTES,
+                    body,
+                    headers,
+                )
         except (OSError, http.client.HTTPException) as error:
             text = f"{type(error).__name__} {error}".strip()
             log("duty", f"{path}: no answer, {text}.", path=path, token=token)
             return CallResult.UNKNOWN
-        finally:
-            connection.close()
-        if response.status != HTTPStatus.OK:
-            log("duty", f"{path}: status {response.status} {body[:200]!r}.", path=path)
-        return _RESULT_BY_STATUS.get(response.status, CallResult.REFUSED)
+        if reply.status != HTTPStatus.OK:
+            text = f"{path}: status {reply.status} {reply.content[:200]!r}."
+            log("duty", text, path=path)
+        return _RESULT_BY_STATUS.get(reply.status, CallResult.REFUSED)
--- a/src/rudderpass/platform/_store.py
+++ b/src/rudderpass/platform/_store.py
@@ -14,9 +14,9 @@
 from typing import Any
 
 from rudderpass._ids import StoreEra
-from rudderpass._sockets import set_tcp_options
 from rudderpass.directory import HistoryLost, KeyedPage, KeyedRecord, LogPosition
 from rudderpass.errors import ConnectionLost, PlatformError
+from rudderpass.httpclient import Connection
 
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
@@ -43,6 +43,12 @@
 """For a call that does not wait for records. A slow store takes 60 times the usual 4 ms
 in the users' deployments."""
 
+TRANSFER_SECONDS = 3.0
+"""Further time for a page that keeps arriving: 1 MB takes 1.6 s at 5 Mbit/s."""
+
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+"""Bytes of a response's body. The store sends pages of about 1 MB."""
+
 MAX_LIST_ATTEMPTS = 3
 """Times that a list is begun again because the store was restored between pages."""
 
@@ -54,7 +60,7 @@
 class _ThreadState(threading.local):
     """A connection for each thread, since calls that wait would block a shared one."""
 
-    connection: http.client.HTTPConnection | None = field(default=None)
+    connection: Connection | None = field(default=None)
 
 
 class KeyedStore:
@@ -177,11 +183,14 @@
         target = f"{path}?{urllib.parse.urlencode(query)}"
         try:
             connection = self._connect()
-            assert connection.sock is not None
-            connection.sock.settimeout(timeout)
-            connection.request(method, target, body)
-            response = connection.getresponse()
-            content = response.read()
+            reply = connection.call(
+                method,
+                target,
+                timeout,
+                MAX_RESPONSE_BYTES,
+                body,
+                transfer_seconds=TRANSFER_SECONDS,
+            )
         except (OSError, http.client.HTTPException) as error:
             self._disconnect()
             text = f"store: no answer: {type(error).__name__} {error}"
@@ -189,29 +198,27 @@
                 text = f"{text}, on a reused connection"
                 raise ConnectionLost(text, step=path, peer=self._address) from error
             raise PlatformError(text, step=path, peer=self._address) from error
-        era = _parse_era(response.getheader(ERA_HEADER))
-        if response.status == HTTPStatus.GONE:
+        if not connection.is_reusable:
+            self._disconnect()
+        era = _parse_era(reply.headers.get(ERA_HEADER.lower()))
+        content = reply.content
+        if reply.status == HTTPStatus.GONE:
             text = f"store: no records {_describe(query)}, {content[:200]!r}, era {era}"
             raise HistoryLost(text, step=path, peer=self._address)
-        if response.status == HTTPStatus.PRECONDITION_FAILED:
+        if reply.status == HTTPStatus.PRECONDITION_FAILED:
             raise AppendConflict(
                 "the end of the topic has changed", step=path, peer=self._address
             )
-        if response.status != HTTPStatus.OK:
+        if reply.status != HTTPStatus.OK:
             self._disconnect()
-            raise self._make_error(f"status {response.status}", path)
+            raise self._make_error(f"status {reply.status}", path)
         return _Response(content, era)
 
-    def _connect(self) -> http.client.HTTPConnection:
+    def _connect(self) -> Connection:
         connection = self._thread_state.connection
-        if connection is not None and connection.sock is not None:
-            return connection
-        connection = http.client.HTTPConnection(
-            self._address, timeout=CONNECT_TIMEOUT_SECONDS
-        )
-        connection.connect()
-        set_tcp_options(connection.sock)
-        self._thread_state.connection = connection
+        if connection is None:
+            connection = Connection(self._address, CONNECT_TIMEOUT_SECONDS)
+            self._thread_state.connection = connection
         return connection
 
     def _disconnect(self) -> None:
--- a/src/rudderpass/streams/__init__.py
+++ b/src/rudderpass/streams/__init__.py
@@ -3,6 +3,7 @@
 from rudderpass.streams._chunks import (
     ChunkDecoder as ChunkDecoder,
     ChunkError as ChunkError,
+    ChunkFramingTooLong as ChunkFramingTooLong,
 )
 from rudderpass.streams._relay import (
     Relay as Relay,
--- a/src/rudderpass/streams/_chunks.py
+++ b/src/rudderpass/streams/_chunks.py
@@ -10,13 +10,26 @@
 from enum import Enum
 
 _MAX_SIZE_LINE_BYTES = 256
-_MAX_TRAILER_LINE_BYTES = 8192
+_MAX_TRAILER_BYTES = 8192
 
 
 class ChunkError(ValueError):
     """The chunked framing or an event in the stream is invalid."""
 
 
+class ChunkFramingTooLong(ChunkError):
+    """A chunk's size and extensions, or the trailers, are too long.
+
+    :param limit: the bytes that are allowed.
+    """
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(
+            f"chunk size or trailers exceed the length limit of {limit} bytes"
+        )
+        self.limit = limit
+
+
 class _State(Enum):
     SIZE = "size"
     DATA = "data"
@@ -35,6 +48,7 @@
         self._buffer = b""
         self._state = _State.SIZE
         self._remaining = 0
+        self._trailer_bytes = 0
 
     @property
     def is_done(self) -> bool:
@@ -64,8 +78,8 @@
                     self._state = _State.DATA_END
                 continue
             end = buffer.find(b"\r\n", position)
+            self._check_length((len(buffer) if end < 0 else end) - position)
             if end < 0:
-                self._check_length(len(buffer) - position)
                 break
             self._process_line(buffer[position:end])
             position = end + 2
@@ -82,15 +96,16 @@
             self._state = _State.DATA if self._remaining else _State.TRAILER
         elif not line:
             self._state = _State.DONE
+        else:
+            self._trailer_bytes += len(line) + 2
 
     def _check_length(self, length: int) -> None:
-        limit = (
-            _MAX_TRAILER_LINE_BYTES
-            if self._state is _State.TRAILER
-            else _MAX_SIZE_LINE_BYTES
-        )
-        if length > limit:
-            raise ChunkError("chunk size or trailer line exceeds the length limit")
+        """Check the length of a line, or of what has arrived of it."""
+        if self._state is not _State.TRAILER:
+            if length > _MAX_SIZE_LINE_BYTES:
+                raise ChunkFramingTooLong(_MAX_SIZE_LINE_BYTES)
+        elif self._trailer_bytes + length > _MAX_TRAILER_BYTES:
+            raise ChunkFramingTooLong(_MAX_TRAILER_BYTES)
 
 
 def _parse_size(line: bytes) -> int:
--- a/src/rudderpass/tunnels/_server.py
+++ b/src/rudderpass/tunnels/_server.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import errno
+import math
 import selectors
 import socket
 import struct
@@ -35,6 +36,10 @@
 DRAIN_SECONDS = 5.0
 """How long a client may take to close after the upstream did."""
 
+STALLED_SECONDS = 10.0
+"""How long an upstream may read nothing of what is buffered for it. The client's end is
+not noticed meanwhile, since nothing more is read from it."""
+
 _TICK_SECONDS = 0.1
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -228,7 +233,7 @@
             self._record_result(_target_of(tunnel), None)
             set_tcp_options(upstream)
             tunnel.phase = _Phase.OPEN
-            tunnel.until = float("inf")
+            tunnel.until = math.inf
             tunnel.to_client += bytes([TunnelStatus.OPEN.value])
             self.opened += 1
             return
@@ -268,8 +273,12 @@
         if tunnel.is_cut and not tunnel.to_client:
             tunnel.client.shutdown(socket.SHUT_WR)
         wants = selectors.EVENT_READ
-        if tunnel.phase is _Phase.OPEN and len(tunnel.to_upstream) >= MAX_BUFFER_BYTES:
-            wants = 0
+        if tunnel.phase is _Phase.OPEN:
+            if len(tunnel.to_upstream) < MAX_BUFFER_BYTES:
+                tunnel.until = math.inf
+            else:
+                tunnel.until = min(tunnel.until, _clock.now() + STALLED_SECONDS)
+                wants = 0
         if tunnel.to_client:
             wants |= selectors.EVENT_WRITE
         self._set_interest(tunnel.client, wants, tunnel)
--- a/tests/exchange/harness.py
+++ b/tests/exchange/harness.py
@@ -21,6 +21,7 @@
     RetryDecision,
     UpstreamConnectionPool,
 )
+from rudderpass.httpclient import Bound
 from rudderpass.platform import PlatformDialect
 from rudderpass.tunnels import Dialer
 from rudderpass.webserver import HttpServer, ServerLimits
@@ -258,6 +259,7 @@
         self.upstreams = [FakeUpstream(behaviour) for behaviour in behaviours]
         self.summaries: list[ExchangeSummary] = []
         self.retries: list[RetryDecision] = []
+        self.too_long: list[Bound] = []
         self.initialized = threading.Event()
         self.initialized.set()
         addresses = [
@@ -277,6 +279,7 @@
             self.initialized,
             before_decision=before_decision,
             on_urgent_head=on_urgent_head,
+            on_too_long=self.too_long.append,
         )
         self.app = ExchangeApp(context)
         self._server = HttpServer(self.app, "127.0.0.1:0", ServerLimits(threads=16))
--- a/tests/tunnels/test_tunnels.py
+++ b/tests/tunnels/test_tunnels.py
@@ -199,6 +199,31 @@
     sock.close()
 
 
+def test_a_tunnel_to_an_upstream_that_reads_nothing_ends(
+    make_server: MakeServer,
+    make_upstream: MakeUpstream,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The relay reads nothing more from the client, and would not see it close."""
+    monkeypatch.setattr("rudderpass.tunnels._server.STALLED_SECONDS", 0.3)
+    may_end = threading.Event()
+
+    def serve(sock: socket.socket) -> None:
+        may_end.wait(TIMEOUT)
+        sock.close()
+
+    upstream = make_upstream(serve)
+    server = make_server()
+    sock = connect(server, upstream.address)
+    sock.settimeout(0.2)
+    with pytest.raises((TimeoutError, ConnectionError)):
+        while True:
+            sock.sendall(BODY)
+    sock.close()
+    wait_until(lambda: server.open_count == 0)
+    may_end.set()
+
+
 def test_the_client_s_close_reaches_the_upstream_at_once(
     make_server: MakeServer, make_upstream: MakeUpstream
 ) -> None:
