Notice a version that took another's place while no host ran

Cause: a service's versions were written to the store only while it had several. Hosts that start and list a single one took it for the only one there was.

Ruled out: the origins of single streams (none are written with one version), and the pause between records (there was none to write).

A host that starts takes the single version in the newest record of a service for one that served until then, and unknown streams are refused while they may be resumed if another is listed. Services with one version go on as before. It holds since the record was written while the version served, however long all hosts were away.

--- a/src/rudderpass/gossip/__init__.py
+++ b/src/rudderpass/gossip/__init__.py
@@ -42,8 +42,10 @@
 )
 from rudderpass.gossip._store_following import FollowRule as FollowRule
 from rudderpass.gossip._suspects import (
+    VersionsOnRecord as VersionsOnRecord,
     decode_quarantined as decode_quarantined,
     decode_recorded_versions as decode_recorded_versions,
+    decode_versions_on_record as decode_versions_on_record,
     encode_host_record as encode_host_record,
 )
 from rudderpass.gossip._transport import GossipTransport as GossipTransport
--- a/src/rudderpass/gossip/_suspects.py
+++ b/src/rudderpass/gossip/_suspects.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from rudderpass._ids import (
     AvailabilityZone,
@@ -76,7 +76,7 @@
 ) -> bytes:
     """Return the record that a host keeps of itself in the platform's log.
 
-    :param versions: of the services that have several.
+    :param versions: of the services, also of those with a single one.
     :param written: Unix time to which the ages refer.
     """
     suspects = [suspect_to_wire(report) for report in quarantined]
@@ -103,6 +103,30 @@
         raise PeerError(f"invalid host record: {error}", step="decode") from error
 
 
+@dataclass(frozen=True)
+class VersionsOnRecord:
+    """The versions of services in a host's record, however old it is.
+
+    :param written: Unix time at which it was written; 0 if it does not tell.
+    """
+
+    written: float
+    versions: Versions
+
+
+def decode_versions_on_record(data: bytes) -> VersionsOnRecord:
+    """Return the versions in a host's record.
+
+    :raises PeerError: when the bytes are not a valid host record.
+    """
+    raw = decode_struct(wire.HostRecord(), data)
+    try:
+        versions = versions_from_wire(raw.versions)
+    except TypeError as error:
+        raise PeerError(f"invalid host record: {error}", step="decode") from error
+    return VersionsOnRecord((raw.written_ms or 0) / _MS, versions)
+
+
 def decode_quarantined(data: bytes, now: float) -> tuple[SuspectUpdate, ...]:
     """Return the quarantined requests in a host's record.
 
--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -382,13 +382,12 @@
 
     def _apply_registered(self, registered: RegistryContents | None) -> None:
         """Apply the hosts' records; None if the store does not answer."""
-        self._origins.record_registered(
-            None if registered is None else registered.versions
-        )
         if registered is None:
+            self._origins.record_registered(None)
             self._peers.add_peers(None)
             self._release_waiting_requests()
             return
+        self._origins.record_registered(registered.versions, registered.sole_versions)
         with self._lock:
             tracker = self._core.quarantine
             tracker.merge(registered.quarantined, False, _clock.now())
--- a/src/rudderpass/host/_origins.py
+++ b/src/rudderpass/host/_origins.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from rudderpass import _clock
-from rudderpass._ids import NodeId, PoolId
+from rudderpass._ids import NodeId, PoolId, SoftwareVersion
 from rudderpass.exchange import ExchangeCore
 from rudderpass.gossip import MAX_SENT_ORIGINS, OriginMessage, PeerTable, Versions
 from rudderpass.host._origin_archive import OriginArchive
@@ -53,7 +53,8 @@
 class PeerOrigins:
     """Tells origins to the hosts that keep them, and asks these.
 
-    Nothing is sent while all services have a single software version.
+    Nothing is sent while all services have a single software version; archivers write
+    once which one it is.
 
     :param lock: guards the core and the peers.
     :param own: this host's address among its peers.
@@ -104,6 +105,7 @@
             stopping,
         )
         self._recorded_at = -RECORD_SECONDS
+        self._recorded: dict[PoolId, frozenset[SoftwareVersion]] = {}
         self._has_asked_store = False
         self.told_count = 0
         self.asked_count = 0
@@ -115,14 +117,21 @@
         return self._archive
 
     def read_versions(self) -> Versions:
-        """Return the versions of services that have several, for the host's record."""
+        """Return the versions of services, for the host's record."""
         with self._changed:
-            return self._core.origins.describe_versions(_clock.now())
+            return self._core.origins.describe_all_versions(_clock.now())
 
-    def record_registered(self, versions: Iterable[Versions] | None) -> None:
+    def record_registered(
+        self,
+        versions: Iterable[Versions] | None,
+        sole_versions: Mapping[PoolId, SoftwareVersion] | None = None,
+    ) -> None:
         """Merge the versions in the records of hosts, which are read at the start.
 
         :param versions: None if the store does not answer.
+        :param sole_versions: of the services that had a single version when a host last
+            wrote of them. It may have served until this host started, and have been
+            replaced while no host ran.
         """
         with self._changed:
             self._has_asked_store = True
@@ -130,6 +139,11 @@
                 return
             for ages in versions:
                 self._core.origins.merge_versions(ages, _clock.now())
+            for service, version in (sole_versions or {}).items():
+                self._recorded[service] = frozenset((version,))
+                self._core.origins.merge_versions(
+                    {service: {version: 0.0}}, _clock.now()
+                )
             self._core.origins.is_informed = True
 
     def may_lack_versions(self, service: PoolId, deadline: float) -> bool:
@@ -149,7 +163,10 @@
             now = _clock.now()
             has_several = self._core.origins.has_several_versions(service, now)
             lacks_versions = not self._core.origins.is_informed
-            return has_several or lacks_versions or self._is_isolated(now)
+            if has_several or lacks_versions or self._is_isolated(now):
+                return True
+            # Another version may be listed before the request is assigned.
+            return not self._core.origins.is_listed(service)
 
     def tell(self, origin: StreamOrigin) -> None:
         """Tell an origin to the hosts that keep it."""
@@ -204,6 +221,7 @@
     def tick(self, now: float) -> None:
         """Tell the own streams to hosts that have newly become their keepers."""
         with self._changed:
+            self._record_changed_versions(now)
             if not self._core.origins.describe_versions(now):
                 self._told_hosts = None
                 return
@@ -228,6 +246,24 @@
                 part = origins[first : first + MAX_SENT_ORIGINS]
                 self._send(OriginMessage(told=tuple(part)), [keeper])
 
+    def _record_changed_versions(self, now: float) -> None:
+        """Record versions that differ from those on record, if this host archives.
+
+        Hosts that start after all were killed compare them with what is listed then.
+        """
+        described = self._core.origins.describe_all_versions(now)
+        current = {service: frozenset(ages) for service, ages in described.items()}
+        is_recorded = all(
+            self._recorded.get(service) == versions
+            for service, versions in current.items()
+        )
+        may_record = self._has_asked_store and self._archive.is_archiver(now)
+        if is_recorded or not may_record:
+            return
+        self._recorded |= current
+        self._recorded_at = now
+        self._schedule_record()
+
     def _await_origin(
         self, key: StreamKey, lookup: _Lookup, until: float
     ) -> StreamOrigin | None:
--- a/src/rudderpass/host/_registry.py
+++ b/src/rudderpass/host/_registry.py
@@ -8,18 +8,20 @@
 
 import threading
 import time
-from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import dataclass, field
 from typing import Protocol
 
-from rudderpass._ids import AvailabilityZone, NodeId, StoreEra
+from rudderpass._ids import AvailabilityZone, NodeId, PoolId, SoftwareVersion, StoreEra
 from rudderpass.directory import KeyedLog
 from rudderpass.errors import PeerError, PlatformError
 from rudderpass.eventlog import log
 from rudderpass.gossip import (
     Versions,
+    VersionsOnRecord,
     decode_quarantined,
     decode_recorded_versions,
+    decode_versions_on_record,
     encode_host_record,
 )
 from rudderpass.quarantine import SuspectUpdate
@@ -49,21 +51,24 @@
 class RegistryContents:
     """All records of hosts in the store.
 
-    :param versions: what hosts have written recently of services with several
-        software versions.
+    :param versions: what hosts have written recently of the services' software
+        versions.
+    :param sole_versions: the services that had a single software version when a host
+        last wrote of them, however long ago: it served from then on.
     """
 
     hosts: Collection[NodeId]
     quarantined: tuple[SuspectUpdate, ...]
     era: StoreEra
     versions: tuple[Versions, ...] = ()
+    sole_versions: Mapping[PoolId, SoftwareVersion] = field(default_factory=dict)
 
 
 class HostRegistry:
     """Reads the hosts' topic, and writes this host's record to it.
 
     :param own: this host's address, the key of its record.
-    :param read_versions: returns the versions of services that have several.
+    :param read_versions: returns the software versions of services.
     """
 
     def __init__(
@@ -110,15 +115,35 @@
         page = self._store.read_newest(self._topic)
         quarantined: list[SuspectUpdate] = []
         versions: list[Versions] = []
+        on_record: list[VersionsOnRecord] = []
         for record in page.records:
             try:
                 value, now = record.value or b"", time.time()
                 quarantined += decode_quarantined(value, now)
                 versions.append(decode_recorded_versions(value, now))
+                on_record.append(decode_versions_on_record(value))
             except PeerError as error:
                 log("host", f"a record cannot be read, {error.show()}.")
         hosts = {NodeId(record.key) for record in page.records}
-        return RegistryContents(hosts, tuple(quarantined), page.era, tuple(versions))
+        return RegistryContents(
+            hosts,
+            tuple(quarantined),
+            page.era,
+            tuple(versions),
+            find_sole_versions(on_record),
+        )
+
+
+def find_sole_versions(
+    records: Iterable[VersionsOnRecord],
+) -> dict[PoolId, SoftwareVersion]:
+    """Return the services that have a single version in the newest record of them."""
+    newest: dict[PoolId, Mapping[SoftwareVersion, float]] = {}
+    for record in sorted(records, key=lambda record: record.written):
+        newest |= record.versions
+    return {
+        service: next(iter(ages)) for service, ages in newest.items() if len(ages) == 1
+    }
 
 
 class Registration:
--- a/src/rudderpass/origins/_tracker.py
+++ b/src/rudderpass/origins/_tracker.py
@@ -131,6 +131,21 @@
         """Return the ages of the versions of each service that has several."""
         return self._versions.describe_several(now)
 
+    def describe_all_versions(
+        self, now: float
+    ) -> dict[PoolId, dict[SoftwareVersion, float]]:
+        """Return the ages of the versions of each service, several or a single one.
+
+        Services with several come first.
+        """
+        described = self._versions.describe(now)
+        return dict(sorted(described.items(), key=lambda item: -len(item[1])))
+
+    def is_listed(self, service: PoolId) -> bool:
+        """Return whether any upstream of a service is listed."""
+        listed = self._directory.listed.values()
+        return any(record.entry.service == service for record in listed)
+
     def find(self, key: StreamKey, now: float) -> StreamOrigin | None:
         """Return a stream's origin, if this host knows it."""
         found = (table.find(key, now) for table in self._own.values())
--- a/src/rudderpass/origins/_versions.py
+++ b/src/rudderpass/origins/_versions.py
@@ -62,12 +62,16 @@
         self, now: float
     ) -> dict[PoolId, dict[SoftwareVersion, float]]:
         """Return the ages of the versions, for services that have several."""
+        described = self.describe(now)
+        return {service: ages for service, ages in described.items() if len(ages) > 1}
+
+    def describe(self, now: float) -> dict[PoolId, dict[SoftwareVersion, float]]:
+        """Return the ages of the versions of each service, several or a single one."""
+        current = {service: self._current(service, now) for service in self._seen}
         return {
-            service: {
-                version: now - at for version, at in self._current(service, now).items()
-            }
-            for service in self._seen
-            if self.has_several(service, now)
+            service: {version: now - at for version, at in seen.items()}
+            for service, seen in current.items()
+            if seen
         }
 
     def remove_expired(self, now: float) -> None:
--- a/tests/host/test_stream_versions.py
+++ b/tests/host/test_stream_versions.py
@@ -202,6 +202,71 @@
     assert {deployment.version_of(name) for name in served} <= {"v2"}
 
 
+@pytest.fixture
+def single() -> Iterator[VersionedDeployment]:
+    """A deployment whose upstreams all have one version."""
+    created = VersionedDeployment()
+    for _ in range(3):
+        created.add_upstream("v1")
+    yield created
+    created.close()
+
+
+def replace_version(deployment: VersionedDeployment) -> None:
+    """End all upstreams, and start others of another version."""
+    for name in list(deployment.versions):
+        deployment.end_upstream(name)
+    for _ in range(3):
+        deployment.add_upstream("v2")
+
+
+@pytest.mark.parametrize("count", [1, 3])
+def test_streams_of_a_version_that_was_replaced_while_no_host_ran_are_not_joined(
+    single: VersionedDeployment, count: int
+) -> None:
+    """The hosts that start list one version only, and it is not the streams'."""
+    hosts = start_hosts(single, 3)
+    names = begin(single, hosts[0])
+    time.sleep(ARCHIVE_SECONDS)
+    for host in hosts:
+        host.close()
+    replace_version(single)
+    for started in start_hosts(single, count):
+        assert resume(single, started, names) == []
+        assert single.take(started, f"new-{started.peer_address}", 3).status == 200
+
+
+def test_streams_of_a_service_with_one_version_go_on_after_all_hosts_were_killed(
+    single: VersionedDeployment,
+) -> None:
+    hosts = start_hosts(single, 3)
+    names = begin(single, hosts[0])
+    time.sleep(ARCHIVE_SECONDS)
+    for host in hosts:
+        host.close()
+    for started in start_hosts(single, 2):
+        assert resume(single, started, names) == names
+
+
+def test_a_second_replacement_is_noticed_too(single: VersionedDeployment) -> None:
+    hosts = start_hosts(single, 2)
+    time.sleep(ARCHIVE_SECONDS)
+    for host in hosts:
+        host.close()
+    replace_version(single)
+    (started,) = start_hosts(single, 1)
+    names = begin(single, started)
+    time.sleep(ARCHIVE_SECONDS)
+    started.close()
+    for name, version in list(single.versions.items()):
+        if version == "v2":
+            single.end_upstream(name)
+    single.add_upstream("v1")
+    (restarted,) = start_hosts(single, 1)
+    served = resume(single, restarted, names)
+    assert count_mixed(single, served) == 0
+
+
 def test_streams_are_resumed_while_the_store_is_away(
     deployment: VersionedDeployment,
 ) -> None:
