Show that a hung stream without a length ends at its time limit

Cause: http.client lets go of its socket at the head of a response that ends with its connection, so that setting a time-out and aborting did nothing; the time-out began anew with each event.

--- a/tests/exchange/test_unframed_responses.py
+++ b/tests/exchange/test_unframed_responses.py
@@ -7,6 +7,7 @@
 
 import http.client
 import socket
+import time
 from collections.abc import Callable
 
 import pytest
@@ -14,6 +15,7 @@
 from rudderpass.directory import RouteKind
 from tests.directory.builders import make_route
 from tests.exchange.harness import (
+    TIMEOUT,
     Behaviour,
     FakeUpstream,
     HostHarness,
@@ -144,3 +146,42 @@
     finally:
         harness.close()
         listener.close()
+
+
+def hang_after(pause: float) -> Behaviour:
+    """Send an event, another one after a pause, and then nothing more."""
+
+    def behave(
+        upstream: FakeUpstream, connection: socket.socket, received: ReceivedRequest
+    ) -> None:
+        connection.sendall(head(received, STREAM_TYPE) + event(1))
+        time.sleep(pause)
+        connection.sendall(event(2))
+        connection.settimeout(TIMEOUT)
+        connection.recv(1)
+        raise OSError("ends")
+
+    return behave
+
+
+def test_a_stream_that_hangs_ends_at_its_time_limit(make_harness: MakeHarness) -> None:
+    """The time limit must not begin anew with each event."""
+    harness = make_harness(make_route(kind=RouteKind.STREAM), hang_after(0.5))
+    began = time.monotonic()
+    with pytest.raises(http.client.IncompleteRead):
+        harness.ask(X_Deadline_Ms="700").read()
+    assert time.monotonic() - began < 1.0
+    assert harness.upstreams[0].closed.wait(0.3)
+
+
+def test_a_stream_that_hangs_ends_when_its_caller_leaves(
+    make_harness: MakeHarness,
+) -> None:
+    harness = make_harness(make_route(kind=RouteKind.STREAM), hang_after(0.0))
+    connection = harness.connect()
+    harness.send(connection)
+    reply = connection.getresponse()
+    assert reply.readline() == b"id: 1\n"
+    reply.close()
+    connection.close()
+    assert harness.upstreams[0].closed.wait(0.5)
