Share no check for a crash that began before the cut

Cause: the end of such a response is checked by one connect. The kernel ends a killed process's connections before it closes the listening port, and a check that another caller began before the cut was shared.

Ruled out: an overlooked reset (a killed process with nothing unread ends its connections in order).

Change: a caller joins only a check that has not begun; at the end of a response without a length, the check's connection must last for 50 ms. It holds for a port that closes within that time, since the connections that wait there are reset.

--- a/src/rudderpass/exchange/_connections.py
+++ b/src/rudderpass/exchange/_connections.py
@@ -5,8 +5,9 @@
 import errno
 import http.client
 import threading
+import time
 from collections import deque
-from concurrent.futures import Future
+from concurrent.futures import Future, wait
 from dataclasses import dataclass
 
 from rudderpass import _clock
@@ -32,6 +33,14 @@
 """Connect timeout of the check whether an upstream has crashed. A refusal takes one
 round trip, and the caller waits for it."""
 
+CRASH_WATCH_SECONDS = 0.05
+"""How long a connection that a check has established must last for the upstream to
+count as alive. The kernel may end a killed process's connections some milliseconds
+before it closes the listening port; it then resets connections that wait there."""
+
+CHECK_AGAIN_SECONDS = 0.01
+"""Pause before a check connects again."""
+
 MIN_READ_SECONDS = 0.01
 """A response that has arrived by its deadline is read even if the sending took until
 then."""
@@ -153,6 +162,14 @@
         self._transport.release()
 
 
+@dataclass(frozen=True)
+class _CheckKey:
+    """Which checks for a crash may share a result."""
+
+    address: str
+    watch_seconds: float
+
+
 def _allow_any_zone(zone: AvailabilityZone | None) -> bool:
     return True
 
@@ -169,7 +186,8 @@
         self._dialer = dialer or DirectDialer()
         self._lock = threading.Lock()
         self._idle: dict[str, deque[_IdleConnection]] = {}
-        self._checks: dict[str, Future[bool]] = {}
+        self._checks: dict[_CheckKey, Future[bool]] = {}
+        self._next_checks: dict[_CheckKey, Future[bool]] = {}
 
     def open(
         self,
@@ -215,38 +233,54 @@
         self.close()
         return self._dialer.dial(address, limit, allows_zone)
 
-    def has_crashed(self, address: str) -> bool:
+    def has_crashed(self, address: str, watch_seconds: float = 0.0) -> bool:
         """Return whether the port refuses connections, after a connection was cut.
 
-        Concurrent callers share one check. A connection that is established joins the
-        pool.
+        Concurrent callers share a check, unless it began before they called: it says
+        nothing of what came later. A connection that is established joins the pool.
+
+        :param watch_seconds: how long a connection must last once it is established.
         """
+        key = _CheckKey(address, watch_seconds)
         with self._lock:
-            check = self._checks.get(address)
+            check = self._next_checks.get(key)
+            running = self._checks.get(key)
             is_checker = check is None
             if check is None:
-                check = self._checks[address] = Future()
+                check = self._next_checks[key] = Future()
         if not is_checker:
             return check.result()
+        if running is not None:
+            wait([running])
+        with self._lock:
+            self._checks[key] = self._next_checks.pop(key)
         try:
-            check.set_result(self._refuses_connection(address))
+            check.set_result(self._refuses_connection(address, watch_seconds))
         except BaseException as error:
             check.set_exception(error)  # The other threads would wait forever.
             raise
         finally:
             with self._lock:
-                del self._checks[address]
+                if self._checks.get(key) is check:
+                    del self._checks[key]
         return check.result()
 
-    def _refuses_connection(self, address: str) -> bool:
-        try:
-            connection = self.open(address, False, CRASH_CHECK_TIMEOUT_SECONDS)
-        except ConnectionRefused:
-            return True
-        except UpstreamError:
-            return False  # A timeout may be a network partition.
-        self.release(connection, CHECK_IDLE_SECONDS)
-        return False
+    def _refuses_connection(self, address: str, watch_seconds: float) -> bool:
+        until = _clock.now() + watch_seconds
+        while True:
+            try:
+                connection = self.open(address, False, CRASH_CHECK_TIMEOUT_SECONDS)
+            except ConnectionRefused:
+                return True
+            except UpstreamError:
+                return False  # A timeout may be a network partition.
+            left = until - _clock.now()
+            if left <= 0.0 or not connection.transport.has_input(left):
+                self.release(connection, CHECK_IDLE_SECONDS)
+                return False
+            # An upstream that lives may reset one connection too many.
+            connection.close()
+            time.sleep(CHECK_AGAIN_SECONDS)
 
     def release(self, connection: UpstreamConnection, keep_alive: float) -> None:
         """Return the connection of a successful exchange to the pool."""
--- a/src/rudderpass/exchange/_send.py
+++ b/src/rudderpass/exchange/_send.py
@@ -17,7 +17,7 @@
     UpstreamReplaced,
 )
 from rudderpass.exchange._assignment import Accepted, Assignment
-from rudderpass.exchange._connections import UpstreamConnection
+from rudderpass.exchange._connections import CRASH_WATCH_SECONDS, UpstreamConnection
 from rudderpass.exchange._dialect import SendContext
 from rudderpass.exchange._events import EventError
 from rudderpass.exchange._held_bytes import MAX_BODY_BYTES, MAX_FAILURE_BYTES
@@ -358,7 +358,8 @@
 
         :raises ConnectionCut: when the upstream has crashed.
         """
-        if self._context.connections.has_crashed(self._assigned.address):
+        connections, address = self._context.connections, self._assigned.address
+        if connections.has_crashed(address, CRASH_WATCH_SECONDS):
             raise self._cut_error("the upstream crashed at the end of the response")
 
     def _record_stream(self) -> None:
--- a/src/rudderpass/httpclient/_transport.py
+++ b/src/rudderpass/httpclient/_transport.py
@@ -105,9 +105,9 @@
         self._deadline = moment
         self._idle_timeout = idle_timeout
 
-    def has_input(self) -> bool:
-        """Return whether data or the connection's end has arrived."""
-        return bool(self._received) or is_readable(self._sock)
+    def has_input(self, seconds: float = 0.0) -> bool:
+        """Return whether data or the connection's end arrives within some seconds."""
+        return bool(self._received) or is_readable(self._sock, seconds)
 
     def receive(self) -> bytes:
         """Return the next bytes of a body; empty at the end of the connection.
