Let a stop wait for callers that are still receiving

Cause: a request counted as in flight until its body was handed to the server; what the server had not written yet counted for nothing.

Change: connections with unsent bytes count as unfinished, for the wait and for the number of requests cut. It holds for as long as the grace lasts, and the kernel delivers what it has taken.

Measured: test_a_stop_waits_for_callers_that_are_still_receiving failed before and passes now.

--- a/src/rudderpass/host/_host.py
+++ b/src/rudderpass/host/_host.py
@@ -298,7 +298,7 @@
             self._core.stop()
         log("host", "stopping, not ready any more.", active=self._app.active)
         while True:
-            active = self._app.active + self._tunnels.open_count
+            active = self._count_unfinished() + self._tunnels.open_count
             step = schedule.next_step(_clock.now() - began, active)
             if step is StopStep.EXIT:
                 break
@@ -309,11 +309,15 @@
                     self._core.refuse_all()
                 self._caller_server.close_idle()
             time.sleep(schedule.poll_seconds)
-        cut = self._app.active
+        cut = self._count_unfinished()
         log("host", f"stopped, {cut} requests cut off.", cut=cut)
         self.close()
         return cut
 
+    def _count_unfinished(self) -> int:
+        """Return how many callers wait for a response, or for the rest of one."""
+        return self._app.active + self._caller_server.unsent_count
+
     def close(self) -> None:
         """Close all servers and connections at once."""
         self._stopping.set()
--- a/src/rudderpass/webserver/_server.py
+++ b/src/rudderpass/webserver/_server.py
@@ -232,6 +232,12 @@
         """Number of open connections."""
         return len(self._server.active_channels)
 
+    @property
+    def unsent_count(self) -> int:
+        """Number of connections with response bytes that their caller has not taken."""
+        channels = list(self._server.active_channels.values())
+        return sum(channel.total_outbufs_len > 0 for channel in channels)
+
     @property
     def connection_limit(self) -> int:
         """Number of connections beyond which new ones are closed unread."""
--- a/tests/host/test_host.py
+++ b/tests/host/test_host.py
@@ -305,6 +305,40 @@
     assert not host.is_ready
 
 
+def test_a_stop_waits_for_callers_that_are_still_receiving(
+    deployment: Deployment,
+) -> None:
+    """A response that the upstream has sent is not delivered yet."""
+    size, rate = 12 * 1024 * 1024, 2 * 1024 * 1024
+    deployment.upstream.close()
+    deployment.upstream = FakeUpstream(respond(b"x" * size))
+    deployment.publish(1, "k1")
+    deployment.register()
+    host = deployment.start(grace=9.0)
+    wait_for(lambda: deployment.ask(host) == 200)
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
+    caller.settimeout(TIMEOUT)
+    name, _, port = host.address.rpartition(":")
+    caller.connect((name, int(port)))
+    caller.sendall(
+        b"GET /a/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r2\r\n"
+        b"X-Credential: k1\r\n\r\n"
+    )
+    received = len(caller.recv(1024))
+    stopped: list[int] = []
+    stopping = threading.Thread(target=lambda: stopped.append(host.stop()))
+    stopping.start()
+    began = time.monotonic()
+    while received < size and (data := caller.recv(64 * 1024)):
+        received += len(data)
+        time.sleep(max(0.0, received / rate - (time.monotonic() - began)))
+    assert received >= size
+    caller.close()
+    stopping.join(TIMEOUT)
+    assert stopped == [0]
+
+
 def list_calls(store: StandInStore) -> list[str]:
     """Return the calls that read or write complete lists; long polls are left out."""
     return [call for call in store.calls if call != "/-/log-read"]
