Notice a silent connection to the store within three seconds

Cause: a waiting call took 2.5 s, and the client allowed 1.5 s more. The two spans after which a host must follow again overlap; they were added up.

Change: 2.2 s and 0.6 s, together less than the 3 s from which a host counts as in touch. It holds since a lost call is all that a host waits for; peers wait alike.

Measured: the new test of test_store.py failed before and passes now.

--- a/src/rudderpass/directory/_follower.py
+++ b/src/rudderpass/directory/_follower.py
@@ -15,12 +15,11 @@
 from rudderpass.directory._position import LogPosition
 from rudderpass.errors import ConnectionLost, PlatformError
 
-POLL_WAIT_SECONDS = 2.5
+POLL_WAIT_SECONDS = 2.2
 """How long one call waits for new records. A call whose response is lost leaves a host
-without updates for this time and the 1.5 s that the store's client adds. Both together
-may take 5 s at most: the 3 s after which the platform holds a host to the drain bound
-again, and that bound of 2 s. With 10 s, five of seven hosts received no updates from an
-answering store for 7.5 s. Longer waits make fewer calls, which are billed."""
+without updates for this time and the 0.6 s that the store's client adds. Both together
+must be less than the 3 s from which a host counts as in touch again after a loss of its
+connections. Longer waits make fewer calls, which are billed."""
 
 SHARED_POLL_WAIT_SECONDS = 1.0
 """The same for a host that others rely on: it must soon notice that the store no longer
--- a/src/rudderpass/platform/_store.py
+++ b/src/rudderpass/platform/_store.py
@@ -43,6 +43,10 @@
 """For a call that does not wait for records. A slow store takes 60 times the usual 4 ms
 in the users' deployments."""
 
+WAIT_MARGIN_SECONDS = 0.6
+"""Added to the time for which a call waits for records. A call that was lost is noticed
+only then, while a slow store responds within some 0.25 s."""
+
 TRANSFER_SECONDS = 3.0
 """Further time for a page that keeps arriving: 1 MB takes 1.6 s at 5 Mbit/s."""
 
@@ -120,7 +124,8 @@
             "from": str(offset),
             "waitMs": str(int(wait * 1000)),
         }
-        response = self._call("GET", "/-/log-read", query, wait + CALL_TIMEOUT_SECONDS)
+        timeout = wait + WAIT_MARGIN_SECONDS if wait else CALL_TIMEOUT_SECONDS
+        response = self._call("GET", "/-/log-read", query, timeout)
         try:
             records = _parse_records(response.content, offset)
         except (struct.error, ValueError) as error:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterator
 
 import pytest
 
 from rudderpass._ids import StoreEra
 from rudderpass.directory import HistoryLost, KeyedRecord, LogPosition
+from rudderpass.directory._follower import POLL_WAIT_SECONDS
 from rudderpass.errors import ConnectionLost, PlatformError
 from rudderpass.platform import KeyedStore
+from tests.listener import Listener
 from tests.platform.store import StandInStore
 
 TOPIC = "keyed.test"
+IN_TOUCH_SECONDS = 3.0
 ERA = StoreEra(0)
 
 
@@ -153,3 +157,15 @@
     page = KeyedStore(stand_in.address).read_newest(TOPIC)
     assert [record.value for record in page.records] == [b"old"] * 3
     assert (page.end, page.era) == (3, 1)
+
+
+def test_a_lost_waiting_call_is_noticed_before_the_host_counts_as_in_touch() -> None:
+    """Open connections may go silent for good while new ones work."""
+    silent = Listener(lambda sock: time.sleep(2 * IN_TOUCH_SECONDS))
+    began = time.monotonic()
+    try:
+        with pytest.raises(PlatformError):
+            KeyedStore(silent.address).read_from(TOPIC, 0, wait=POLL_WAIT_SECONDS)
+    finally:
+        silent.close()
+    assert time.monotonic() - began < IN_TOUCH_SECONDS
