Record no single version before the records of hosts have been read

Cause, found by reading: an archiver that starts while the store is away, and learns of another version from the store's return, could write its record before it has read the one that names the version before, and lose it.

Change: a host records and describes single versions only once it has read the records, or has heard a peer that has. A transport keeps one poller for its socket.

Measured: test_a_host_records_no_single_version_before_it_has_read_the_records fails with the condition of put back, and passes now.

--- a/src/rudderpass/host/_origins.py
+++ b/src/rudderpass/host/_origins.py
@@ -117,9 +117,16 @@
         return self._archive
 
     def read_versions(self) -> Versions:
-        """Return the versions of services, for the host's record."""
+        """Return the versions of services, for the host's record.
+
+        A single version is no news before the host has learned what is on record: it
+        may have taken another's place, which must not be lost.
+        """
         with self._changed:
-            return self._core.origins.describe_all_versions(_clock.now())
+            origins = self._core.origins
+            if origins.is_informed:
+                return origins.describe_all_versions(_clock.now())
+            return origins.describe_versions(_clock.now())
 
     def record_registered(
         self,
@@ -257,7 +264,7 @@
             self._recorded.get(service) == versions
             for service, versions in current.items()
         )
-        may_record = self._has_asked_store and self._archive.is_archiver(now)
+        may_record = self._core.origins.is_informed and self._archive.is_archiver(now)
         if is_recorded or not may_record:
             return
         self._recorded |= current
--- a/src/rudderpass/httpclient/_transport.py
+++ b/src/rudderpass/httpclient/_transport.py
@@ -45,6 +45,7 @@
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         sock.setblocking(False)
+        self._input_poller = _make_poller(sock, select.POLLIN)
         self._deadline = math.inf
         self._idle_timeout = math.inf
         self._received = bytearray()
@@ -86,6 +87,7 @@
         """Prepare for the next request on this connection."""
         self._head = b""
         self._head_error = None
+        self._searched = 0
         self._interim_bytes = 0
         self._has_received = False
         self._has_response_begun = False
@@ -206,7 +208,7 @@
         try:
             return self._sock.send(data[:_SEND_BYTES])
         except BlockingIOError:
-            self._wait_for(select.POLLIN | select.POLLOUT)
+            self._wait_for(_make_poller(self._sock, select.POLLIN | select.POLLOUT))
             return 0
 
     def _check_response_begun(self) -> None:
@@ -261,7 +263,7 @@
 
     def _receive_more(self) -> bytes:
         while True:
-            self._wait_for(select.POLLIN)
+            self._wait_for(self._input_poller)
             received = self._receive_arrived()
             if received is not None:
                 return received
@@ -277,20 +279,25 @@
         self._has_received = self._has_received or bool(data)
         return data
 
-    def _wait_for(self, events: int) -> None:
+    def _wait_for(self, poller: select.poll) -> None:
         """Wait until the socket is ready.
 
         :raises DeadlinePassed: when it is not in time.
         """
-        poller = select.poll()  # select() fails for descriptors from 1024 on.
-        poller.register(self._sock, events)
-        until = min(self._deadline, _clock.now() + self._idle_timeout)
-        while True:
-            left = until - _clock.now()
-            if left <= 0.0:
-                raise DeadlinePassed("the time limit has passed")
-            if poller.poll(None if math.isinf(left) else 1000 * left):
+        now = _clock.now()
+        until = min(self._deadline, now + self._idle_timeout)
+        while now < until:
+            timeout = None if math.isinf(until) else 1000 * (until - now)
+            if poller.poll(timeout):
                 return
+            now = _clock.now()
+        raise DeadlinePassed("the time limit has passed")
+
+
+def _make_poller(sock: socket.socket, events: int) -> select.poll:
+    poller = select.poll()  # select() fails for descriptors from 1024 on.
+    poller.register(sock, events)
+    return poller
 
 
 def _check_header_lines(head: bytes) -> None:
--- a/tests/host/test_origins.py
+++ b/tests/host/test_origins.py
@@ -68,6 +68,7 @@
     """Hosts whose datagrams arrive at once, or never on cut links.
 
     :ivar sent: number of datagrams sent.
+    :ivar recorded: hosts that scheduled a write of their record, in order.
     """
 
     def __init__(self, versions: tuple[SoftwareVersion, ...]) -> None:
@@ -78,6 +79,7 @@
         self.tables: dict[NodeId, PeerTable] = {}
         self.cut: set[NodeId] = set()
         self.sent = 0
+        self.recorded: list[NodeId] = []
         self.stopping = threading.Event()
 
     def start(self, count: int) -> list[PeerOrigins]:
@@ -147,7 +149,7 @@
             send,
             self.store,
             "origins",
-            lambda: None,
+            lambda: self.recorded.append(name),
             self.stopping,
         )
         return self.hosts[name]
@@ -290,3 +292,38 @@
         host.archive._load()
         host.archive._write()
     assert (network.sent, network.store.calls) == (0, 0)
+
+
+def test_with_one_version_archivers_record_it_once() -> None:
+    network = Network((V1, V1))
+    hosts = network.start(8)
+    for _ in range(3):
+        for host in hosts:
+            host.tick(_clock.now())
+    assert len(network.recorded) == 1
+    (archiver,) = network.recorded
+    versions = network.hosts[archiver].read_versions()
+    assert {service: set(ages) for service, ages in versions.items()} == {SERVICE: {V1}}
+
+
+def test_a_version_that_is_on_record_is_not_recorded_again() -> None:
+    network = Network((V1, V1))
+    for host in network.start(3):
+        host.record_registered((), {SERVICE: V1})
+        host.tick(_clock.now())
+    assert not network.recorded
+
+
+def test_a_host_records_no_single_version_before_it_has_read_the_records() -> None:
+    """It may have taken the place of the one on record, which must not be lost."""
+    network = Network((V2,))
+    hosts = network.start(3)
+    for host in hosts:
+        network.cores[host._own].origins.is_informed = False
+        host.record_registered(None)
+        host.tick(_clock.now())
+        assert host.read_versions() == {}
+    assert not network.recorded
+    for host in hosts:
+        host.record_registered((), {SERVICE: V1})
+        assert set(host.read_versions()[SERVICE]) == {V1, V2}
