Wait for the version's record before counting a restarted host's calls

Cause: a running host writes its service's version to the store once, some moments after its start.

Change: the test waits until the record is there, and then asks for the same calls as before.

--- a/tests/host/test_host.py
+++ b/tests/host/test_host.py
@@ -15,7 +15,7 @@
 
 from rudderpass._ids import AvailabilityZone, NodeId
 from rudderpass.exchange import BudgetRule
-from rudderpass.gossip import FollowRule, PeerTable
+from rudderpass.gossip import FollowRule, PeerTable, decode_versions_on_record
 from rudderpass.host import DutySettings, ExchangeHost, HostSettings
 from rudderpass.host._command import make_platform
 from rudderpass.platform import CONFIG_TOPIC, HOSTS_TOPIC, UPSTREAMS_TOPIC
@@ -366,6 +366,12 @@
             return address
 
 
+def read_recorded_versions(store: StandInStore, host: ExchangeHost) -> set[str]:
+    """Return the services of whose versions a host has written."""
+    record = store.newest(HOSTS_TOPIC).get(host.peer_address, b"")
+    return set(decode_versions_on_record(record).versions) if record else set()
+
+
 def test_a_restarted_host_of_a_large_deployment_gets_its_state_from_peers(
     deployment: Deployment, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -375,6 +381,8 @@
     deployment.register()
     first = deployment.start()
     wait_for(lambda: deployment.ask(first) == 200)
+    # It also writes the service's version, once.
+    wait_for(lambda: read_recorded_versions(deployment.store, first) == {"desk"})
     # Only the live peer follows the store; the other listed hosts are down.
     down = [f"127.0.0.1:{port}" for port in range(1, 30)]
     address = find_non_follower_address([first.peer_address, *down])
