Count a service's version as recorded by any write of the host's record

Change: any write of the record counts, and a host schedules one only after it has read the records. The test waits until the first host's write can no longer come.

--- a/src/rudderpass/host/_origins.py
+++ b/src/rudderpass/host/_origins.py
@@ -125,7 +125,10 @@
         with self._changed:
             origins = self._core.origins
             if origins.is_informed:
-                return origins.describe_all_versions(_clock.now())
+                described = origins.describe_all_versions(_clock.now())
+                for service, ages in described.items():
+                    self._recorded[service] = frozenset(ages)
+                return described
             return origins.describe_versions(_clock.now())
 
     def record_registered(
@@ -264,7 +267,8 @@
             self._recorded.get(service) == versions
             for service, versions in current.items()
         )
-        may_record = self._core.origins.is_informed and self._archive.is_archiver(now)
+        has_read = self._has_asked_store and self._core.origins.is_informed
+        may_record = has_read and self._archive.is_archiver(now)
         if is_recorded or not may_record:
             return
         self._recorded |= current
--- a/tests/host/test_host.py
+++ b/tests/host/test_host.py
@@ -381,8 +381,9 @@
     deployment.register()
     first = deployment.start()
     wait_for(lambda: deployment.ask(first) == 200)
-    # It also writes the service's version, once.
+    # It also writes the service's version, at most a second later.
     wait_for(lambda: read_recorded_versions(deployment.store, first) == {"desk"})
+    time.sleep(2.5)
     # Only the live peer follows the store; the other listed hosts are down.
     down = [f"127.0.0.1:{port}" for port in range(1, 30)]
     address = find_non_follower_address([first.peer_address, *down])
